--- /dev/null
+++ b/docs/conf.py
@@ -0,0 +1,6 @@
+"""Settings of the documentation build."""
+
+project = "rattanwing"
+extensions = []
+html_theme = "alabaster"
+exclude_patterns = ["_build", "*.md"]
--- /dev/null
+++ b/rattanwing/application.py
@@ -0,0 +1,67 @@
+"""The micro-kernel: a registry of named services and named events."""
+
+from __future__ import annotations
+
+import importlib
+from typing import TYPE_CHECKING, Any
+
+from rattanwing.errors import RegistryError
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+
+class Application:
+    """Holds the services of one process, which find each other by name.
+
+    :param settings: the checked settings of this process.
+    :param clock: returns monotonic seconds; tests pass a virtual clock.
+    """
+
+    __slots__ = ("settings", "clock", "services", "tasks", "listeners")
+
+    def __init__(self, settings: Any, clock: Callable[[], float]) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.services: dict[str, Any] = {}
+        self.tasks: list[Callable[[], Awaitable[None]]] = []
+        self.listeners: dict[str, list[Callable[..., None]]] = {}
+
+    def setup_extension(self, module_name: str) -> None:
+        """Import an extension module and let it register itself."""
+        importlib.import_module(module_name).setup(self)
+
+    def add_service(self, name: str, service: Any) -> None:
+        """Register a service.
+
+        :raises RegistryError: if the name is taken.
+        """
+        if name in self.services:
+            raise RegistryError(f"service {name!r} is registered twice")
+        self.services[name] = service
+
+    def get(self, name: str) -> Any:
+        """Return the service registered under ``name``.
+
+        :raises RegistryError: if there is none.
+        """
+        if name not in self.services:
+            raise RegistryError(f"service {name!r} is not loaded")
+        return self.services[name]
+
+    def add_task(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Register a coroutine function that runs while the process lives."""
+        self.tasks.append(run)
+
+    def connect(self, event: str, listener: Callable[..., None]) -> None:
+        """Call ``listener`` whenever ``event`` is emitted."""
+        self.listeners.setdefault(event, []).append(listener)
+
+    def emit(self, event: str, *args: Any) -> None:
+        """Call the listeners of ``event`` in the order of their connection."""
+        for listener in self.listeners.get(event, ()):
+            listener(*args)
+
+    def now(self) -> float:
+        """Return the present time in monotonic seconds."""
+        return self.clock()
--- /dev/null
+++ b/rattanwing/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines: the daemon and the operators' tool."""
--- /dev/null
+++ b/rattanwing/util/__init__.py
@@ -0,0 +1,1 @@
+"""Leaf helpers that know nothing of scheduling."""
