Keep checkpoints and ends that arrive late; ask again after a restart

The checker's rule 'finished twice' is replaced: no work is done twice, save that of a repeatable attempt whose host or lease was lost (stop record without checkpoint); a job that must not repeat has no such exception.

--- a/rattanwing/cmd/embedded.py
+++ b/rattanwing/cmd/embedded.py
@@ -118,7 +118,7 @@
     """Run the showing, then stop every application if asked to."""
     await show(address)
     if not once:
-        print(f"until Ctrl-C; try: rattanwing --entry {address} status", flush=True)
+        print(f"until Ctrl-C; try: rattanwing status --entry {address}", flush=True)
         return
     for app in applications:
         app.get("lifecycle").stop()
--- a/rattanwing/entry/scheduler.py
+++ b/rattanwing/entry/scheduler.py
@@ -64,6 +64,7 @@
         "overdue",
         "stop_sent_at",
         "confirmed",
+        "ordered",
         "asked_at",
         "nursery",
     )
@@ -75,7 +76,8 @@
         self.worker_records: dict[str, WorkerRecord] = {}
         self.overdue: set[str] = set()
         self.stop_sent_at: dict[str, float] = {}
-        self.confirmed: dict[str, int] = {}
+        self.confirmed: dict[str, tuple[int, str]] = {}
+        self.ordered: dict[str, int] = {}
         self.asked_at: dict[str, float] = {}
         self.nursery: trio.Nursery | None = None
         app.connect("shard-claimed", self.take_over)
@@ -227,6 +229,7 @@
             spec.work,
             job.checkpoint,
         )
+        self.ordered[spec.id] = place.attempt
         try_send(handle, order)
 
     def back_off(self, job_id: str) -> None:
@@ -330,7 +333,8 @@
                 own = handle.lease_bounds.get(ownership.shard.number, bound)
                 bound = max(bound, own + CLOCK_MARGIN_S)
             if now > bound:
-                self.record_stop(ownership, job, "lease-lapsed", ran=True)
+                ran = self.may_have_run(ownership, job)
+                self.record_stop(ownership, job, "lease-lapsed", ran=ran)
 
     def stop_cancelled(self, ownership: ShardOwnership, now: float) -> None:
         """Order the stop of cancelled jobs, again until it is reported."""
@@ -390,15 +394,26 @@
         agents = self.app.get("agents").agents
         asked: dict[str, list[records.Job]] = {}
         for job in ownership.shard.state.in_state("placed"):
-            if self.confirmed.get(job.spec.id) == job.attempt:
+            handle = agents.get(job.worker)
+            if handle is None or self.is_confirmed(job, handle):
                 continue
             if now - self.asked_at.setdefault(job.spec.id, now) < CONFIRM_REPEAT_S:
                 continue
             self.asked_at[job.spec.id] = now
             asked.setdefault(job.worker, []).append(job)
         for worker, jobs in asked.items():
-            if worker in agents:
-                self.send_query(ownership, agents[worker], jobs)
+            self.send_query(ownership, agents[worker], jobs)
+
+    def is_confirmed(self, job: records.Job, handle: AgentHandle) -> bool:
+        """Return whether this run of the agent has said that it runs the job."""
+        confirmed = (job.attempt, handle.hello.incarnation)
+        return self.confirmed.get(job.spec.id) == confirmed
+
+    def may_have_run(self, ownership: ShardOwnership, job: records.Job) -> bool:
+        """Return whether the attempt was, or may have been, ordered to start."""
+        if job.placed_epoch != ownership.epoch:
+            return True
+        return self.ordered.get(job.spec.id) == job.attempt
 
     # Reports of agents.
 
@@ -430,14 +445,15 @@
             job is not None
             and job.attempt == report.attempt
             and job.worker == handle.name
-            and job.state in ("placed", "held")
+            and job.attempt > 0
         )
-        if not current:
+        final = report.state in ("finished", "failed") or report.checkpoint is not None
+        if not current or (job.state != "placed" and not final):
             self.settle_stale(ownership, handle, report)
             return
         match report.state:
             case "running":
-                self.confirmed[report.job] = report.attempt
+                self.confirmed[report.job] = (report.attempt, incarnation)
             case "finished" | "failed":
                 self.record_finish(ownership, report)
             case "stopped":
@@ -452,7 +468,8 @@
             case "refused":
                 self.record_stop(ownership, job, report.reason, ran=False)
             case "unknown":
-                ran = incarnation != job.incarnation
+                restarted = incarnation != job.incarnation
+                ran = restarted and self.may_have_run(ownership, job)
                 self.record_stop(ownership, job, "unknown-to-agent", ran=ran)
 
     def settle_stale(
@@ -495,7 +512,7 @@
     ) -> None:
         """Append the stop of an attempt."""
         record = records.Stop(
-            f"stop-{job.spec.id}-{job.attempt}-{ownership.epoch}",
+            f"stop-{job.spec.id}-{job.attempt}-{ownership.epoch}-{reason}",
             ownership.epoch,
             job.spec.id,
             job.attempt,
@@ -512,6 +529,7 @@
         self.stop_sent_at.pop(job_id, None)
         self.confirmed.pop(job_id, None)
         self.asked_at.pop(job_id, None)
+        self.ordered.pop(job_id, None)
         job = self.app.get("shards").find(job_id)
         handle = self.app.get("agents").agents.get(job.worker) if job else None
         if handle is not None:
--- a/rattanwing/jobs/shard.py
+++ b/rattanwing/jobs/shard.py
@@ -132,9 +132,15 @@
         job.placed_epoch = place.epoch
 
     def apply_stop(self, time: float, stop: records.Stop) -> None:
-        """Take note that the placed attempt is over."""
+        """Take note that the placed attempt is over.
+
+        A checkpoint that comes after its attempt was given up still counts
+        while no later attempt was placed.
+        """
         self.check_epoch(stop.epoch)
-        job = self.placed_job(stop.job, stop.attempt, ("placed",))
+        late = stop.checkpoint is not None
+        states = ("placed", "held", "pending") if late else ("placed",)
+        job = self.placed_job(stop.job, stop.attempt, states)
         job.reason = stop.reason
         if stop.checkpoint is not None:
             job.checkpoint = stop.checkpoint
@@ -149,9 +155,14 @@
         return None
 
     def apply_finish(self, time: float, finish: records.Finish) -> None:
-        """End the job, or count a failure and let it be tried elsewhere."""
+        """End the job, or count a failure and let it be tried elsewhere.
+
+        An attempt that was given up may still have ended; while no later one
+        was placed, its end counts.
+        """
         self.check_epoch(finish.epoch)
-        job = self.placed_job(finish.job, finish.attempt, ("placed", "held"))
+        states = ("placed", "held", "pending")
+        job = self.placed_job(finish.job, finish.attempt, states)
         job.reason = finish.detail
         if finish.ok:
             return self.end(job, "finished", time)
--- a/tests/world.py
+++ b/tests/world.py
@@ -10,7 +10,7 @@
 
 from rattanwing.application import Application
 from rattanwing.errors import LogUnavailableError, PeerLostError
-from rattanwing.jobs.records import Cancel, Stop
+from rattanwing.jobs.records import Cancel, Stop, Submit
 from rattanwing.jobs.shard import decode_record
 from rattanwing.peer.stream import memory_stream_pair
 from rattanwing.settings import (
@@ -448,6 +448,10 @@
         match record:
             case Stop(job=job, attempt=attempt, checkpoint=str()):
                 self.history.recorded_stops.add((job, attempt))
+            case Stop(job=job, attempt=attempt, ran=True):
+                self.history.lost_attempts.add((job, attempt))
+            case Submit(spec=spec) if spec.repeatable:
+                self.history.repeatable.add(spec.id)
             case Cancel(job=job):
                 self.history.cancelled.add(job)
 
