Specify ownership, attempts and the freshness gate for a model checker

Cause: pauses at any step can't be brought about by schedules alone. Found: my first specification let a claim in flight use what its sender read later (26 steps to two places); the code's claim record names the record that was read when it was sent, so the specification was wrong, not the code. Ruled out as needed for safety: the epoch check of stop records, and the promise as a bound on claims, since the takeover wait already counts it. Clock drift is not in the specification; the code's margin covers it on paper only.

--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specification of the core protocol, for exhaustive exploration."""
--- /dev/null
+++ b/spec/attempts.py
@@ -0,0 +1,168 @@
+"""Attempts of one job: placement on the log, fencing, and lost start orders.
+
+Two entries act as owners, one after the other or, after a pause, both at
+once. Each appends placements under its epoch; an agent starts what it is
+ordered to start unless its own rules refuse. Time is left out: it is the
+subject of :mod:`spec.ownership`.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+MAX_ATTEMPT = 2
+RULES = (
+    "fold-admits-one-placement",
+    "start-after-read-back",
+    "agent-refuses-seen-attempts",
+)
+
+
+class State(NamedTuple):
+    """Everything that attempts depend on; owner 1 uses worker 1, owner 2 worker 2.
+
+    :param epoch: owner of the newest accepted claim.
+    :param believes1: whether owner 1 still believes to own the shard.
+    :param append1: attempt that owner 1 appends, in flight; 0 for none.
+    :param append2: the same for owner 2.
+    :param placed: attempt that the fold holds as placed, 0 while pending.
+    :param worker: where the fold placed it.
+    :param number: highest attempt that was placed.
+    :param order1: attempt in a start order to worker 1, in flight.
+    :param order2: the same to worker 2.
+    :param seen1: highest attempt that worker 1's agent may not start again.
+    :param seen2: the same of worker 2's agent.
+    :param starts1: how often attempt 1 was started; ``starts2``: attempt 2.
+    :param stray: whether an attempt started where the fold had not placed it.
+    """
+
+    epoch: int = 1
+    believes1: bool = True
+    append1: int = 0
+    append2: int = 0
+    placed: int = 0
+    worker: int = 0
+    number: int = 0
+    order1: int = 0
+    order2: int = 0
+    seen1: int = 0
+    seen2: int = 0
+    starts1: int = 0
+    starts2: int = 0
+    stray: bool = False
+
+
+def fold_place(state: State, owner: int, attempt: int, removed: str) -> State:
+    """Apply a placement; its owner orders the start when it reads it back."""
+    fits = state.placed == 0 and attempt == state.number + 1
+    current = owner == state.epoch
+    if not (fits and current) and removed != "fold-admits-one-placement":
+        return state
+    number = max(state.number, attempt)
+    after = state._replace(placed=attempt, worker=owner, number=number)
+    return put_order(after, owner, attempt)
+
+
+def put_order(state: State, worker: int, attempt: int) -> State:
+    """Put a start order on its way, or take it off with attempt 0."""
+    if worker == 1:
+        return state._replace(order1=attempt)
+    return state._replace(order2=attempt)
+
+
+def put_seen(state: State, worker: int, attempt: int) -> State:
+    """Let a worker's agent refuse this attempt and all lower ones."""
+    if worker == 1:
+        return state._replace(seen1=max(state.seen1, attempt))
+    return state._replace(seen2=max(state.seen2, attempt))
+
+
+def start(state: State, worker: int, attempt: int, removed: str) -> State:
+    """Let an agent take a start order."""
+    seen = state.seen1 if worker == 1 else state.seen2
+    if attempt <= seen and removed != "agent-refuses-seen-attempts":
+        return state
+    stray = (attempt, worker) != (state.placed, state.worker)
+    after = put_seen(state, worker, attempt)._replace(stray=state.stray or stray)
+    if attempt == 1:
+        return after._replace(starts1=min(state.starts1 + 1, 2))
+    return after._replace(starts2=min(state.starts2 + 1, 2))
+
+
+def steps_of_owner(state: State, owner: int, removed: str) -> list[tuple[str, State]]:
+    """Return the steps of one owner and its appends."""
+    steps = []
+    believes = state.believes1 if owner == 1 else state.epoch == 2
+    append = state.append1 if owner == 1 else state.append2
+    field = f"append{owner}"
+    attempt = state.number + 1
+    if believes and state.placed == 0 and attempt <= MAX_ATTEMPT and not append:
+        after = state._replace(**{field: attempt})
+        if removed == "start-after-read-back":
+            after = put_order(after, owner, attempt)
+        steps.append((f"owner_{owner}_appends", after))
+    if append:
+        after = fold_place(state._replace(**{field: 0}), owner, append, removed)
+        steps.append((f"log_takes_{owner}", after))
+    return steps
+
+
+def steps_of_ownership(state: State) -> list[tuple[str, State]]:
+    """Return the steps by which the shard changes hands."""
+    if state.epoch == 1:
+        return [("owner_2_claims", state._replace(epoch=2))]
+    if state.believes1:
+        return [("owner_1_reads_claim", state._replace(believes1=False))]
+    return []
+
+
+def steps_of_agent(state: State, worker: int, removed: str) -> list[tuple[str, State]]:
+    """Return the steps of one agent; an order may be lost or arrive twice."""
+    attempt = state.order1 if worker == 1 else state.order2
+    if not attempt:
+        return []
+    after = start(state, worker, attempt, removed)
+    return [
+        (f"agent_{worker}_takes_order", put_order(after, worker, 0)),
+        (f"order_{worker}_is_doubled", after),
+        (f"order_{worker}_is_lost", put_order(state, worker, 0)),
+    ]
+
+
+def steps_of_record(state: State, removed: str) -> list[tuple[str, State]]:
+    """Return the ways in which the placed attempt is recorded as over."""
+    if not state.placed:
+        return []
+    stopped = state._replace(placed=0, worker=0)
+    started = state.starts1 if state.placed == 1 else state.starts2
+    if started:
+        return [("stop_is_recorded", stopped)]
+    if removed != "agent-refuses-seen-attempts":
+        stopped = put_seen(stopped, state.worker, state.placed)
+    return [("agent_answers_unknown", stopped)]
+
+
+def make_protocol(removed: str = "") -> Protocol:
+    """Return the specification, without the rule named ``removed``."""
+
+    def transitions(values: tuple) -> list[tuple[str, tuple]]:
+        state = State(*values)
+        steps = steps_of_ownership(state) + steps_of_record(state, removed)
+        for number in (1, 2):
+            steps += steps_of_owner(state, number, removed)
+            steps += steps_of_agent(state, number, removed)
+        return [(label, tuple(after)) for label, after in steps]
+
+    return Protocol(
+        name="attempts",
+        candidate=False,
+        fields=State._fields,
+        initial=tuple(State()),
+        transitions=transitions,
+        invariants={
+            "each_attempt_starts_once": lambda s: s["starts1"] < 2 and s["starts2"] < 2,
+            "only_placed_attempts_start": lambda s: not s["stray"],
+        },
+    )
--- /dev/null
+++ b/spec/freshness.py
@@ -0,0 +1,126 @@
+"""The freshness gate: no start long after a failure domain was taken out.
+
+An entry reads the configuration and answers an agent's heartbeat; the agent
+starts tasks only while its view was confirmed a short time ago, and hands
+the worker the moment after which the order is void.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+FRESHNESS = 2
+LIMIT = FRESHNESS
+LATE = LIMIT + 1
+
+RULES = ("age-counts-from-echo", "gate-closes", "worker-checks-start-by", "out-refuses")
+
+
+class State(NamedTuple):
+    """Everything that the gate depends on.
+
+    :param out: whether the domain is out, in the log; ``since``: for how long.
+    :param fresh_entry: time for which the entry's reading stays fresh.
+    :param entry_out: whether the entry has read that the domain is out.
+    :param heartbeat: time since the agent sent its heartbeat; -1 for none.
+    :param ack: time for which the answer in flight confirms; -1 for none.
+    :param ack_out: what that answer says of the domain.
+    :param gate: time for which the agent may start tasks.
+    :param agent_out: whether the agent knows that the domain is out.
+    :param order: time for which the worker may take the start; -1 for none.
+    :param late: whether a task started too long after the domain was taken out.
+    """
+
+    out: bool = False
+    since: int = 0
+    fresh_entry: int = FRESHNESS
+    entry_out: bool = False
+    heartbeat: int = -1
+    ack: int = -1
+    ack_out: bool = False
+    gate: int = 0
+    agent_out: bool = False
+    order: int = -1
+    late: bool = False
+
+
+def less(value: int) -> int:
+    """Return a timer after one unit of time."""
+    return max(value - 1, 0) if value >= 0 else value
+
+
+def tick(state: State, removed: str) -> State:
+    """Let one unit of time pass."""
+    heartbeat = state.heartbeat
+    if heartbeat >= 0:
+        heartbeat = min(heartbeat + 1, FRESHNESS)
+    from_echo = removed != "age-counts-from-echo"
+    return state._replace(
+        since=min(state.since + 1, LATE) if state.out else 0,
+        fresh_entry=less(state.fresh_entry),
+        heartbeat=heartbeat,
+        ack=less(state.ack) if from_echo else state.ack,
+        gate=less(state.gate),
+        order=less(state.order) if removed != "worker-checks-start-by" else state.order,
+    )
+
+
+def steps_of_entry(state: State, removed: str) -> list[tuple[str, State]]:
+    """Return the steps of the operator, the log and the entry."""
+    steps = []
+    if not state.out:
+        steps.append(("domain_is_taken_out", state._replace(out=True, since=0)))
+    reading = state._replace(fresh_entry=FRESHNESS, entry_out=state.out)
+    steps.append(("entry_reads_configuration", reading))
+    if state.heartbeat >= 0:
+        age = 0 if removed == "age-counts-from-echo" else state.heartbeat
+        confirms = max(state.fresh_entry - age, 0)
+        after = state._replace(heartbeat=-1, ack=confirms, ack_out=state.entry_out)
+        steps.append(("entry_answers_heartbeat", after))
+    return steps
+
+
+def steps_of_agent(state: State, removed: str) -> list[tuple[str, State]]:
+    """Return the steps of the agent and its worker."""
+    steps = []
+    if state.heartbeat < 0 and state.ack < 0:
+        steps.append(("agent_sends_heartbeat", state._replace(heartbeat=0)))
+    if state.ack >= 0:
+        after = state._replace(
+            ack=-1,
+            gate=max(state.gate, state.ack),
+            agent_out=state.agent_out or state.ack_out,
+        )
+        steps.append(("agent_takes_ack", after))
+    open_gate = state.gate > 0 or removed == "gate-closes"
+    refused = state.agent_out and removed != "out-refuses"
+    if state.order < 0 and open_gate and not refused:
+        lasts = FRESHNESS if removed == "gate-closes" else state.gate
+        steps.append(("agent_orders_start", state._replace(order=lasts)))
+    if state.order > 0:
+        late = state.late or state.since > LIMIT
+        steps.append(("worker_starts_task", state._replace(order=-1, late=late)))
+    if state.order == 0:
+        steps.append(("worker_refuses_order", state._replace(order=-1)))
+    return steps
+
+
+def make_protocol(removed: str = "") -> Protocol:
+    """Return the specification, without the rule named ``removed``."""
+
+    def transitions(values: tuple) -> list[tuple[str, tuple]]:
+        state = State(*values)
+        steps = steps_of_entry(state, removed) + steps_of_agent(state, removed)
+        steps.append(("tick", tick(state, removed)))
+        return [(label, tuple(after)) for label, after in steps]
+
+    return Protocol(
+        name="freshness",
+        candidate=False,
+        fields=State._fields,
+        initial=tuple(State()),
+        transitions=transitions,
+        invariants={"no_late_start": lambda s: not s["late"]},
+    )
--- /dev/null
+++ b/tests/test_proof_model.py
@@ -0,0 +1,43 @@
+"""The specification holds, and each of its rules is needed."""
+
+from __future__ import annotations
+
+import unittest
+
+from minicheck import check_safety
+
+from spec import attempts, freshness, ownership
+
+MAX_STATES = 3_000_000
+
+
+def explore(protocol):
+    """Return the search's verdict; one that did not finish raises."""
+    return check_safety(protocol, max_states=MAX_STATES)
+
+
+class ModelProofs(unittest.TestCase):
+    def check_holds(self, module):
+        result = explore(module.make_protocol())
+        self.assertTrue(result.get("exhaustive", True), result)
+        for name, verdict in result["properties"].items():
+            self.assertIs(verdict["holds"], True, f"{name}: {verdict}")
+
+    def check_rules_are_needed(self, module):
+        for rule in module.RULES:
+            with self.subTest(rule=rule):
+                result = explore(module.make_protocol(removed=rule))
+                verdicts = [v["holds"] for v in result["properties"].values()]
+                self.assertIn(False, verdicts)
+
+    def test_ownership_and_leases(self):
+        self.check_holds(ownership)
+        self.check_rules_are_needed(ownership)
+
+    def test_freshness_gate(self):
+        self.check_holds(freshness)
+        self.check_rules_are_needed(freshness)
+
+    def test_attempts(self):
+        self.check_holds(attempts)
+        self.check_rules_are_needed(attempts)
