--- a/rattanwing/settings.py
+++ b/rattanwing/settings.py
@@ -19,13 +19,16 @@
 NonNegative = Annotated[int, msgspec.Meta(ge=0)]
 
 
-def address_problem(key: str, address: str) -> list[str]:
-    """Return a line when ``address`` is not an IP number and port."""
+def address_fault(address: str) -> str | None:
+    """Return what is wrong with an address, or ``None``."""
     try:
         split_address(address)
     except ValueError as error:
-        return [f"{key}: {error}; names are not resolved"]
-    return []
+        return f"{error}; names are not resolved"
+    return None
+
+
+Address = Annotated[str, msgspec.Meta(extra={"check": address_fault})]
 
 
 class LogSettings(msgspec.Struct):
@@ -39,11 +42,7 @@
     """Name and peer address of one entry."""
 
     name: Name
-    address: str
-
-    def problems(self) -> list[str]:
-        """Return faults that the types do not show."""
-        return address_problem("address", self.address)
+    address: Address
 
 
 class EntrySettings(msgspec.Struct):
@@ -58,21 +57,15 @@
     :param drain_s: how long health fails before the listener closes.
     """
 
-    http: str
-    peers: str
-    log: str
+    http: Address
+    peers: Address
+    log: Address
     entries: list[PeerAddress]
     shards: Count = 3
     stop_grace_s: Positive = 30.0
     drain_s: Annotated[float, msgspec.Meta(ge=0)] = 2.0
     snapshot_interval_s: Positive = 600.0
 
-    def problems(self) -> list[str]:
-        """Return faults that the types do not show."""
-        found = address_problem("http", self.http)
-        found += address_problem("peers", self.peers)
-        return found + address_problem("log", self.log)
-
 
 class ExecutorSettings(msgspec.Struct):
     """The executor beside an agent.
@@ -82,7 +75,7 @@
     """
 
     service: Name
-    address: str
+    address: Address
     slots: Count = 8
     connections: Count = 64
     queue: NonNegative = 16
@@ -91,25 +84,20 @@
 
     def problems(self) -> list[str]:
         """Return faults that the types do not show."""
-        found = address_problem("address", self.address)
         if self.connections < self.slots:
-            found.append("connections: fewer than slots")
-        return found
+            return ["connections: fewer than slots"]
+        return []
 
 
 class WorkerSettings(msgspec.Struct):
     """The worker that an agent looks after."""
 
-    address: str
+    address: Address
     rack: Name
     cpu: Positive
     memory_mb: Count
     accelerators: NonNegative = 0
 
-    def problems(self) -> list[str]:
-        """Return faults that the types do not show."""
-        return address_problem("address", self.address)
-
 
 class AgentSettings(msgspec.Struct):
     """Settings of the role ``agent``.
@@ -120,12 +108,12 @@
     entries: Annotated[list[PeerAddress], msgspec.Meta(min_length=1)]
     executor: ExecutorSettings | None = None
     worker: WorkerSettings | None = None
-    http: str | None = None
+    http: Address | None = None
     stop_grace_s: Positive = 30.0
 
     def problems(self) -> list[str]:
         """Return faults that the types do not show."""
-        found = [] if self.http is None else address_problem("http", self.http)
+        found = []
         if self.executor is None and self.worker is None:
             found.append("executor: an agent needs an executor, a worker or both")
         if self.executor is None or self.worker is None:
@@ -140,7 +128,7 @@
 class StandinLogSettings(msgspec.Struct):
     """Settings of the stand-in log."""
 
-    http: str
+    http: Address
     retention: NonNegative = 0
 
 
@@ -150,14 +138,14 @@
     :param service_ms: milliseconds that a request takes when it names none.
     """
 
-    http: str
+    http: Address
     service_ms: float = 5.0
 
 
 class StandinWorkerSettings(msgspec.Struct):
     """Settings of the stand-in worker."""
 
-    http: str
+    http: Address
     cpu: Positive = 32.0
     memory_mb: Count = 128_000
 
--- a/rattanwing/util/schema.py
+++ b/rattanwing/util/schema.py
@@ -25,12 +25,25 @@
     if origin is dict and isinstance(value, dict):
         return check_dict(typing.get_args(kind)[1], value, path)
     try:
-        return msgspec.convert(value, kind), []
+        return msgspec.convert(value, kind), leaf_problems(kind, value, path)
     except msgspec.ValidationError as error:
         detail = str(error).partition(" - at ")[0]
         return None, [f"{path or '.'}: {detail}"]
 
 
+def leaf_problems(kind: Any, value: Any, path: str) -> list[str]:
+    """Return the fault that a leaf type's own check finds.
+
+    The check is the entry ``check`` of the type's ``msgspec.Meta.extra``; it
+    returns a sentence or ``None``.
+    """
+    for meta in getattr(kind, "__metadata__", ()):
+        found = (meta.extra or {}).get("check", lambda _value: None)(value)
+        if found:
+            return [f"{path or '.'}: {found}"]
+    return []
+
+
 def is_struct(kind: Any) -> bool:
     """Return whether ``kind`` is a msgspec struct class."""
     return isinstance(kind, type) and issubclass(kind, msgspec.Struct)
--- /dev/null
+++ b/tests/test_properties.py
@@ -0,0 +1,255 @@
+"""Properties of the codec, the folds and the settings, over arbitrary input."""
+
+from __future__ import annotations
+
+import copy
+import json
+import unittest
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rattanwing import messages
+from rattanwing.config.tree import ConfigTree
+from rattanwing.errors import ProtocolError, RecordError, SettingsError
+from rattanwing.jobs.shard import ShardState
+from rattanwing.settings import parse_settings
+
+SETTINGS = settings(derandomize=True, max_examples=300, deadline=None, database=None)
+START = 1_796_000_000.0
+AUTHORS = st.sampled_from(["ada", "bea", "carl", "zoe"])
+PATHS = st.sampled_from(
+    ["organisation", "teams/lamps", "failure-domains/fd-1", "teams/x/services/y", "q/r"]
+)
+VALUES = st.one_of(
+    st.none(),
+    st.just({"owners": ["ada", "bea"], "first_month": "2026-11"}),
+    st.just({"members": ["carl"]}),
+    st.just({"state": "out"}),
+    st.just({}),
+    st.integers(),
+)
+EDITS = st.builds(
+    lambda path, base, value: {"path": path, "base": base, "value": value},
+    PATHS,
+    st.integers(0, 6),
+    VALUES,
+)
+CHANGES = st.builds(
+    lambda number, author, edits, settle: json.dumps(
+        {
+            "kind": "change",
+            "id": f"c{number}",
+            "author": author,
+            "edits": edits,
+            "settle": settle,
+        }
+    ).encode(),
+    st.integers(0, 12),
+    AUTHORS,
+    st.lists(EDITS, max_size=3),
+    st.booleans(),
+)
+JOBS = st.sampled_from(["a", "b"])
+ATTEMPTS = st.integers(0, 3)
+EPOCHS = st.integers(-1, 8)
+SHARD_RECORDS = st.one_of(
+    st.builds(
+        lambda e, h: {
+            "kind": "claim",
+            "id": "c",
+            "owner": "e",
+            "expected": e,
+            "heard": h,
+        },
+        EPOCHS,
+        EPOCHS,
+    ),
+    st.builds(lambda e: {"kind": "renew", "id": "r", "epoch": e}, EPOCHS),
+    st.builds(
+        lambda j: {
+            "kind": "submit",
+            "id": "s",
+            "spec": {"id": j, "team": "t", "cpu": 1, "memory_mb": 1},
+        },
+        JOBS,
+    ),
+    st.builds(
+        lambda e, j, a: {
+            "kind": "place",
+            "id": "p",
+            "epoch": e,
+            "job": j,
+            "attempt": a,
+            "worker": "w",
+            "incarnation": "i",
+        },
+        EPOCHS,
+        JOBS,
+        ATTEMPTS,
+    ),
+    st.builds(
+        lambda e, j, a, ran: {
+            "kind": "stop",
+            "id": "x",
+            "epoch": e,
+            "job": j,
+            "attempt": a,
+            "reason": "",
+            "ran": ran,
+        },
+        EPOCHS,
+        JOBS,
+        ATTEMPTS,
+        st.booleans(),
+    ),
+    st.builds(
+        lambda e, j, a, ok: {
+            "kind": "finish",
+            "id": "f",
+            "epoch": e,
+            "job": j,
+            "attempt": a,
+            "ok": ok,
+        },
+        EPOCHS,
+        JOBS,
+        ATTEMPTS,
+        st.booleans(),
+    ),
+    st.builds(lambda j: {"kind": "cancel", "id": "k", "job": j, "author": "ada"}, JOBS),
+)
+
+
+class CodecProperties(unittest.TestCase):
+    @SETTINGS
+    @given(st.binary(max_size=200))
+    def test_arbitrary_bytes_decode_or_raise_protocol_error(self, data):
+        try:
+            message = messages.decode(data)
+        except ProtocolError:
+            return
+        self.assertIsInstance(message, messages.Message)
+
+    @SETTINGS
+    @given(st.binary(min_size=1, max_size=40), st.integers(0, 60), st.integers(0, 255))
+    def test_damaged_message_decodes_or_raises(self, body, place, byte):
+        request = messages.ServiceRequest("i", "s", 0, 1.0, "GET", "/", [], body)
+        data = bytearray(messages.encode(request))
+        self.assertEqual(messages.decode(bytes(data)), request)
+        data[place % len(data)] = byte
+        for damaged in (bytes(data), bytes(data[: place % len(data)])):
+            try:
+                messages.decode(damaged)
+            except ProtocolError:
+                continue
+
+    def test_oversized_message_is_refused(self):
+        with self.assertRaises(ProtocolError):
+            messages.decode(b"\x00" * (messages.MAX_MESSAGE_BYTES + 1))
+
+
+class FoldProperties(unittest.TestCase):
+    @SETTINGS
+    @given(st.binary(max_size=120))
+    def test_malformed_records_change_nothing(self, data):
+        for fold in (ConfigTree(), ShardState()):
+            before = fold.make_snapshot("s", 0)
+            with self.assertRaises(RecordError):
+                fold.snapshot_offset(data)
+                fold.apply(0, START, data)
+            self.assertEqual(fold.make_snapshot("s", 0), before)
+
+    @SETTINGS
+    @given(st.lists(CHANGES, max_size=12), st.integers(0, 12))
+    def test_config_from_a_snapshot_equals_the_whole_fold(self, changes, cut):
+        cut = min(cut, len(changes))
+        whole, early = ConfigTree(), ConfigTree()
+        versions = []
+        for offset, change in enumerate(changes):
+            whole.apply(offset, START, change)
+            versions.append(whole.changed_at)
+            if offset < cut:
+                early.apply(offset, START, change)
+        late = ConfigTree()
+        late.load_snapshot(early.make_snapshot("s", cut))
+        for offset, change in list(enumerate(changes))[cut:]:
+            late.apply(offset, START, change)
+        self.assertEqual(late.make_snapshot("x", 0), whole.make_snapshot("x", 0))
+        self.assertEqual(versions, sorted(versions))
+
+    @SETTINGS
+    @given(st.lists(CHANGES, min_size=1, max_size=8), st.data())
+    def test_change_that_stands_twice_takes_effect_once(self, changes, data):
+        tree = ConfigTree()
+        for offset, change in enumerate(changes):
+            tree.apply(offset, START, change)
+        nodes = copy.deepcopy(tree.nodes)
+        again = data.draw(st.sampled_from(changes))
+        tree.apply(len(changes), START, again)
+        self.assertEqual(tree.nodes, nodes)
+
+    @SETTINGS
+    @given(st.lists(SHARD_RECORDS, max_size=25), st.integers(0, 25))
+    def test_shard_invariants_and_snapshot(self, records, cut):
+        whole, early = ShardState(), ShardState()
+        epoch, attempts = -1, {}
+        for offset, record in enumerate(records):
+            data = json.dumps(record).encode()
+            whole.apply(offset, START, data)
+            if offset < cut:
+                early.apply(offset, START, data)
+            self.assertGreaterEqual(whole.epoch, epoch)
+            epoch = whole.epoch
+            for name, job in {**whole.jobs, **whole.ended}.items():
+                self.assertGreaterEqual(job.attempt, attempts.get(name, 0))
+                attempts[name] = job.attempt
+        late = ShardState()
+        late.load_snapshot(early.make_snapshot("s", cut))
+        for offset, record in list(enumerate(records))[cut:]:
+            late.apply(offset, START, json.dumps(record).encode())
+        self.assertEqual(late.make_snapshot("x", 0), whole.make_snapshot("x", 0))
+
+
+class SettingsProperties(unittest.TestCase):
+    JSON = st.recursive(
+        st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+        lambda c: st.lists(c, max_size=3) | st.dictionaries(st.text(max_size=8), c),
+        max_leaves=8,
+    )
+
+    @SETTINGS
+    @given(JSON)
+    def test_arbitrary_json_is_refused_with_paths(self, value):
+        with self.assertRaises(SettingsError) as caught:
+            parse_settings(msgspec.json.encode(value))
+        self.assertTrue(all(": " in line for line in caught.exception.problems))
+
+    def test_all_faults_are_told_at_once(self):
+        value = {
+            "name": "Bad Name",
+            "failure_domain": "fd-1",
+            "colour": "red",
+            "entry": {
+                "http": "localhost:80",
+                "peers": "10.0.0.1:70000",
+                "log": "10.0.0.1:1",
+                "entries": [{"name": "e", "address": "example.org:1"}],
+                "shards": 0,
+            },
+        }
+        with self.assertRaises(SettingsError) as caught:
+            parse_settings(json.dumps(value).encode())
+        paths = sorted({line.partition(":")[0] for line in caught.exception.problems})
+        self.assertEqual(
+            paths,
+            [
+                "colour",
+                "entry.entries[0].address",
+                "entry.http",
+                "entry.peers",
+                "entry.shards",
+                "name",
+            ],
+        )
