Measure the path and an idle agent

Change: make bench, first module; the agent no longer imports hypercorn unless it serves HTTP itself.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds: ``python -m bench``."""
--- /dev/null
+++ b/bench/path.py
@@ -0,0 +1,127 @@
+"""The request path and an idle agent, with separate processes."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import threading
+import time
+
+from bench.procfs import cpu_s, resident_mb
+from bench.rows import Row, quantile
+from tests.processes import Deployment, call
+
+REQUESTS = 400
+CLIENTS = 4
+SERVICE_MS = 20
+IDLE_S = 10.0
+OVERHEAD_P50_LIMIT = 2.0
+OVERHEAD_P99_LIMIT = 3.0
+AGENT_MEMORY_MB = 32.0
+AGENT_CPU_SHARE = 0.037
+AGENT_BYTES_S = 26_000
+
+
+def send_requests(address: str, target: str, count: int, out: list[float]) -> None:
+    """Send requests one after the other on one connection."""
+    connection = http.client.HTTPConnection(address, timeout=20)
+    for _number in range(count):
+        started = time.perf_counter()
+        connection.request("POST", target, b"{}")
+        answer = connection.getresponse()
+        answer.read()
+        if answer.status == 200:
+            out.append(time.perf_counter() - started)
+    connection.close()
+
+
+def latencies(address: str, target: str) -> list[float]:
+    """Return the latencies of requests by several clients, in seconds."""
+    out: list[float] = []
+    threads = [
+        threading.Thread(
+            target=send_requests, args=(address, target, REQUESTS // CLIENTS, out)
+        )
+        for _number in range(CLIENTS)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return out
+
+
+def path_rows(deployment: Deployment) -> list[Row]:
+    """Return the overhead of the path as ratios of one run."""
+    query = f"?delay_ms={SERVICE_MS}"
+    entry = deployment.entries["entry-1"][0]
+    executor = deployment.agents["agent-1"][0]
+    latencies(entry, f"/services/collections/warm{query}")
+    straight = latencies(executor, f"/straight{query}")
+    through = latencies(entry, f"/services/collections/through{query}")
+    rows = []
+    for name, share, bound in (
+        ("p50", 0.5, OVERHEAD_P50_LIMIT),
+        ("p99", 0.99, OVERHEAD_P99_LIMIT),
+    ):
+        ratio = quantile(through, share) / quantile(straight, share)
+        detail = {
+            "straight_ms": round(quantile(straight, share) * 1000, 2),
+            "through_ms": round(quantile(through, share) * 1000, 2),
+            "answered": len(through),
+        }
+        rows.append(Row(f"entry_overhead_{name}", ratio, "ratio", bound, detail=detail))
+    return rows
+
+
+def session_counters(deployment: Deployment, agent: str) -> tuple[float, float]:
+    """Return messages and bytes that an agent has sent on its streams."""
+    address = deployment.settings[agent]["agent"]["http"]
+    text = call(address, "GET", "/metrics")[2].decode()
+    values = dict(
+        line.rsplit(" ", 1) for line in text.splitlines() if not line.startswith("#")
+    )
+    messages = float(values["rattanwing_peer_sent_messages"])
+    return messages, float(values["rattanwing_peer_sent_bytes"])
+
+
+def idle_rows(deployment: Deployment, agent: str) -> list[Row]:
+    """Return what an agent without work costs its host."""
+    pid = deployment.processes[agent].pid
+    messages, sent = session_counters(deployment, agent)
+    cpu = cpu_s(pid)
+    started = time.monotonic()
+    time.sleep(IDLE_S)
+    elapsed = time.monotonic() - started
+    share = (cpu_s(pid) - cpu) / elapsed
+    later_messages, later_sent = session_counters(deployment, agent)
+    bytes_s = (later_sent - sent) / elapsed
+    return [
+        Row("idle_agent_messages", (later_messages - messages) / elapsed, "1/s"),
+        Row("idle_agent_sent", bytes_s, "B/s", AGENT_BYTES_S),
+        Row("idle_agent_cpu", share, "share of a core", AGENT_CPU_SHARE),
+        Row("idle_agent_memory", resident_mb(pid), "MiB", AGENT_MEMORY_MB),
+    ]
+
+
+def run() -> list[Row]:
+    """Run the benchmarks of this module."""
+    deployment = Deployment(entries=2, agents=3)
+    for number, name in enumerate(deployment.agents, 1):
+        settings = deployment.settings[name]["agent"]
+        settings["http"] = f"127.0.0.1:{21000 + number}"
+    # The memory is read of an agent that serves no HTTP of its own.
+    del deployment.settings["agent-3"]["agent"]["http"]
+    try:
+        deployment.start_all()
+        rows = path_rows(deployment)
+        rows += idle_rows(deployment, "agent-2")
+        pid = deployment.processes["agent-3"].pid
+        rows.append(Row("agent_memory", resident_mb(pid), "MiB", AGENT_MEMORY_MB))
+        return rows
+    finally:
+        deployment.close()
+
+
+if __name__ == "__main__":
+    print(json.dumps([row.to_json() for row in run()], indent=1))
--- /dev/null
+++ b/bench/procfs.py
@@ -0,0 +1,22 @@
+"""Processor time and memory of a process, from the kernel's files."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor seconds that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process in MiB."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1]) / 1024
+    return 0.0
--- a/rattanwing/agent/connector.py
+++ b/rattanwing/agent/connector.py
@@ -85,6 +85,14 @@
             session.send(message)
         except PeerLostError:
             return
+        self.count_sent()
+
+    def count_sent(self) -> None:
+        """Publish how much was sent on the present streams."""
+        gauges = self.app.get("metrics").gauges
+        sessions = self.sessions.values()
+        gauges["peer_sent_messages"] = sum(s.sent_messages for s in sessions)
+        gauges["peer_sent_bytes"] = sum(s.sent_bytes for s in sessions)
 
     def broadcast(self, message: messages.Message) -> None:
         """Send to every connected entry."""
@@ -162,6 +170,7 @@
                 session.send(self.heartbeat())
             except PeerLostError:
                 return
+            self.count_sent()
 
     def take(self, entry: str, session: PeerSession, message: messages.Message) -> None:
         """Handle one message of an entry."""
--- a/rattanwing/agent/web.py
+++ b/rattanwing/agent/web.py
@@ -10,6 +10,7 @@
     Response,
     error_response,
     json_response,
+    metrics_response,
     serve_http,
 )
 
@@ -27,10 +28,13 @@
             return error_response(503, "stopping", "the agent is leaving")
         return json_response(200, {"status": "ok"})
 
+    async def metrics(_request: Request) -> Response:
+        return metrics_response(app.get("metrics").render())
+
     async def run() -> None:
         server = HttpServer()
         server.route("GET", "/health", health)
-        server.route("GET", "/metrics", app.get("metrics").respond)
+        server.route("GET", "/metrics", metrics)
         await serve_http(
             server,
             app.settings.agent.http,
--- a/rattanwing/entry/operators.py
+++ b/rattanwing/entry/operators.py
@@ -18,6 +18,7 @@
     Response,
     error_response,
     json_response,
+    metrics_response,
 )
 from rattanwing.util.schema import check
 
@@ -61,7 +62,7 @@
         server = HttpServer()
         callers.add_routes(self.app, server)
         server.route("GET", "/health", self.health)
-        server.route("GET", "/metrics", self.app.get("metrics").respond)
+        server.route("GET", "/metrics", self.metrics)
         server.route("GET", "/api/status", self.status)
         server.route("GET", "/api/config", self.config)
         server.route("POST", "/api/config", self.change_config)
@@ -84,6 +85,10 @@
             return error_response(503, "stopping", "the entry is stopping")
         return json_response(200, {"status": "ok"})
 
+    async def metrics(self, _request: Request) -> Response:
+        """Answer a scrape."""
+        return metrics_response(self.app.get("metrics").render())
+
     async def status(self, _request: Request) -> Response:
         """Return a summary of this entry."""
         now = self.app.now()
--- a/rattanwing/metrics.py
+++ b/rattanwing/metrics.py
@@ -6,8 +6,6 @@
 
 from hdrh.histogram import HdrHistogram
 
-from rattanwing.util.http_server import Response
-
 if TYPE_CHECKING:
     from rattanwing.application import Application
 
@@ -89,11 +87,6 @@
             for (service, request_class), series in sorted(self.latencies.items())
         ]
 
-    async def respond(self, _request: object) -> Response:
-        """Answer a scrape."""
-        headers = [(b"content-type", b"text/plain; version=0.0.4")]
-        return Response(200, headers, self.render().encode())
-
 
 def render_series(name: str, labels: str, series: LatencySeries) -> list[str]:
     """Return the lines of one summary."""
--- a/rattanwing/util/http_server.py
+++ b/rattanwing/util/http_server.py
@@ -64,6 +64,12 @@
     return Response(status, list(HEADERS_JSON), msgspec.json.encode(value))
 
 
+def metrics_response(text: str) -> Response:
+    """Return a response to a scrape of metrics."""
+    headers = [(b"content-type", b"text/plain; version=0.0.4")]
+    return Response(200, headers, text.encode())
+
+
 def error_response(status: int, rule: str, detail: str) -> Response:
     """Return the JSON body that every refusal has."""
     return json_response(status, {"error": rule, "detail": detail})
