--- a/rattanwing/entry/ownership.py
+++ b/rattanwing/entry/ownership.py
@@ -27,7 +27,7 @@
     from rattanwing.log.stream import Outcome
     from rattanwing.peer.session import PeerSession
 
-RENEW_INTERVAL_S = 2.0
+RENEW_INTERVAL_S = 1.5
 CLAIM_STAGGER_S = 1.0
 CHECK_INTERVAL_S = 0.25
 FRESH_VIEW_S = 2.0
--- a/tests/test_proof_jobs.py
+++ b/tests/test_proof_jobs.py
@@ -115,6 +115,25 @@
         forgetful = mock.patch.object(TaskManager, "resolve_start", give_up)
         self.prove(2, self.lost_start_answer, forgetful)
 
+    def test_tasks_outlive_the_death_of_their_owner(self):
+        """The task lease is longer than the time that a takeover needs."""
+
+        async def scenario(world):
+            await start_three(world)
+            for number in range(8):
+                await world.submit("entry-1", f"j{number}", run_s=60)
+            await trio.sleep(10.3)
+            world.kill(world.owner_of("j0"))
+            await trio.sleep(80)
+
+        history = run_world(scenario)
+        self.assertEqual(judge(history), [])
+        self.assertEqual([run.attempt for run in history.runs], [1] * 8)
+        self.assertEqual({run.state for run in history.runs}, {"finished"})
+        with mock.patch("rattanwing.agent.tasks.TASK_LEASE_S", 6.0):
+            short = run_world(scenario)
+        self.assertGreater(len(short.runs), 8)
+
     async def owner_dies_before_its_start(self, world):
         await start_three(world)
         kill_at_place = Scheduler.start
