Grant what a task class was seen to use, within its declared size

Change: ends of attempts teach used over declared processors by team and class; the grant is a limit that the worker enforces and that the log holds.

--- a/rattanwing/agent/tasks.py
+++ b/rattanwing/agent/tasks.py
@@ -46,6 +46,7 @@
     state: str
     progress_s: float = 0.0
     used_cpu: float = 0.0
+    peak_cpu: float = 0.0
 
     @property
     def key(self) -> str:
@@ -198,6 +199,7 @@
         """Note progress, or report the end of a task."""
         task.progress_s = status.progress_s
         task.used_cpu = status.used_cpu
+        task.peak_cpu = max(task.peak_cpu, status.used_cpu)
         match status.state:
             case "finished" | "failed":
                 self.end(task, status.state, status.detail)
@@ -466,6 +468,7 @@
             reason,
             checkpoint,
             task.progress_s,
+            task.peak_cpu,
         )
 
     def report(
@@ -477,10 +480,11 @@
         reason: str,
         checkpoint: str | None = None,
         progress_s: float = 0.0,
+        peak_cpu: float = 0.0,
     ) -> None:
         """Keep a report and send it to every entry."""
         report = messages.TaskReport(
-            shard, job, attempt, state, reason, checkpoint, progress_s
+            shard, job, attempt, state, reason, checkpoint, progress_s, peak_cpu
         )
         self.reports[job, attempt] = report
         self.sent_at[job, attempt] = self.app.now()
--- a/rattanwing/entry/__init__.py
+++ b/rattanwing/entry/__init__.py
@@ -18,6 +18,7 @@
     "rattanwing.entry.ownership",
     "rattanwing.entry.usage",
     "rattanwing.entry.quarantine",
+    "rattanwing.entry.estimates",
     "rattanwing.entry.scheduler",
     "rattanwing.entry.reconciler",
     "rattanwing.entry.callers",
--- a/rattanwing/entry/placement.py
+++ b/rattanwing/entry/placement.py
@@ -74,13 +74,13 @@
             return self.workers
         return self.random.sample(self.workers, SAMPLE)
 
-    def reserve(self, worker: WorkerView, spec: JobSpec) -> None:
-        """Take a placement off a worker's room."""
-        worker.free_cpu -= spec.cpu
+    def reserve(self, worker: WorkerView, spec: JobSpec, cpu: float) -> None:
+        """Take a placement with ``cpu`` granted processors off the room."""
+        worker.free_cpu -= cpu
         worker.free_memory_mb -= spec.memory_mb
         worker.free_accelerators -= spec.accelerators
         worker.tasks += 1
-        self.granted[worker.failure_domain] += spec.cpu
+        self.granted[worker.failure_domain] += cpu
 
 
 def could_ever_fit(spec: JobSpec, worker: WorkerView) -> bool:
@@ -92,9 +92,12 @@
     )
 
 
-def fits(spec: JobSpec, worker: WorkerView, now: float) -> bool:
-    """Return whether the worker has room now; a new one fills up slowly."""
-    if spec.cpu > worker.free_cpu or spec.memory_mb > worker.free_memory_mb:
+def fits(spec: JobSpec, cpu: float, worker: WorkerView, now: float) -> bool:
+    """Return whether the worker has room now; a new one fills up slowly.
+
+    :param cpu: processors that the job would be granted.
+    """
+    if cpu > worker.free_cpu or spec.memory_mb > worker.free_memory_mb:
         return False
     if spec.accelerators > worker.free_accelerators:
         return False
@@ -102,30 +105,32 @@
         return True
     ramp = RAMP_UP_START + (1 - RAMP_UP_START) * (now - worker.connected_at) / RAMP_UP_S
     granted = worker.cpu - worker.free_cpu
-    return ramp >= 1.0 or granted + spec.cpu <= worker.cpu * ramp
+    return ramp >= 1.0 or granted + cpu <= worker.cpu * ramp
 
 
-def cost(spec: JobSpec, worker: WorkerView, room: Room) -> tuple[float, float]:
+def cost(cpu: float, worker: WorkerView, room: Room) -> tuple[float, float]:
     """Return the cost of a placement; the least one wins.
 
     Services under pressure come last, then the fuller failure domain and the
     fuller worker, so that the loss of one domain costs the least.
     """
     pressed = worker.pressure if worker.pressure > PRESSURE_LIMIT else 0.0
-    share = 1 - (worker.free_cpu - spec.cpu) / worker.cpu
+    share = 1 - (worker.free_cpu - cpu) / worker.cpu
     return (pressed, room.domain_load(worker.failure_domain) + share)
 
 
-def choose_worker(job: Job, room: Room, now: float) -> WorkerView | None:
+def choose_worker(job: Job, cpu: float, room: Room, now: float) -> WorkerView | None:
     """Return the worker for the job's next attempt, or ``None``.
 
+    :param cpu: processors that the job would be granted.
+
     A worker where the job itself failed before is avoided while others fit.
     """
-    fitting = [w for w in room.candidates() if fits(job.spec, w, now)]
+    fitting = [w for w in room.candidates() if fits(job.spec, cpu, w, now)]
     if not fitting:
         return None
     fresh = [w for w in fitting if w.name not in job.failed_workers]
-    return min(fresh or fitting, key=lambda w: cost(job.spec, w, room))
+    return min(fresh or fitting, key=lambda w: cost(cpu, w, room))
 
 
 def may_preempt(job: Job, victim: Job, shares: dict[str, float]) -> bool:
@@ -144,13 +149,19 @@
 
 
 def choose_victims(
-    job: Job, worker: WorkerView, running: list[Job], shares: dict[str, float]
+    job: Job,
+    cpu: float,
+    worker: WorkerView,
+    running: list[Job],
+    shares: dict[str, float],
 ) -> list[Job] | None:
     """Return the running jobs that must stop for ``job``, or ``None``.
 
+    :param cpu: processors that the job would be granted.
+
     The youngest go first, since they lose the least.
     """
-    missing_cpu = job.spec.cpu - worker.free_cpu
+    missing_cpu = cpu - worker.free_cpu
     missing_memory_mb = job.spec.memory_mb - worker.free_memory_mb
     missing_accelerators = job.spec.accelerators - worker.free_accelerators
     victims = []
@@ -158,7 +169,7 @@
     for victim in sorted(allowed, key=lambda v: (-v.submitted_at, v.spec.id)):
         if missing_cpu <= 0 and missing_memory_mb <= 0 and missing_accelerators <= 0:
             break
-        missing_cpu -= victim.spec.cpu
+        missing_cpu -= victim.granted_cpu
         missing_memory_mb -= victim.spec.memory_mb
         missing_accelerators -= victim.spec.accelerators
         victims.append(victim)
--- a/rattanwing/entry/reconciler.py
+++ b/rattanwing/entry/reconciler.py
@@ -283,6 +283,8 @@
         if job is None or not is_current(job, handle, report):
             self.settle_stale(ownership, handle, report)
             return
+        if report.state == "finished":
+            self.app.get("estimates").note(job.spec, job.granted_cpu, report.peak_cpu)
         match report.state:
             case "running":
                 self.unconfirmed.pop(report.job, None)
--- a/rattanwing/entry/scheduler.py
+++ b/rattanwing/entry/scheduler.py
@@ -94,15 +94,17 @@
             return
         owners = {job.spec.id: ownership for ownership, job in pending}
         shares = self.team_shares()
+        estimates = self.app.get("estimates")
         unplaced = []
         jobs = placement.order([job for _, job in pending], shares)
         for job in jobs[:MAX_PLACEMENTS_PER_TICK]:
-            worker = placement.choose_worker(job, room, now)
+            cpu = estimates.grant(job.spec)
+            worker = placement.choose_worker(job, cpu, room, now)
             if worker is None:
                 unplaced.append(job)
                 continue
-            room.reserve(worker, job.spec)
-            self.append_placement(owners[job.spec.id], job, worker)
+            room.reserve(worker, job.spec, cpu)
+            self.append_placement(owners[job.spec.id], job, worker, cpu)
         self.preempt(unplaced, room, shares, now)
 
     def may_place(self, job: records.Job, now: float) -> bool:
@@ -113,7 +115,11 @@
         return backoff is None or now >= backoff.until
 
     def append_placement(
-        self, ownership: ShardOwnership, job: records.Job, worker: WorkerView
+        self,
+        ownership: ShardOwnership,
+        job: records.Job,
+        worker: WorkerView,
+        cpu: float,
     ) -> None:
         """Append the record that allows the next attempt."""
         attempt = job.attempt + 1
@@ -124,6 +130,7 @@
             attempt,
             worker.name,
             worker.incarnation,
+            cpu,
         )
         self.placing[job.spec.id] = (record, job.spec)
         self.waiting_since.pop(job.spec.id, None)
@@ -203,10 +210,11 @@
     ) -> bool:
         """Stop the fewest running jobs on one worker to make room for ``job``."""
         placed = self.app.get("placed")
+        cpu = self.app.get("estimates").grant(job.spec)
         best: list[records.Job] | None = None
         for worker in room.candidates():
             victims = placement.choose_victims(
-                job, worker, placed.at(worker.name), shares
+                job, cpu, worker, placed.at(worker.name), shares
             )
             if victims and (best is None or len(victims) < len(best)):
                 best = victims
@@ -250,7 +258,7 @@
         for place, spec in self.placing.values():
             view = views.get(place.worker)
             if view is not None:
-                view.free_cpu -= spec.cpu
+                view.free_cpu -= place.cpu
                 view.free_memory_mb -= spec.memory_mb
                 view.free_accelerators -= spec.accelerators
                 view.tasks += 1
@@ -343,7 +351,7 @@
         place.attempt,
         spec.task_class,
         spec.team,
-        spec.cpu,
+        job.granted_cpu,
         spec.memory_mb,
         spec.accelerators,
         spec.work,
--- a/rattanwing/entry/usage.py
+++ b/rattanwing/entry/usage.py
@@ -29,7 +29,7 @@
 
     def add(self, job: Job, sign: int) -> None:
         """Add a job (``sign`` 1) or take it off (-1)."""
-        self.cpu += sign * job.spec.cpu
+        self.cpu += sign * job.granted_cpu
         self.memory_mb += sign * job.spec.memory_mb
         self.accelerators += sign * job.spec.accelerators
         self.tasks += sign
--- a/rattanwing/jobs/records.py
+++ b/rattanwing/jobs/records.py
@@ -87,6 +87,7 @@
     """An attempt may start at one worker.
 
     :param incarnation: the run of the agent that the attempt is meant for.
+    :param cpu: processors granted, at most the declared ones.
     """
 
     epoch: int
@@ -94,6 +95,7 @@
     attempt: int
     worker: str
     incarnation: str
+    cpu: float = 0.0
 
 
 class Stop(Record, tag="stop"):
@@ -137,6 +139,7 @@
 
     :param submitted_at: seconds since the epoch, by the log's stamp.
     :param attempt: number of the latest attempt, 0 before the first.
+    :param granted_cpu: processors granted to the placed attempt.
     :param failures: attempts that the task itself failed.
     :param failed_workers: where those attempts ran.
     """
@@ -148,6 +151,7 @@
     worker: str = ""
     incarnation: str = ""
     placed_epoch: int = 0
+    granted_cpu: float = 0.0
     checkpoint: str | None = None
     progress_s: float = 0.0
     reason: str = ""
--- a/rattanwing/jobs/shard.py
+++ b/rattanwing/jobs/shard.py
@@ -135,6 +135,7 @@
         job.worker = place.worker
         job.incarnation = place.incarnation
         job.placed_epoch = place.epoch
+        job.granted_cpu = place.cpu or job.spec.cpu
 
     def apply_stop(self, time: float, stop: records.Stop) -> None:
         """Take note that the placed attempt is over.
--- a/rattanwing/messages.py
+++ b/rattanwing/messages.py
@@ -198,6 +198,7 @@
     :param state: ``running``, ``refused``, ``stopped``, ``finished``,
         ``failed`` or ``unknown``.
     :param checkpoint: where a stopped attempt may be resumed.
+    :param peak_cpu: most processors that the attempt was seen to use; 0 if none.
     """
 
     shard: int
@@ -207,6 +208,7 @@
     reason: str = ""
     checkpoint: str | None = None
     progress_s: float = 0.0
+    peak_cpu: float = 0.0
 
 
 class ReportAck(Message, tag=23):
--- a/rattanwing/standin/worker.py
+++ b/rattanwing/standin/worker.py
@@ -30,12 +30,14 @@
 class Work(msgspec.Struct):
     """What a stand-in task does; the JSON of a job's ``work``.
 
-    :param run_s: seconds of work at full share.
+    :param run_s: seconds of work when nothing limits it.
     :param fail: whether the task fails at its end.
+    :param use_cpu: processors that it can use; 0 for what it is granted.
     """
 
     run_s: float = 1.0
     fail: bool = False
+    use_cpu: float = 0.0
 
 
 class WorkerFaults(msgspec.Struct):
@@ -71,7 +73,8 @@
             return
         until = min(now, self.order.lease_until)
         left_s = self.work.run_s - self.progress_s
-        worked_s = max(0.0, until - self.updated_at) * share
+        speed = self.used_cpu(share) / (self.work.use_cpu or self.order.cpu)
+        worked_s = max(0.0, until - self.updated_at) * speed
         if worked_s >= left_s:
             self.progress_s = self.work.run_s
             self.state = "failed" if self.work.fail else "finished"
@@ -81,6 +84,11 @@
                 self.state = "lapsed"
         self.updated_at = max(self.updated_at, until)
 
+    def used_cpu(self, share: float) -> float:
+        """Return the processors in use under a share of the granted limit."""
+        limit = self.order.cpu * share
+        return min(limit, self.work.use_cpu) if self.work.use_cpu else limit
+
 
 class MemoryWorker:
     """The worker in memory; it serves the :class:`Worker` interface directly.
@@ -198,7 +206,7 @@
             order.lease_until,
             task.state,
             task.progress_s,
-            order.cpu * self.share if task.state == "running" else 0.0,
+            task.used_cpu(self.share) if task.state == "running" else 0.0,
             str(task.progress_s) if task.state == "stopped" else None,
             "task-failed" if task.state == "failed" else "",
         )
