--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,94 @@
+"""The policies that are compared: ours, baselines and ablations."""
+
+from __future__ import annotations
+
+import contextlib
+from unittest import mock
+
+from rattanwing.agent import colocation
+from rattanwing.agent.colocation import Evict, Keep, least_lost_progress
+from rattanwing.agent.gate import FreshnessGate
+from rattanwing.entry import placement
+from rattanwing.entry.estimates import UsageEstimates
+from rattanwing.entry.interference import Interference
+
+
+def first_fit(job, cpu, room, now, _noise=0.0):
+    """Return the first worker with room, in the order of names."""
+    workers = sorted(room.workers, key=lambda worker: worker.name)
+    fitting = (w for w in workers if placement.fits(job.spec, cpu, w, now))
+    return next(fitting, None)
+
+
+def random_fit(job, cpu, room, now, _noise=0.0):
+    """Return any worker with room."""
+    fitting = [w for w in room.workers if placement.fits(job.spec, cpu, w, now)]
+    return room.random.choice(fitting) if fitting else None
+
+
+def keep_always(_state, _pressure, _tasks, _now):
+    """Leave the tasks alone."""
+    return Keep()
+
+
+def threshold(_state, pressure, tasks, _now):
+    """Evict whenever the target is missed, without hysteresis or throttle."""
+    if pressure > 1.0 and tasks:
+        return Evict(least_lost_progress(tasks).job)
+    return Keep()
+
+
+def choose(function):
+    """Patch the choice of a worker."""
+    return mock.patch.object(placement, "choose_worker", function)
+
+
+def decide(function):
+    """Patch the colocation policy."""
+    return mock.patch.object(colocation, "decide", function)
+
+
+def declared_sizes():
+    """Patch the estimates away."""
+    return mock.patch.object(UsageEstimates, "grant", lambda _self, spec: spec.cpu)
+
+
+@contextlib.contextmanager
+def without_interference():
+    """Patch away what is learned of slowness and noise."""
+    with (
+        mock.patch.object(Interference, "noise_of", lambda _self, _name: 0.0),
+        mock.patch.object(Interference, "slowness_of", lambda _self, _name: 1.0),
+    ):
+        yield
+
+
+def without_gate():
+    """Patch the freshness gate away; only a domain that is out refuses."""
+    return mock.patch.object(
+        FreshnessGate,
+        "refusal",
+        lambda gate, _now: "domain-out" if gate.is_out() else None,
+    )
+
+
+POLICIES = {
+    "ours": lambda: [],
+    "first_fit": lambda: [choose(first_fit), decide(keep_always), declared_sizes()],
+    "random": lambda: [choose(random_fit), decide(keep_always), declared_sizes()],
+    "threshold": lambda: [decide(threshold)],
+    "no_estimates": lambda: [declared_sizes()],
+    "previous": lambda: [without_interference(), declared_sizes()],
+    "no_interference": lambda: [without_interference()],
+    "no_gate": lambda: [without_gate()],
+    "no_colocation": lambda: [decide(keep_always)],
+}
+
+
+@contextlib.contextmanager
+def policy(name: str):
+    """Run the body under a named policy."""
+    with contextlib.ExitStack() as stack:
+        for patch in POLICIES[name]():
+            stack.enter_context(patch)
+        yield
--- a/rattanwing/agent/requests.py
+++ b/rattanwing/agent/requests.py
@@ -8,7 +8,7 @@
 import trio
 
 from rattanwing import events
-from rattanwing.agent.admission import Admission
+from rattanwing.agent.admission import RESERVED_PRIORITY, Admission
 from rattanwing.errors import RejectedError
 from rattanwing.messages import OutcomeQuery, ServiceAnswer, ServiceRequest
 from rattanwing.util.http_client import HttpAnswer, HttpCallError, HttpClient
@@ -164,7 +164,8 @@
                 request.request_id, error.verdict.value, "executor-failed"
             )
         elapsed_s = self.app.now() - started_at
-        self.latencies.append(elapsed_s)
+        if request.priority < RESERVED_PRIORITY:
+            self.latencies.append(elapsed_s)
         self.app.get("metrics").add_latency(request.service, "executor", elapsed_s)
         return ServiceAnswer(
             request.request_id,
--- a/rattanwing/cmd/client.py
+++ b/rattanwing/cmd/client.py
@@ -30,11 +30,10 @@
     :param entries: addresses ``ip:port``, tried in order.
     """
 
-    __slots__ = ("entries", "pool")
+    __slots__ = ("entries",)
 
     def __init__(self, entries: list[str]) -> None:
         self.entries = entries
-        self.pool = httpcore.ConnectionPool()
 
     def call(self, method: str, target: str, body: Any = None) -> tuple[int, Any]:
         """Return the status and decoded body of the first entry that answers.
@@ -65,20 +64,15 @@
         self, entry: str, method: str, target: str, body: Any
     ) -> tuple[int, Any]:
         """Return the status and decoded body of one entry's answer."""
-        answer = self.pool.request(
-            method,
-            f"http://{entry}{target}",
-            headers={"content-type": "application/json"},
-            content=b"" if body is None else msgspec.json.encode(body),
-            extensions={
-                "timeout": {
-                    "connect": CALL_TIMEOUT_S,
-                    "read": CALL_TIMEOUT_S,
-                    "write": CALL_TIMEOUT_S,
-                    "pool": CALL_TIMEOUT_S,
-                }
-            },
-        )
+        phases = ("connect", "read", "write", "pool")
+        with httpcore.ConnectionPool() as pool:
+            answer = pool.request(
+                method,
+                f"http://{entry}{target}",
+                headers={"content-type": "application/json"},
+                content=b"" if body is None else msgspec.json.encode(body),
+                extensions={"timeout": dict.fromkeys(phases, CALL_TIMEOUT_S)},
+            )
         try:
             return answer.status, msgspec.json.decode(answer.content)
         except msgspec.DecodeError as error:
--- a/rattanwing/config/declarations.py
+++ b/rattanwing/config/declarations.py
@@ -73,11 +73,10 @@
 class FailureDomain(msgspec.Struct):
     """Whether tasks may start in a failure domain.
 
-    :param notice_s: how long running tasks may take to checkpoint and leave.
+    When it is taken out, running tasks stop with a checkpoint at once.
     """
 
     state: Literal["in", "out"]
-    notice_s: NonNegative = 30
 
 
 KINDS: list[tuple[re.Pattern[str], Any]] = [
--- a/rattanwing/entry/__init__.py
+++ b/rattanwing/entry/__init__.py
@@ -17,6 +17,7 @@
     "rattanwing.entry.keys",
     "rattanwing.entry.ownership",
     "rattanwing.entry.usage",
+    "rattanwing.entry.interference",
     "rattanwing.entry.quarantine",
     "rattanwing.entry.estimates",
     "rattanwing.entry.scheduler",
--- a/rattanwing/entry/agents.py
+++ b/rattanwing/entry/agents.py
@@ -28,7 +28,6 @@
         "heard_at",
         "connected_at",
         "in_flight",
-        "latency_s",
         "lease_bounds",
     )
 
@@ -39,7 +38,6 @@
         self.heard_at = now
         self.connected_at = now
         self.in_flight = 0
-        self.latency_s = 0.0
         self.lease_bounds: dict[int, float] = {}
 
     @property
--- a/rattanwing/entry/dispatch.py
+++ b/rattanwing/entry/dispatch.py
@@ -124,11 +124,18 @@
         agents = self.app.get("agents")
         while True:
             now = self.app.now()
+            out = self.app.get("config").tree.domains_out()
             handles = router.candidates(
-                list(agents.agents.values()), request.service, now
+                list(agents.agents.values()), request.service, out, now
+            )
+            handle = router.choose(
+                handles,
+                self.app.settings.failure_domain,
+                tried,
+                self.app.get("interference"),
+                now,
+                self.app.random,
             )
-            domain = self.app.settings.failure_domain
-            handle = router.choose(handles, domain, tried, now, self.app.random)
             if handle is not None or tried or handles:
                 return handle
             if now + NO_EXECUTOR_WAIT_S >= request.deadline:
@@ -171,7 +178,12 @@
             )
             return uncertain(request_id, "timeout")
         if attempt.answer.verdict == Verdict.RAN.value:
-            router.note_latency(handle, attempt.answer.service_s)
+            self.app.get("interference").note(
+                handle.name,
+                request.request_class,
+                attempt.answer.service_s,
+                self.app.now(),
+            )
         return attempt.answer
 
     def take_message(self, handle: AgentHandle, message: messages.Message) -> None:
--- a/rattanwing/entry/placement.py
+++ b/rattanwing/entry/placement.py
@@ -13,7 +13,9 @@
 
 RAMP_UP_S = 20.0
 RAMP_UP_START = 0.2
-PRESSURE_LIMIT = 0.8
+NOISY = 1.0
+NOISY_SHARE = 1 / 3
+QUIET_LIMIT = 0.3
 SAMPLE = 48
 FULL_SCAN_WORKERS = 64
 
@@ -25,6 +27,7 @@
         has placed since the worker's last heartbeat.
     :param pressure: latency of the service beside, as a share of its target.
     :param tasks: tasks that this entry knows to be placed there.
+    :param noise: by how much the tasks there are foretold to slow a service.
     """
 
     name: str
@@ -40,15 +43,17 @@
     pressure: float
     connected_at: float
     tasks: int = 0
+    noise: float = 0.0
+    hosts_executor: bool = False
 
 
 class Room:
     """The workers of one round of decisions.
 
-    :param loads: granted share of each failure domain's processors.
+    :param noisy: names of the workers that noisy tasks are kept to.
     """
 
-    __slots__ = ("workers", "totals", "granted", "random")
+    __slots__ = ("workers", "totals", "granted", "random", "noisy")
 
     def __init__(self, workers: list[WorkerView], random: Random) -> None:
         self.workers = workers
@@ -60,6 +65,7 @@
             self.totals[domain] = self.totals.get(domain, 0.0) + worker.cpu
             used = worker.cpu - worker.free_cpu
             self.granted[domain] = self.granted.get(domain, 0.0) + used
+        self.noisy = noisy_workers(workers)
 
     def domain_load(self, domain: str) -> float:
         """Return the granted share of a failure domain's processors."""
@@ -74,8 +80,14 @@
             return self.workers
         return self.random.sample(self.workers, SAMPLE)
 
-    def reserve(self, worker: WorkerView, spec: JobSpec, cpu: float) -> None:
-        """Take a placement with ``cpu`` granted processors off the room."""
+    def reserve(
+        self, worker: WorkerView, spec: JobSpec, cpu: float, noise: float = 0.0
+    ) -> None:
+        """Take a placement with ``cpu`` granted processors off the room.
+
+        :param noise: that of the job's class.
+        """
+        worker.noise += noise * cpu / worker.cpu
         worker.free_cpu -= cpu
         worker.free_memory_mb -= spec.memory_mb
         worker.free_accelerators -= spec.accelerators
@@ -83,6 +95,33 @@
         self.granted[worker.failure_domain] += cpu
 
 
+def noisy_workers(workers: list[WorkerView]) -> set[str]:
+    """Return the workers that noisy tasks are kept to.
+
+    They are a share of each failure domain's workers with an executor, the
+    noisiest first, so that the service keeps quiet executors in each domain.
+    """
+    by_domain: dict[str, list[WorkerView]] = {}
+    for worker in workers:
+        if worker.hosts_executor:
+            by_domain.setdefault(worker.failure_domain, []).append(worker)
+    chosen = set()
+    for group in by_domain.values():
+        group.sort(key=lambda worker: (-worker.noise, worker.name))
+        chosen |= {w.name for w in group[: int(len(group) * NOISY_SHARE)]}
+    return chosen
+
+
+def is_quiet_enough(cpu: float, noise: float, worker: WorkerView, room: Room) -> bool:
+    """Return whether a job's noise is allowed on a worker.
+
+    :param noise: that of the job's class.
+    """
+    if not worker.hosts_executor or worker.name in room.noisy:
+        return True
+    return worker.noise + noise * cpu / worker.cpu <= QUIET_LIMIT or noise < NOISY
+
+
 def could_ever_fit(spec: JobSpec, worker: WorkerView) -> bool:
     """Return whether the empty worker would hold the job."""
     return (
@@ -108,29 +147,40 @@
     return ramp >= 1.0 or granted + cpu <= worker.cpu * ramp
 
 
-def cost(cpu: float, worker: WorkerView, room: Room) -> tuple[float, float]:
+def cost(
+    cpu: float, worker: WorkerView, room: Room, noise: float
+) -> tuple[float, float]:
     """Return the cost of a placement; the least one wins.
 
-    Services under pressure come last, then the fuller failure domain and the
-    fuller worker, so that the loss of one domain costs the least.
+    Noisy classes keep together, where requests are led away from them, and
+    quiet ones keep to the other workers. Then comes the fuller failure domain
+    and the fuller worker, so that the loss of one domain costs the least.
     """
-    pressed = worker.pressure if worker.pressure > PRESSURE_LIMIT else 0.0
+    together = -worker.noise if noise >= NOISY else worker.noise
     share = 1 - (worker.free_cpu - cpu) / worker.cpu
-    return (pressed, room.domain_load(worker.failure_domain) + share)
+    return (round(together, 1), room.domain_load(worker.failure_domain) + share)
 
 
-def choose_worker(job: Job, cpu: float, room: Room, now: float) -> WorkerView | None:
+def choose_worker(
+    job: Job, cpu: float, room: Room, now: float, noise: float = 0.0
+) -> WorkerView | None:
     """Return the worker for the job's next attempt, or ``None``.
 
     :param cpu: processors that the job would be granted.
+    :param noise: that of the job's class.
 
     A worker where the job itself failed before is avoided while others fit.
     """
-    fitting = [w for w in room.candidates() if fits(job.spec, cpu, w, now)]
+    fitting = [
+        worker
+        for worker in room.candidates()
+        if fits(job.spec, cpu, worker, now)
+        and is_quiet_enough(cpu, noise, worker, room)
+    ]
     if not fitting:
         return None
     fresh = [w for w in fitting if w.name not in job.failed_workers]
-    return min(fresh or fitting, key=lambda w: cost(cpu, w, room))
+    return min(fresh or fitting, key=lambda w: cost(cpu, w, room, noise))
 
 
 def may_preempt(job: Job, victim: Job, shares: dict[str, float]) -> bool:
--- a/rattanwing/entry/router.py
+++ b/rattanwing/entry/router.py
@@ -1,4 +1,4 @@
-"""Choice of an executor: load and latency aware, by failure domain distance."""
+"""Choice of an executor: load and slowness aware, by failure domain distance."""
 
 from __future__ import annotations
 
@@ -8,18 +8,18 @@
     from random import Random
 
     from rattanwing.entry.agents import AgentHandle
+    from rattanwing.entry.interference import Interference
 
-DISTANT_DOMAIN_PENALTY = 0.25
+DISTANT_DOMAIN_PENALTY = 0.05
 RAMP_UP_S = 10.0
 RAMP_UP_START = 0.1
-EJECT_FACTOR = 3.0
-EJECT_FLOOR_S = 0.02
+EJECT_SLOWNESS = 3.0
 MAX_EJECTED_SHARE = 1 / 3
-LATENCY_WEIGHT = 0.2
+SAMPLE = 5
 
 
 def load_of(handle: AgentHandle) -> float:
-    """Return the executor's load in requests per slot.
+    """Return the executor's load in requests per slot, one more included.
 
     The announced load lags, so this entry's own open requests count at least.
     """
@@ -33,39 +33,43 @@
     return min(1.0, RAMP_UP_START + (1 - RAMP_UP_START) * age / RAMP_UP_S)
 
 
-def median_latency_s(handles: list[AgentHandle]) -> float:
-    """Return the median of the latencies that are known, or 0."""
-    known = sorted(h.latency_s for h in handles if h.latency_s > 0)
-    return known[len(known) // 2] if known else 0.0
-
-
-def slow_executors(handles: list[AgentHandle]) -> set[str]:
+def slow_executors(handles: list[AgentHandle], interference: Interference) -> set[str]:
     """Return the names of executors that are far slower than the median.
 
     Never more than a third of a service, whatever the latencies say.
     """
-    limit = max(EJECT_FACTOR * median_latency_s(handles), EJECT_FLOOR_S)
-    slow = [h for h in handles if h.latency_s > limit]
-    slow.sort(key=lambda h: -h.latency_s)
+    values = sorted(interference.slowness_of(h.name) for h in handles)
+    limit = EJECT_SLOWNESS * values[len(values) // 2] if values else 0.0
+    slow = [h for h in handles if interference.slowness_of(h.name) > limit]
+    slow.sort(key=lambda h: -interference.slowness_of(h.name))
     most = int(len(handles) * MAX_EJECTED_SHARE)
     return {handle.name for handle in slow[:most]}
 
 
-def score(handle: AgentHandle, domain: str, median_s: float, now: float) -> float:
-    """Return the cost of one more request at an executor; less is better."""
-    cost = load_of(handle) / ramp_weight(handle, now)
-    if median_s > 0 and handle.latency_s > 0:
-        cost *= (handle.latency_s / median_s) ** 0.5
+def cost(
+    handle: AgentHandle, domain: str, interference: Interference, now: float
+) -> float:
+    """Return the cost of one more request at an executor; less is better.
+
+    Service time grows with the slowness, and waiting with the square of the
+    load; another failure domain costs its distance.
+    """
+    load = load_of(handle) / ramp_weight(handle, now)
+    slowness = interference.slowness_of(handle.name)
+    distance = 0.0
     if handle.hello.failure_domain != domain:
-        cost += DISTANT_DOMAIN_PENALTY
-    return cost
+        distance = DISTANT_DOMAIN_PENALTY
+    return slowness * (1 + load * load) + distance
 
 
 def candidates(
-    handles: list[AgentHandle], service: str, now: float
+    handles: list[AgentHandle], service: str, domains_out: list[str], now: float
 ) -> list[AgentHandle]:
-    """Return the executors of a service that take new requests."""
-    return [
+    """Return the executors of a service that take new requests.
+
+    Those in a failure domain that is taken out serve only when no other does.
+    """
+    serving = [
         handle
         for handle in handles
         if handle.hello.executor is not None
@@ -73,29 +77,27 @@
         and handle.is_fresh(now)
         and not handle.heartbeat.leaving
     ]
+    inside = [h for h in serving if h.hello.failure_domain not in domains_out]
+    return inside or serving
 
 
 def choose(
-    handles: list[AgentHandle], domain: str, tried: set[str], now: float, random: Random
+    handles: list[AgentHandle],
+    domain: str,
+    tried: set[str],
+    interference: Interference,
+    now: float,
+    random: Random,
 ) -> AgentHandle | None:
-    """Return the better of two random executors that were not tried yet.
+    """Return the cheapest of some random executors that were not tried yet.
 
     :param handles: the service's candidates.
     :param domain: failure domain of this entry.
     """
-    slow = slow_executors(handles)
     left = [h for h in handles if h.name not in tried]
     if not left:
         return None
+    slow = slow_executors(handles, interference)
     preferred = [h for h in left if h.name not in slow] or left
-    picked = random.sample(preferred, min(2, len(preferred)))
-    median_s = median_latency_s(handles)
-    return min(picked, key=lambda handle: score(handle, domain, median_s, now))
-
-
-def note_latency(handle: AgentHandle, seconds: float) -> None:
-    """Fold one service time into the executor's moving average."""
-    if handle.latency_s == 0.0:
-        handle.latency_s = seconds
-        return
-    handle.latency_s += LATENCY_WEIGHT * (seconds - handle.latency_s)
+    picked = random.sample(preferred, min(SAMPLE, len(preferred)))
+    return min(picked, key=lambda handle: cost(handle, domain, interference, now))
--- a/rattanwing/entry/scheduler.py
+++ b/rattanwing/entry/scheduler.py
@@ -95,15 +95,17 @@
         owners = {job.spec.id: ownership for ownership, job in pending}
         shares = self.team_shares()
         estimates = self.app.get("estimates")
+        interference = self.app.get("interference")
         unplaced = []
         jobs = placement.order([job for _, job in pending], shares)
         for job in jobs[:MAX_PLACEMENTS_PER_TICK]:
             cpu = estimates.grant(job.spec)
-            worker = placement.choose_worker(job, cpu, room, now)
+            noise = interference.noise_of(job.spec.task_class)
+            worker = placement.choose_worker(job, cpu, room, now, noise)
             if worker is None:
                 unplaced.append(job)
                 continue
-            room.reserve(worker, job.spec, cpu)
+            room.reserve(worker, job.spec, cpu, noise)
             self.append_placement(owners[job.spec.id], job, worker, cpu)
         self.preempt(unplaced, room, shares, now)
 
@@ -238,8 +240,21 @@
                 continue
             views[handle.name] = make_view(handle)
         self.limit_by_placements(views)
+        self.foretell_noise(views)
         return list(views.values())
 
+    def foretell_noise(self, views: dict[str, WorkerView]) -> None:
+        """Set by how much the placed tasks slow each worker's service."""
+        interference = self.app.get("interference")
+        placed = self.app.get("placed")
+        for name, view in views.items():
+            handle = self.app.get("agents").agents[name]
+            view.hosts_executor = handle.hello.executor is not None
+            view.noise = sum(
+                interference.noise_of(job.spec.task_class) * job.granted_cpu / view.cpu
+                for job in placed.at(name)
+            )
+
     def limit_by_placements(self, views: dict[str, WorkerView]) -> None:
         """Lower the announced room to what the log's placements leave."""
         granted = self.app.get("placed").by_worker
--- a/tests/test_proof_config.py
+++ b/tests/test_proof_config.py
@@ -26,6 +26,8 @@
 
 
 class SpreadProof(VariantTestCase):
+    """Promise 10: spread, and views that only grow."""
+
     async def many_changes(self, world):
         await start_pair(world)
         world.log.faults.lose_answers = 2
@@ -63,6 +65,8 @@
 
 
 class RacingOperatorsProof(VariantTestCase):
+    """Promise 10: one of two racing operators is accepted."""
+
     def race(self):
         outcomes = []
 
@@ -119,6 +123,8 @@
 
 
 class SnapshotProof(VariantTestCase):
+    """Promise 10: a process that starts after old records expired."""
+
     def test_new_process_starts_from_a_snapshot_after_expiry(self):
         seen = {}
 
--- a/tests/test_proof_model.py
+++ b/tests/test_proof_model.py
@@ -17,6 +17,8 @@
 
 
 class ModelProofs(unittest.TestCase):
+    """Promise 2 and Promise 4, for every order of steps."""
+
     def check_holds(self, module):
         result = explore(module.make_protocol())
         self.assertTrue(result.get("exhaustive", True), result)
--- a/tests/test_proof_processes.py
+++ b/tests/test_proof_processes.py
@@ -20,6 +20,8 @@
 
 
 class ProcessProofs(unittest.TestCase):
+    """Promise 2, Promise 7 and Promise 9, with signals."""
+
     def setUp(self):
         self.deployment = Deployment(entries=2, agents=2)
         self.addCleanup(self.deployment.close)
--- a/tests/test_proof_schedules.py
+++ b/tests/test_proof_schedules.py
@@ -23,6 +23,8 @@
 
 
 class ScheduleProofs(unittest.TestCase):
+    """All ten promises, in each seed."""
+
     def test_promises_hold_under_random_faults(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
--- a/tests/world.py
+++ b/tests/world.py
@@ -112,6 +112,7 @@
         self.agent = agent
         self.service_s = 0.05
         self.spread_s = 0.0
+        self.duration = None
         self.lose_answers = 0
         self.hang = False
 
@@ -123,13 +124,17 @@
         with trio.move_on_after(timeout_s) as scope:
             if self.hang:
                 await trio.sleep_forever()
-            spread_s = self.world.random.uniform(0, self.spread_s)
-            await trio.sleep(self.service_s + spread_s)
+            await trio.sleep(self.pick_duration(target))
         if scope.cancelled_caught or self.lose_answers > 0:
             self.lose_answers = max(0, self.lose_answers - 1)
             raise HttpCallError(Verdict.MAY_HAVE_RUN, "answer lost")
         return HttpAnswer(200, [], expected_body(marker))
 
+    def pick_duration(self, target):
+        if self.duration is not None:
+            return self.duration(target)
+        return self.service_s + self.world.random.uniform(0, self.spread_s)
+
 
 class Process:
     """One running application."""
@@ -202,14 +207,24 @@
         self.run_process(name, app)
         return app
 
-    def start_agent(self, name, domain="fd-1", cpu=8.0, memory_mb=8000, executor=True):
+    def start_agent(
+        self,
+        name,
+        domain="fd-1",
+        cpu=8.0,
+        memory_mb=8000,
+        executor=True,
+        executor_cpu=0.0,
+    ):
         self.domains[name] = domain
         settings = Settings(
             name,
             domain,
             agent=AgentSettings(
                 self.entry_list,
-                ExecutorSettings(SERVICE, "127.0.0.1:3") if executor else None,
+                ExecutorSettings(SERVICE, "127.0.0.1:3", cpu=executor_cpu)
+                if executor
+                else None,
                 WorkerSettings("127.0.0.1:4", "rack-1", cpu, memory_mb),
             ),
         )
@@ -218,7 +233,7 @@
             observer = self.make_observer(name)
             self.workers[name] = MemoryWorker(trio.current_time, observer)
             self.executors[name] = FakeExecutor(self, name)
-            self.history.capacity[name] = (cpu, memory_mb)
+            self.history.capacity[name] = (cpu - executor_cpu, memory_mb)
         app.add_service("worker", self.workers[name])
         app.add_service("executor", self.executors[name])
         app.setup_extension("rattanwing.agent")
