Let entries learn the configuration from each other

Ruled out: passing single records on; a gap in them would need a protocol of its own, while the folded state is a record that exists already. Change: heartbeats between entries carry version and age; an entry that is behind asks for the folded state. A frozen owner (SIGSTOP) is now proved with real processes. Check changed: the scenario of the slowly folding entry now cuts it off from the other entry, since it would learn from it at once and the variant would not be met; the bound is the same.

--- a/rattanwing/entry/config.py
+++ b/rattanwing/entry/config.py
@@ -8,11 +8,12 @@
 from rattanwing import events
 from rattanwing.config.tree import ConfigTree
 from rattanwing.log.stream import LogStream
-from rattanwing.messages import ConfigView
+from rattanwing.messages import ConfigState, ConfigView
 
 if TYPE_CHECKING:
     from rattanwing.application import Application
     from rattanwing.log.stream import Outcome
+    from rattanwing.messages import HeartbeatAck
 
 STREAM = "config"
 
@@ -52,6 +53,27 @@
         age = now - self.stream.confirmed_at
         return age if math.isfinite(age) else 1e9
 
+    def take_confirmation(self, ack: HeartbeatAck) -> bool:
+        """Take another entry's word on how new the configuration is.
+
+        :returns: false when that entry knows a newer configuration.
+        """
+        if ack.config_offset > self.tree.changed_at:
+            return False
+        self.stream.confirm(ack.echo - ack.config_age_s)
+        return True
+
+    def state(self) -> ConfigState:
+        """Return the folded configuration for an entry that is behind."""
+        upto = self.stream.next_offset
+        return ConfigState(upto, self.tree.make_snapshot(f"state-{upto}", upto))
+
+    def take_state(self, state: ConfigState) -> None:
+        """Adopt the configuration of another entry that is ahead."""
+        if self.stream.adopt(state.upto, state.snapshot):
+            events.write(events.CONFIG_ADOPTED, upto=state.upto)
+            self.app.emit("config-changed")
+
     def view(self) -> ConfigView:
         """Return the part of the configuration that agents obey."""
         targets = {
--- a/rattanwing/entry/peers.py
+++ b/rattanwing/entry/peers.py
@@ -67,11 +67,19 @@
         self, name: str, session: PeerSession, message: messages.Message
     ) -> None:
         """Handle one message of an entry."""
+        config = self.app.get("config")
         match message:
             case messages.Heartbeat(sent_at=sent_at):
-                session.send(messages.HeartbeatAck(sent_at, 0, 0.0, []))
+                age_s = config.age_s(self.app.now())
+                version = config.tree.changed_at
+                session.send(messages.HeartbeatAck(sent_at, version, age_s, []))
             case messages.HeartbeatAck():
-                pass
+                if not config.take_confirmation(message):
+                    session.send(messages.ConfigRequest())
+            case messages.ConfigRequest():
+                session.send(config.state())
+            case messages.ConfigState():
+                config.take_state(message)
             case _:
                 self.app.emit("peer-entry-message", name, session, message)
 
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -52,6 +52,7 @@
 CONFIG_APPLIED = Event(405, logbook.INFO, "A configuration change is in force.")
 SNAPSHOT_WRITTEN = Event(406, logbook.INFO, "A snapshot was appended.")
 LOG_GAP = Event(407, logbook.WARNING, "Old records expired; a snapshot is needed.")
+CONFIG_ADOPTED = Event(408, logbook.INFO, "Another entry's configuration was adopted.")
 
 SHARD_CLAIMED = Event(501, logbook.INFO, "This entry owns a shard.")
 SHARD_LOST = Event(502, logbook.WARNING, "This entry no longer owns a shard.")
--- a/rattanwing/log/stream.py
+++ b/rattanwing/log/stream.py
@@ -234,8 +234,8 @@
             self.note_availability(True, None)
             self.first_kept = result.first
             self.apply_all(result.records)
-            if self.next_offset >= result.end and self.gap is None:
-                self.confirmed_at = asked_at
+            if self.next_offset >= result.end:
+                self.confirm(asked_at)
             self.signal_progress()
 
     def enter_gap(self, first: int) -> None:
@@ -286,6 +286,27 @@
             if stored.offset >= upto:
                 self.fold_one(stored.offset, stored.time, bytes(stored.record))
 
+    def adopt(self, upto: int, snapshot: bytes) -> bool:
+        """Take a state that another process has folded, if it is ahead.
+
+        :param upto: offset up to which it was folded.
+        :returns: whether it was taken.
+        """
+        if self.gap is not None and upto >= self.first_kept:
+            self.leave_gap(upto, snapshot)
+            self.next_offset = max(self.next_offset, upto)
+            return True
+        if upto <= self.next_offset:
+            return False
+        self.fold.load_snapshot(snapshot)
+        self.next_offset = upto
+        return True
+
+    def confirm(self, at: float) -> None:
+        """Take another process's word that the state was complete at ``at``."""
+        if self.gap is None:
+            self.confirmed_at = max(self.confirmed_at, at)
+
     def fold_one(self, offset: int, time: float, payload: bytes) -> None:
         """Fold one record and tell all who wait for it."""
         outcome = self.fold.apply(offset, time, payload)
--- a/rattanwing/messages.py
+++ b/rattanwing/messages.py
@@ -116,6 +116,21 @@
     name: str
 
 
+class ConfigRequest(Message, tag=6):
+    """An entry asks another for its configuration, because it is behind."""
+
+
+class ConfigState(Message, tag=7):
+    """A folded configuration.
+
+    :param upto: offset up to which it was folded.
+    :param snapshot: the record that a snapshot of it would be.
+    """
+
+    upto: int
+    snapshot: bytes
+
+
 class ServiceRequest(Message, tag=10):
     """A caller's whole request.
 
@@ -272,6 +287,8 @@
     | HeartbeatAck
     | ConfigView
     | EntryHello
+    | ConfigRequest
+    | ConfigState
     | ServiceRequest
     | ServiceAnswer
     | OutcomeQuery
--- a/tests/test_proof_config.py
+++ b/tests/test_proof_config.py
@@ -9,6 +9,7 @@
 from rattanwing.agent.gate import FreshnessGate
 from rattanwing.config.tree import ConfigTree
 from rattanwing.entry.agents import AgentDirectory
+from rattanwing.entry.config import ConfigService
 from tests.variants import VariantTestCase
 from tests.world import run_world
 
@@ -43,12 +44,39 @@
         silent = mock.patch.object(AgentDirectory, "push_config", lambda _self: None)
         self.prove(10, self.many_changes, silent)
 
+    async def entry_cut_off_from_the_log(self, world):
+        """An agent that reaches only that entry learns through other entries."""
+        await start_pair(world)
+        world.network.cut("entry-2", "log")
+        world.network.cut("entry-1", "agent-2")
+        await trio.sleep(5)
+        world.history.disturbed_until.clear()
+        for number in range(3):
+            edit = (f"teams/t{number}", 0, TEAM)
+            await world.change("entry-1", "ada", [edit])
+            await trio.sleep(4)
+            gate = world.app("agent-2").get("gate")
+            confirmed = gate.refusal(trio.current_time()) is None
+            self.history_of_gate.append(confirmed)
+        await trio.sleep(10)
+
+    def test_entry_cut_off_from_the_log_learns_from_another(self):
+        self.history_of_gate = []
+
+        def deaf(_config, _ack):
+            return True
+
+        alone = mock.patch.object(ConfigService, "take_confirmation", deaf)
+        self.prove(10, self.entry_cut_off_from_the_log, alone)
+        self.assertEqual(self.history_of_gate, [True] * 3 + [False] * 3)
+
     async def entry_that_folds_slowly(self, world):
         """A new entry still folds the past while agents are ahead of it."""
         await start_pair(world)
         for number in range(5):
             await world.change("entry-1", "ada", [(f"teams/t{number}", 0, TEAM)])
         world.kill("entry-2")
+        world.network.cut("entry-1", "entry-2")
         world.log.faults.delay_s = 0.4
         await trio.sleep(1)
         with mock.patch("rattanwing.standin.log.READ_LIMIT", 1):
--- a/tests/test_proof_processes.py
+++ b/tests/test_proof_processes.py
@@ -106,6 +106,24 @@
         row = deployment.wait_for_job("entry-1", LONG_JOB["id"], "finished")
         self.assertEqual((row["attempt"], row["worker"]), (2, job["worker"]))
 
+    def test_frozen_owner_wakes_after_another_took_over(self):
+        """Its late records and orders have no effect."""
+        deployment = self.deployment
+        job = {**LONG_JOB, "work": '{"run_s": 16}'}
+        self.assertEqual(deployment.call("entry-2", "POST", "/api/jobs", job)[0], 200)
+        deployment.wait_for_job("entry-2", job["id"], "placed")
+        deployment.signal("entry-1", signal.SIGSTOP)
+        wait_for(
+            lambda: deployment.status("entry-2")["owned_shards"] == [0, 1, 2],
+            "entry-2 owns every shard",
+        )
+        deployment.signal("entry-1", signal.SIGCONT)
+        other = {**job, "id": "overnight-2", "work": '{"run_s": 1}'}
+        self.assertEqual(deployment.call("entry-2", "POST", "/api/jobs", other)[0], 200)
+        for name in (job["id"], other["id"]):
+            row = deployment.wait_for_job("entry-2", name, "finished")
+            self.assertEqual(row["attempt"], 1)
+
     def test_sigkill_of_an_agent_never_runs_a_booking_twice(self):
         answers = []
         target = "/services/collections/booking?delay_ms=1000"
