Split the agent's reports and the command line into modules

Found: the scenario of the owner without configuration no longer met its variant since entries learn from each other; it now cuts that link too, with the same bound. The policy benchmark broke off in its outage case, because the load generator wrote to the log that was down; it now pauses. Ruled out: a change of behaviour by the split (same tests).

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -203,6 +203,9 @@
     async def refill(self, world) -> None:
         """Keep quiet jobs pending; waves bring noisy ones at a fixed rate."""
         while True:
+            await trio.sleep(REFILL_S)
+            if world.log.faults.down:
+                continue
             shards = world.app("entry-1").get("shards").shards
             quiet = sum(
                 job.spec.task_class in QUIET
@@ -215,7 +218,6 @@
             if any(start <= at < end for start, end in self.waves):
                 for _number in range(NOISY_JOBS_S):
                     await self.submit(world, NOISY_CLASS)
-            await trio.sleep(REFILL_S)
 
     async def submit(self, world, task_class: str) -> None:
         """Append one job of a class."""
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -18,7 +18,7 @@
 SEEDS = (1, 2, 3)
 SITES = (LUCEGIRO, OLRHAIN)
 BASELINES = ("first_fit", "random", "previous")
-PROCESSES = 6
+PROCESSES = 7
 OUT_AT_S, IN_AT_S, JUDGED_UNTIL_S = 60.0, 100.0, 130.0
 OUTAGE_AT_S, OUTAGE_S = 60.0, 60.0
 WORKERS_OUT = 4
@@ -159,7 +159,7 @@
 def run() -> list[Row]:
     """Run every case and return the rows."""
     with ProcessPoolExecutor(PROCESSES) as pool:
-        results = dict(pool.map(run_case, all_cases()))
+        results = dict(pool.map(run_case, all_cases(), chunksize=1))
     rows = []
     for site in SITES:
         for other in BASELINES:
--- a/rattanwing/agent/__init__.py
+++ b/rattanwing/agent/__init__.py
@@ -16,6 +16,7 @@
     if settings.executor is not None:
         app.setup_extension("rattanwing.agent.requests")
     if settings.worker is not None:
+        app.setup_extension("rattanwing.agent.reports")
         app.setup_extension("rattanwing.agent.tasks")
     if settings.executor is not None and settings.worker is not None:
         app.setup_extension("rattanwing.agent.colocation")
--- a/rattanwing/agent/tasks.py
+++ b/rattanwing/agent/tasks.py
@@ -23,7 +23,6 @@
     from rattanwing.application import Application
 
 POLL_INTERVAL_S = 0.5
-REPORT_REPEAT_S = 2.0
 SEEN_KEPT_S = 120.0
 RETRY_DELAY_S = 0.5
 
@@ -72,11 +71,8 @@
     __slots__ = (
         "app",
         "worker",
-        "session",
         "adopted",
         "tasks",
-        "reports",
-        "sent_at",
         "seen",
         "epochs",
         "nursery",
@@ -89,15 +85,13 @@
         self.worker = worker
         self.adopted = trio.Event()
         self.tasks: dict[str, Task] = {}
-        self.reports: dict[tuple[str, int], messages.TaskReport] = {}
-        self.sent_at: dict[tuple[str, int], float] = {}
         self.seen: dict[str, SeenAttempt] = {}
         self.epochs: dict[int, int] = {}
         self.nursery: trio.Nursery | None = None
         self.leaving = False
         self.changed = trio.Event()
         app.connect("entry-message", self.take_message)
-        app.connect("entry-connected", self.repeat_reports)
+        app.connect("report-recorded", self.note_recorded)
         app.connect("heartbeat-ack", self.take_ack)
         app.connect("view-changed", self.leave_domain_out)
 
@@ -209,7 +203,7 @@
                 self.end(task, "stopped", "lease-lapsed")
 
     async def keep_leases(self) -> None:
-        """Renew leases at the worker, stop lapsed tasks and repeat reports."""
+        """Renew leases at the worker and stop lapsed tasks."""
         while True:
             now = self.app.now()
             for task in list(self.tasks.values()):
@@ -219,7 +213,6 @@
                     )
                     self.stop_soon(task, "lease-lapsed")
             await self.renew_leases()
-            self.repeat_unacknowledged(self.app.now())
             self.forget_old(now)
             await trio.sleep(POLL_INTERVAL_S)
 
@@ -252,8 +245,6 @@
                 self.take_start(message)
             case messages.StopTask():
                 self.take_stop(message)
-            case messages.ReportAck(job=job, attempt=attempt):
-                self.take_report_ack(job, attempt)
             case messages.TaskListQuery():
                 self.answer_list(entry, message)
 
@@ -404,9 +395,8 @@
                     task.shard, task.job, task.attempt, "running"
                 )
                 reports[task.job, task.attempt] = report
-        for key, report in self.reports.items():
-            if report.shard == query.shard:
-                reports[key] = report
+        for report in self.app.get("reports").of_shard(query.shard):
+            reports[report.job, report.attempt] = report
         for ref in query.expected:
             if (ref.job, ref.attempt) in reports:
                 continue
@@ -482,32 +472,15 @@
         progress_s: float = 0.0,
         peak_cpu: float = 0.0,
     ) -> None:
-        """Keep a report and send it to every entry."""
-        report = messages.TaskReport(
-            shard, job, attempt, state, reason, checkpoint, progress_s, peak_cpu
+        """Hand a report to the outbox."""
+        self.app.get("reports").add(
+            messages.TaskReport(
+                shard, job, attempt, state, reason, checkpoint, progress_s, peak_cpu
+            )
         )
-        self.reports[job, attempt] = report
-        self.sent_at[job, attempt] = self.app.now()
-        self.app.get("connector").broadcast(report)
 
-    def repeat_reports(self, entry: str) -> None:
-        """Send every kept report to an entry that has just connected."""
-        for report in self.reports.values():
-            self.app.get("connector").send(entry, report)
-
-    def repeat_unacknowledged(self, now: float) -> None:
-        """Send again the reports that no owner has recorded."""
-        for key, report in self.reports.items():
-            if now - self.sent_at[key] >= REPORT_REPEAT_S:
-                self.sent_at[key] = now
-                self.app.get("connector").broadcast(report)
-
-    def take_report_ack(self, job: str, attempt: int) -> None:
-        """Drop a report whose record stands in the log."""
-        report = self.reports.pop((job, attempt), None)
-        if report is None:
-            return
-        del self.sent_at[job, attempt]
+    def note_recorded(self, job: str, attempt: int) -> None:
+        """Let the worker forget an attempt whose end stands in the log."""
         self.signal_change()
         self.nursery.start_soon(self.forget, task_key(job, attempt))
 
@@ -538,7 +511,7 @@
         for task in list(self.tasks.values()):
             self.stop_soon(task, "agent-leaving")
         with trio.move_on_after(self.app.settings.agent.stop_grace_s):
-            while self.tasks or self.reports:
+            while self.tasks or self.app.get("reports").kept:
                 await self.changed.wait()
 
 
--- /dev/null
+++ b/rattanwing/cmd/base.py
@@ -0,0 +1,104 @@
+"""What the commands of ``rattanwing`` share: options, output and exit codes."""
+
+from __future__ import annotations
+
+import os
+from typing import TYPE_CHECKING, Any, ClassVar
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from rattanwing.cmd.client import EntryClient, UnconfirmedError, UnreachableError
+from rattanwing.cmd.output import to_json, to_table
+from rattanwing.errors import RejectedError, SettingsError
+
+if TYPE_CHECKING:
+    from cleo.io.inputs.option import Option
+
+EXIT_OK = 0
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_UNCONFIRMED = 3
+EXIT_UNREACHABLE = 4
+DEFAULT_ENTRY = "127.0.0.1:8080"
+
+FORMAT = option("format", None, "text or json", flag=False, default="text")
+ENTRY = option(
+    "entry", None, "ip:port of an entry; may be given again", flag=False, multiple=True
+)
+AUTHOR = option("author", None, "operator who makes the change", flag=False)
+SETTLE = option("settle", None, "override versions, as this month's owner")
+PRUNE = option("prune", None, "also remove what the directory does not declare")
+
+
+class BaseCommand(Command):
+    """Shares options, output and exit codes."""
+
+    common: ClassVar[list[Option]] = [ENTRY, FORMAT]
+    example = ""
+
+    def __init__(self) -> None:
+        self.options = [*self.own_options(), *self.common]
+        self.help = f"Example:\n  <info>rattanwing {self.example}</info>"
+        super().__init__()
+
+    def own_options(self) -> list[Option]:
+        """Return the command's own options."""
+        return []
+
+    def handle(self) -> int:
+        """Run the command and turn errors into exit codes."""
+        try:
+            return self.run_command()
+        except SettingsError as error:
+            return self.fail(EXIT_USAGE, "faults", error.problems)
+        except RejectedError as error:
+            return self.fail(EXIT_REFUSED, error.rule, [error.detail])
+        except UnconfirmedError as error:
+            return self.fail(EXIT_UNCONFIRMED, "unconfirmed", [str(error)])
+        except UnreachableError as error:
+            return self.fail(EXIT_UNREACHABLE, "unreachable", [str(error)])
+
+    def run_command(self) -> int:
+        """Run the command."""
+        raise NotImplementedError
+
+    def fail(self, code: int, rule: str, details: list[str]) -> int:
+        """Print an error for a person or a program."""
+        if self.wants_json():
+            self.line(to_json({"error": rule, "details": details}))
+            return code
+        for detail in details:
+            self.line_error(f"{rule}: {detail}")
+        return code
+
+    def wants_json(self) -> bool:
+        """Return whether the output is for a program."""
+        return self.option("format") == "json"
+
+    def client(self) -> EntryClient:
+        """Return a client of the named entries."""
+        named = self.option("entry")
+        if not named:
+            named = os.environ.get("RATTANWING_ENTRY", DEFAULT_ENTRY).split(",")
+        return EntryClient(named)
+
+    def author(self) -> str:
+        """Return the operator's name.
+
+        :raises SettingsError: when none is given.
+        """
+        name = self.option("author") or os.environ.get("RATTANWING_AUTHOR")
+        if not name:
+            raise SettingsError(["author: give --author or set RATTANWING_AUTHOR"])
+        return name
+
+    def show(self, rows: list[dict[str, Any]], columns: list[str]) -> int:
+        """Print rows as a table or as JSON."""
+        self.line(to_json(rows) if self.wants_json() else to_table(rows, columns))
+        return EXIT_OK
+
+    def done(self, result: dict[str, Any], text: str) -> int:
+        """Print the result of a change."""
+        self.line(to_json(result) if self.wants_json() else text)
+        return EXIT_OK
--- /dev/null
+++ b/rattanwing/cmd/job_commands.py
@@ -0,0 +1,121 @@
+"""Commands about jobs."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING, ClassVar
+
+import msgspec
+from cleo.helpers import argument, option
+
+from rattanwing.cmd.base import AUTHOR, BaseCommand
+from rattanwing.cmd.client import expect_ok
+from rattanwing.errors import SettingsError
+
+if TYPE_CHECKING:
+    from cleo.io.inputs.argument import Argument
+    from cleo.io.inputs.option import Option
+
+JOB_COLUMNS = ["job", "team", "state", "urgency", "attempt", "worker", "reason"]
+JOB_ARGUMENT = argument("job", "name of the job")
+
+
+class JobSubmitCommand(BaseCommand):
+    """Submits a job."""
+
+    name = "job submit"
+    description = "Submit a job from a JSON file"
+    example = "job submit match-archives.json"
+    arguments: ClassVar[list[Argument]] = [argument("file", "job specification")]
+
+    def run_command(self) -> int:
+        """Submit the job and say accepted once it was read back."""
+        file = Path(self.argument("file"))
+        try:
+            spec = msgspec.json.decode(file.read_bytes())
+        except (OSError, msgspec.DecodeError) as error:
+            raise SettingsError([f"{file}: {error}"]) from error
+        if not isinstance(spec, dict) or "id" not in spec:
+            raise SettingsError([f"{file}: id: missing"])
+        self.client().submit_job(spec)
+        return self.done(
+            {"accepted": True, "job": spec["id"]}, f"accepted: {spec['id']}"
+        )
+
+
+class JobListCommand(BaseCommand):
+    """Lists jobs."""
+
+    name = "job list"
+    description = "List jobs"
+    example = "job list --team lamps --state held"
+
+    def own_options(self) -> list[Option]:
+        """Return the command's own options."""
+        return [
+            option("team", None, "only this team's", flag=False),
+            option("state", None, "only in this state", flag=False),
+        ]
+
+    def run_command(self) -> int:
+        """Print the jobs."""
+        wanted = [(key, self.option(key)) for key in ("team", "state")]
+        query = "&".join(f"{key}={value}" for key, value in wanted if value)
+        return self.show(self.client().get(f"/api/jobs?{query}"), JOB_COLUMNS)
+
+
+class JobShowCommand(BaseCommand):
+    """Shows one job."""
+
+    name = "job show"
+    description = "Show one job"
+    example = "job show match-archives-2026-12"
+    arguments: ClassVar[list[Argument]] = [JOB_ARGUMENT]
+
+    def run_command(self) -> int:
+        """Print the job's fields."""
+        row = self.client().get(f"/api/jobs/{self.argument('job')}")
+        if self.wants_json():
+            return self.done(row, "")
+        rows = [{"field": key, "value": value} for key, value in row.items()]
+        return self.show(rows, ["field", "value"])
+
+
+class JobCancelCommand(BaseCommand):
+    """Cancels a job."""
+
+    name = "job cancel"
+    description = "Cancel a job"
+    example = "job cancel match-archives-2026-12 --author ada"
+    arguments: ClassVar[list[Argument]] = [JOB_ARGUMENT]
+
+    def own_options(self) -> list[Option]:
+        """Return the command's own options."""
+        return [AUTHOR]
+
+    def run_command(self) -> int:
+        """Ask for the end of the job."""
+        job = self.argument("job")
+        target = f"/api/jobs/{job}?author={self.author()}"
+        body = expect_ok(*self.client().call("DELETE", target))
+        return self.done(body, f"cancelled: {job}")
+
+
+class JobResumeCommand(BaseCommand):
+    """Lets a held job run again."""
+
+    name = "job resume"
+    description = "Let a held job run again"
+    example = "job resume claim-letters-17 --author ada"
+    arguments: ClassVar[list[Argument]] = [JOB_ARGUMENT]
+
+    def own_options(self) -> list[Option]:
+        """Return the command's own options."""
+        return [AUTHOR]
+
+    def run_command(self) -> int:
+        """Resume the job."""
+        job = self.argument("job")
+        target = f"/api/jobs/{job}/resume?author={self.author()}"
+        body = expect_ok(*self.client().call("POST", target))
+        return self.done(body, f"resumed: {job}")
--- /dev/null
+++ b/rattanwing/cmd/list_commands.py
@@ -0,0 +1,94 @@
+"""Commands that show services, workers, an entry's state and the audit trail."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cleo.helpers import option
+
+from rattanwing.cmd.base import EXIT_OK, BaseCommand
+from rattanwing.cmd.output import to_json, to_table, to_time
+
+if TYPE_CHECKING:
+    from cleo.io.inputs.option import Option
+
+
+class ServiceListCommand(BaseCommand):
+    """Lists services and their executors."""
+
+    name = "service list"
+    description = "List services and their executors"
+    example = "service list"
+
+    def run_command(self) -> int:
+        """Print a row for each executor."""
+        services = self.client().get("/api/services")
+        if self.wants_json():
+            self.line(to_json(services))
+            return EXIT_OK
+        columns = ["service", "agent", "failure_domain", "connected", "leaving"]
+        rows = [
+            {"service": service["service"], **executor}
+            for service in services
+            for executor in service["executors"] or [{}]
+        ]
+        return self.show(rows, [*columns, "slots", "busy", "queued"])
+
+
+class WorkerListCommand(BaseCommand):
+    """Lists workers."""
+
+    name = "worker list"
+    description = "List workers"
+    example = "worker list"
+
+    def run_command(self) -> int:
+        """Print the workers."""
+        columns = ["worker", "failure_domain", "rack", "connected", "leaving"]
+        columns += ["quarantined", "cpu", "free_cpu", "memory_mb", "free_memory_mb"]
+        return self.show(self.client().get("/api/workers"), columns)
+
+
+class StatusCommand(BaseCommand):
+    """Summarises an entry."""
+
+    name = "status"
+    description = "Summarise an entry"
+    example = "status --entry 127.0.0.1:8080"
+
+    def run_command(self) -> int:
+        """Print the summary."""
+        status = self.client().get("/api/status")
+        if self.wants_json():
+            self.line(to_json(status))
+            return EXIT_OK
+        latencies = status.pop("latencies")
+        rows = [{"field": key, "value": value} for key, value in status.items()]
+        self.line(to_table(rows, ["field", "value"]))
+        self.line("")
+        columns = ["service", "class", "count", "p50_ms", "p99_ms"]
+        return self.show(latencies, columns)
+
+
+class AuditCommand(BaseCommand):
+    """Shows who changed what."""
+
+    name = "audit"
+    description = "Show who changed what, from, to, and the verdict"
+    example = "audit --limit 20"
+
+    def own_options(self) -> list[Option]:
+        """Return the command's own options."""
+        return [option("limit", None, "newest rows", flag=False, default="50")]
+
+    def run_command(self) -> int:
+        """Print the audit trail, oldest first."""
+        rows = self.client().get(f"/api/audit?limit={self.option('limit')}")
+        if self.wants_json():
+            self.line(to_json(rows))
+            return EXIT_OK
+        for row in rows:
+            row["time"] = to_time(row["time"])
+            row["verdict"] = row["rule"] or "accepted"
+        columns = ["offset", "time", "author", "path", "old", "new", "verdict"]
+        return self.show(rows, columns)
--- a/tests/test_proof_jobs.py
+++ b/tests/test_proof_jobs.py
@@ -196,6 +196,7 @@
         owner = world.owner_of("j0")
         other = "entry-2" if owner == "entry-1" else "entry-1"
         world.network.cut(owner, "log/config")
+        world.network.cut(owner, other)
         for number in (1, 2, 3):
             world.network.cut(other, f"agent-{number}")
         await trio.sleep(0.5)
