Admit an urgent request to a free slot at once

Ruled out: the queue's order, which was right. Change: an arriving request takes a slot at once unless a waiting one that may run goes before it.

--- a/rattanwing/agent/admission.py
+++ b/rattanwing/agent/admission.py
@@ -74,7 +74,7 @@
         """
         if self.closed:
             raise RejectedError("leaving", "the executor is leaving")
-        if not self.queue and self.may_run(priority):
+        if self.may_run(priority) and not self.is_behind(priority, deadline):
             self.take(priority)
             return
         waiter = self.enqueue(priority, deadline)
@@ -90,6 +90,13 @@
             return
         raise RejectedError("queue-full", "a more urgent request took the place")
 
+    def is_behind(self, priority: int, deadline: float) -> bool:
+        """Return whether a waiting request that may run goes first."""
+        if not self.queue or not self.may_run(self.queue[0].priority):
+            return False
+        first = self.queue[0]
+        return (first.priority, first.deadline) <= (priority, deadline)
+
     def enqueue(self, priority: int, deadline: float) -> Waiter:
         """Put a request into the queue, at the cost of a less urgent one.
 
--- /dev/null
+++ b/tests/test_hostile_input.py
@@ -0,0 +1,77 @@
+"""Malformed input from peers and the log: an event, and work goes on."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+import trio
+
+from rattanwing import events, messages
+from tests.history import judge
+from tests.world import run_world
+
+
+class HostileInputTests(unittest.TestCase):
+    def run_with_events(self, scenario):
+        written = []
+        real = events.write
+
+        def note(event, **fields):
+            written.append(event.number)
+            real(event, **fields)
+
+        with mock.patch.object(events, "write", note):
+            history = run_world(scenario, entries=1)
+        self.assertEqual(judge(history), [])
+        return written
+
+    async def work_goes_on(self, world):
+        response = await world.request("entry-1", "after")
+        self.assertEqual(response.status, 200)
+        self.assertEqual(await world.submit("entry-1", "after", run_s=1), 200)
+        await world.wait_for_state("entry-1", "after", "finished")
+
+    def test_peer_that_speaks_nonsense_is_dropped(self):
+        hello = messages.encode(messages.Hello("agent-9", "i", "fd-1", None, None))
+        cases = (
+            [b"\xff\xff"],
+            [b""],
+            [messages.encode(messages.Heartbeat(0.0))],
+            [hello, b"\x00garbage"],
+            [hello, messages.encode(messages.TaskReport(99, "j", 1, "running"))],
+            [hello, messages.encode(messages.TaskList(0, 0, "i", []))],
+        )
+
+        async def scenario(world):
+            world.start_entry("entry-1")
+            world.start_agent("agent-1")
+            await world.wait_ready(1)
+            dial = world.make_dial("intruder")
+
+            async def send_all(stream, lines):
+                for line in lines:
+                    await stream.send(line)
+                await trio.sleep(2)
+
+            for lines in cases:
+                await dial("127.0.0.1:1", lambda s, lines=lines: send_all(s, lines))
+            await self.work_goes_on(world)
+
+        written = self.run_with_events(scenario)
+        refused = written.count(events.PEER_MESSAGE_REFUSED.number)
+        self.assertGreaterEqual(refused, 4)
+
+    def test_records_that_do_not_parse_are_passed_over(self):
+        async def scenario(world):
+            world.start_entry("entry-1")
+            world.start_agent("agent-1")
+            await world.wait_ready(1)
+            for stream in ("config", "shard-0", "shard-1", "keys-0", "keys-1"):
+                await world.log.append(stream, [b'{"kind":"nonsense"}', b"[1]"])
+            await trio.sleep(2)
+            await world.declare_organisation()
+            await self.work_goes_on(world)
+
+        written = self.run_with_events(scenario)
+        self.assertEqual(written.count(events.RECORD_MALFORMED.number), 10)
--- a/tests/world.py
+++ b/tests/world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 
 import msgspec
@@ -9,7 +10,7 @@
 import trio.testing
 
 from rattanwing.application import Application
-from rattanwing.errors import LogUnavailableError, PeerLostError
+from rattanwing.errors import LogUnavailableError, PeerLostError, RecordError
 from rattanwing.jobs.records import Cancel, Stop, Submit
 from rattanwing.jobs.shard import decode_record
 from rattanwing.peer.stream import memory_stream_pair
@@ -531,7 +532,8 @@
             worker.advance()
         for number in range(self.shards):
             for stored in self.log.streams.get(f"shard-{number}", ()):
-                self.note_record(decode_record(bytes(stored.record)))
+                with contextlib.suppress(RecordError):
+                    self.note_record(decode_record(bytes(stored.record)))
         self.history.end = trio.current_time()
         return self.history
 
