--- a/rattanwing/entry/agents.py
+++ b/rattanwing/entry/agents.py
@@ -70,12 +70,11 @@
     ``agent-message(handle, message)``.
     """
 
-    __slots__ = ("app", "agents", "grant_leases")
+    __slots__ = ("app", "agents")
 
     def __init__(self, app: Application) -> None:
         self.app = app
         self.agents: dict[str, AgentHandle] = {}
-        self.grant_leases = lambda _now: []
         app.connect("config-changed", self.push_config)
 
     async def accept(self, stream: ByteMessageStream, data: bytes) -> None:
@@ -143,7 +142,7 @@
             events.write(events.AGENT_LEAVING, peer=handle.name)
         handle.heartbeat = heartbeat
         config = self.app.get("config")
-        owned = self.grant_leases(now)
+        owned = self.app.get("ownership").owned(now)
         for lease in owned:
             handle.lease_bounds[lease.shard] = now + TASK_LEASE_S
         ack = messages.HeartbeatAck(
--- a/rattanwing/entry/ownership.py
+++ b/rattanwing/entry/ownership.py
@@ -215,7 +215,6 @@
         self.app = app
         shards = app.get("shards").shards
         self.shards = [ShardOwnership(app, shard) for shard in shards]
-        app.get("agents").grant_leases = self.owned
         app.connect("peer-entry-message", self.take_message)
 
     def owned(self, now: float) -> list[messages.ShardLease]:
--- a/rattanwing/entry/peers.py
+++ b/rattanwing/entry/peers.py
@@ -12,6 +12,8 @@
 from rattanwing.peer.session import HEARTBEAT_INTERVAL_S, PeerSession
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from rattanwing.application import Application
     from rattanwing.peer.stream import ByteMessageStream
     from rattanwing.settings import PeerAddress
@@ -114,7 +116,7 @@
                 del self.sessions[name]
 
 
-async def send_heartbeats(session: PeerSession, clock) -> None:
+async def send_heartbeats(session: PeerSession, clock: Callable[[], float]) -> None:
     """Send plain heartbeats until the session is lost."""
     while not session.lost:
         try:
--- a/rattanwing/entry/reconciler.py
+++ b/rattanwing/entry/reconciler.py
@@ -14,6 +14,8 @@
 from rattanwing.leases import CLOCK_MARGIN_S
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from rattanwing.application import Application
     from rattanwing.entry.agents import AgentHandle
     from rattanwing.entry.ownership import ShardOwnership
@@ -67,7 +69,7 @@
 
     # Records that were read back.
 
-    def make_listener(self, shard: Shard):
+    def make_listener(self, shard: Shard) -> Callable[[Outcome, float, bytes], None]:
         """Return the listener for a shard's records."""
 
         def note(outcome: Outcome, _time: float, payload: bytes) -> None:
--- a/rattanwing/peer/grpc.py
+++ b/rattanwing/peer/grpc.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Any
 
 import grpclib.const
@@ -23,6 +24,7 @@
 
 METHOD = "/rattanwing.Peer/Connect"
 DIAL_TIMEOUT_S = 2.0
+BUFFER_MESSAGES = 20_000
 LOST = (GRPCError, ProtocolError, StreamTerminatedError, OSError, AssertionError)
 
 
@@ -41,32 +43,72 @@
 
 
 class GrpcStream:
-    """One end of a gRPC call as a message stream."""
+    """One end of a gRPC call as a message stream.
 
-    __slots__ = ("call",)
+    Two asyncio tasks move the messages, so that a message costs no new task;
+    asyncio runs in trio's thread, and both sides only meet at queues.
+    """
+
+    __slots__ = ("call", "received", "incoming", "outgoing", "ended")
 
     def __init__(self, call: Any) -> None:
         self.call = call
+        self.received, self.incoming = trio.open_memory_channel[bytes](BUFFER_MESSAGES)
+        self.outgoing: asyncio.Queue[bytes] = asyncio.Queue()
+        self.ended = False
 
     async def send(self, data: bytes) -> None:
-        """Send one message."""
-        try:
-            await aio_as_trio(self.call.send_message)(data)
-        except LOST as error:
-            raise PeerLostError(f"the stream has ended: {error}") from error
+        """Queue one message for the writing task."""
+        if self.ended:
+            raise PeerLostError("the stream has ended")
+        if self.outgoing.qsize() >= BUFFER_MESSAGES:
+            raise PeerLostError("the peer takes no messages")
+        self.outgoing.put_nowait(data)
 
     async def receive(self) -> bytes:
         """Return the next message."""
         try:
-            data = await aio_as_trio(self.call.recv_message)()
-        except LOST as error:
-            raise PeerLostError(f"the stream has ended: {error}") from error
-        if data is None:
-            raise PeerLostError("the peer closed the stream")
-        return data
+            return await self.incoming.receive()
+        except trio.EndOfChannel as error:
+            raise PeerLostError("the stream has ended") from error
 
     async def aclose(self) -> None:
         """End the stream; the call's owner closes the connection."""
+        self.end()
+
+    def end(self) -> None:
+        """Take note that no further message comes or goes."""
+        self.ended = True
+        self.received.close()
+
+    async def read(self) -> None:
+        """Move messages from the call to the channel; an asyncio task."""
+        try:
+            while (data := await self.call.recv_message()) is not None:
+                self.received.send_nowait(data)
+        except (*LOST, trio.WouldBlock, trio.ClosedResourceError):
+            return
+        finally:
+            self.end()
+
+    async def write(self) -> None:
+        """Move messages from the queue to the call; an asyncio task."""
+        try:
+            while True:
+                await self.call.send_message(await self.outgoing.get())
+        except LOST:
+            self.end()
+
+    async def run(self, handler: Callable[[GrpcStream], Awaitable[None]]) -> None:
+        """Run ``handler`` on the stream while both tasks move messages."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(aio_as_trio(self.read))
+            nursery.start_soon(aio_as_trio(self.write))
+            try:
+                await handler(self)
+            finally:
+                self.end()
+                nursery.cancel_scope.cancel()
 
 
 class PeerService:
@@ -79,7 +121,7 @@
 
     async def connect(self, call: Any) -> None:
         """Serve one call until the handler returns."""
-        await trio_as_aio(self.handler)(GrpcStream(call))
+        await trio_as_aio(GrpcStream(call).run)(self.handler)
 
     def __mapping__(self) -> dict[str, grpclib.const.Handler]:
         """Return grpclib's table of methods."""
@@ -125,6 +167,6 @@
                 raise PeerLostError(f"no stream to {address}: {error}") from error
         if scope.cancelled_caught:
             raise PeerLostError(f"no stream to {address} in time")
-        await handler(GrpcStream(opened))
+        await GrpcStream(opened).run(handler)
     finally:
         channel.close()
