Forget ended jobs and agents that are gone; test the colocation policy

The colocation policy had no test of its own. Ruled out: a need of old lease bounds; they end after 13 s, agents are dropped after an hour. Change: one place forgets a job; a new agent's hello drops those long gone; four tests of the policy: throttle before evict, hysteresis, limit an hour.

--- a/rattanwing/entry/agents.py
+++ b/rattanwing/entry/agents.py
@@ -13,6 +13,8 @@
     from rattanwing.application import Application
     from rattanwing.peer.stream import ByteMessageStream
 
+FORGET_AFTER_S = 3600.0
+
 
 class AgentHandle:
     """What this entry knows of one agent; only hints, save the lease bounds.
@@ -103,6 +105,7 @@
         now = self.app.now()
         handle = self.agents.get(hello.name)
         if handle is None:
+            self.forget_gone(now)
             handle = AgentHandle(hello, now)
             self.agents[hello.name] = handle
         if handle.session is not None:
@@ -112,6 +115,12 @@
         handle.connected_at = now
         return handle
 
+    def forget_gone(self, now: float) -> None:
+        """Drop agents that have been gone for long; their leases have ended."""
+        for name, handle in list(self.agents.items()):
+            if not handle.connected() and now - handle.heard_at > FORGET_AFTER_S:
+                del self.agents[name]
+
     def detach(self, handle: AgentHandle, session: PeerSession) -> None:
         """Take note of an ended stream, unless a newer one took its place."""
         if handle.session is not session:
--- a/rattanwing/entry/reconciler.py
+++ b/rattanwing/entry/reconciler.py
@@ -90,6 +90,8 @@
                 events.write(events.JOB_ACCEPTED, job=spec.id, team=spec.team)
             case records.Cancel(job=job):
                 self.stopping[job] = float("-inf")
+                if job in ownership.shard.state.ended:
+                    self.app.get("scheduler").forget(job)
             case records.Place(epoch=epoch) if epoch == ownership.epoch:
                 self.take_place(ownership, record)
             case records.Stop() | records.Finish():
@@ -134,7 +136,7 @@
         if job.state == "pending":
             scheduler.back_off(record.job)
             return
-        scheduler.backoffs.pop(record.job, None)
+        scheduler.forget(record.job)
 
     # Leases and questions.
 
--- a/rattanwing/entry/scheduler.py
+++ b/rattanwing/entry/scheduler.py
@@ -161,6 +161,13 @@
             delay_s = min(last.delay_s * 2, BACKOFF_MAX_S)
         self.backoffs[job_id] = Backoff(now + delay_s, delay_s)
 
+    def forget(self, job_id: str) -> None:
+        """Drop what was remembered of a job that has ended."""
+        self.backoffs.pop(job_id, None)
+        self.waiting_since.pop(job_id, None)
+        self.preempted_at.pop(job_id, None)
+        self.overdue.discard(job_id)
+
     # Starting.
 
     def start(self, ownership: ShardOwnership, place: records.Place) -> bool:
--- /dev/null
+++ b/tests/test_colocation.py
@@ -0,0 +1,60 @@
+from __future__ import annotations
+
+import unittest
+
+from rattanwing.agent.colocation import (
+    CALM_WINDOWS,
+    MAX_EVICTIONS_PER_HOUR,
+    MIN_SHARE,
+    PATIENCE_WINDOWS,
+    ColocationState,
+    Evict,
+    Keep,
+    SetShare,
+    decide,
+    tail_pressure,
+)
+from rattanwing.agent.tasks import Task
+
+
+def task(job, progress_s, cpu=1.0):
+    return Task(job, 1, 0, "match", cpu, 100, 0, 99.0, "running", progress_s)
+
+
+class ColocationTests(unittest.TestCase):
+    def setUp(self):
+        self.state = ColocationState()
+        self.tasks = [task("old", 50.0), task("young", 2.0), task("wide", 30.0, 20.0)]
+
+    def windows(self, pressure, count, start=0.0):
+        return [
+            decide(self.state, pressure, self.tasks, start + n) for n in range(count)
+        ]
+
+    def test_throttles_before_it_evicts_the_least_progress(self):
+        actions = self.windows(1.5, 2 + PATIENCE_WINDOWS)
+        self.assertEqual(actions[:2], [SetShare(0.5), SetShare(MIN_SHARE)])
+        self.assertEqual(actions[2:-1], [Keep()] * (PATIENCE_WINDOWS - 1))
+        self.assertEqual(actions[-1], Evict("wide"))
+
+    def test_releases_only_after_calm_windows_and_step_by_step(self):
+        self.windows(1.5, 2)
+        calm = self.windows(0.2, CALM_WINDOWS)
+        self.assertEqual(calm, [Keep()] * (CALM_WINDOWS - 1) + [SetShare(0.3125)])
+        self.windows(0.2, CALM_WINDOWS - 1)
+        self.assertEqual(self.windows(0.8, 1), [Keep()])
+        self.assertEqual(self.windows(0.2, CALM_WINDOWS - 1), [Keep()] * 5)
+
+    def test_evictions_an_hour_are_limited(self):
+        actions = self.windows(2.0, 200)
+        evictions = [a for a in actions if isinstance(a, Evict)]
+        self.assertEqual(len(evictions), MAX_EVICTIONS_PER_HOUR)
+        later = self.windows(2.0, 20, start=4000.0)
+        self.assertTrue(any(isinstance(action, Evict) for action in later))
+
+    def test_nothing_to_do_without_tasks_or_samples(self):
+        self.tasks = []
+        self.assertEqual(self.windows(5.0, 3), [Keep()] * 3)
+        self.assertEqual(tail_pressure([0.1] * 4, 50.0), 0.0)
+        self.assertEqual(tail_pressure([0.1] * 9, None), 0.0)
+        self.assertAlmostEqual(tail_pressure([0.1] * 9, 50.0), 2.0)
