--- /dev/null
+++ b/rattanwing/batch/agent.py
@@ -0,0 +1,294 @@
+"""The agent's part: takes the owner's orders and reports on its executor."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import trio
+
+from rattanwing import events
+from rattanwing.batch import messages, records
+from rattanwing.batch.runs import ExecutorRuns
+from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
+from rattanwing.errors import PeerLostError, ProtocolError
+from rattanwing.peer.session import PeerSession
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from random import Random
+
+    from rattanwing.batch.ports import ExecutorPort, ExecutorView
+    from rattanwing.batch.writer import RecordWriter
+    from rattanwing.peer.stream import ByteMessageStream
+
+REPORT_INTERVAL_S = 0.5
+"""Longest time between two reports; the owner's silence limit is six of them."""
+
+REGISTER_AFTER_S = 2.0
+"""An agent without an owner for so long writes its address again, in case its
+record was dropped: a little longer than the usual change of owner needs."""
+
+
+class OwnerSession:
+    """The stream of the owner that this agent obeys."""
+
+    __slots__ = ("epoch", "fence", "session", "orders_seen")
+
+    def __init__(self, epoch: int, fence: int) -> None:
+        self.epoch = epoch
+        self.fence = fence
+        self.session: PeerSession | None = None
+        self.orders_seen = 0
+
+    def rank(self) -> tuple[int, int]:
+        """Return what decides between two owners."""
+        return self.epoch, self.fence
+
+
+class BatchAgent:
+    """Serves one owner at a time and drives one executor at a time.
+
+    :param connect: makes the port to an executor.
+    """
+
+    __slots__ = (
+        "clock",
+        "connect",
+        "executor",
+        "owner",
+        "started_at",
+        "changed",
+        "contact_at",
+        "nursery",
+        "ends_told",
+        "executor_ended",
+    )
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        connect: Callable[[ExecutorView], ExecutorPort],
+    ) -> None:
+        self.clock = clock
+        self.connect = connect
+        self.executor: ExecutorRuns | None = None
+        self.owner: OwnerSession | None = None
+        self.started_at = clock()
+        self.changed = trio.Event()
+        self.contact_at = 0.0
+        self.nursery: trio.Nursery | None = None
+        self.ends_told = 0
+        self.executor_ended = False
+
+    def note_change(self) -> None:
+        """Wake the reporting task."""
+        self.changed.set()
+
+    def take_announcement(self, view: ExecutorView) -> None:
+        """Take what the executor says of itself.
+
+        A new incarnation on this machine means that the previous one is dead.
+        """
+        current = self.executor
+        if current is not None and current.view.incarnation == view.incarnation:
+            if current.view.draining != view.draining:
+                events.write(
+                    events.EXECUTOR_DRAINING,
+                    executor=view.executor_id,
+                    draining=view.draining,
+                    remaining_ms=view.remaining_ms,
+                )
+                self.note_change()
+            current.view = view
+            return
+        if current is not None:
+            current.gone = True
+            current.look_scope.cancel()
+        lapse_bound = self.started_at + TASK_LEASE_S + LEASE_MARGIN_S
+        self.executor = ExecutorRuns(
+            view,
+            self.connect(view),
+            self.clock,
+            lapse_bound,
+            self.note_change,
+            self.tell_refused,
+        )
+        self.ends_told = 0
+        events.write(
+            events.EXECUTOR_KNOWN,
+            executor=view.executor_id,
+            incarnation=view.incarnation,
+            cpu=view.cpu,
+            memory_mb=view.memory_mb,
+        )
+        if self.owner is not None:
+            self.executor.raise_fence(self.owner.fence)
+        if self.nursery is not None:
+            self.nursery.start_soon(self.executor.look_on)
+        self.note_change()
+
+    def take_leave(self, executor_id: str) -> None:
+        """Take note that the executor has ended; nothing runs there any more."""
+        current = self.executor
+        if current is None or current.view.executor_id != executor_id:
+            return
+        events.write(events.EXECUTOR_LEFT, executor=executor_id)
+        current.gone = True
+        self.executor = None
+        self.executor_ended = True
+        self.note_change()
+
+    async def run(self) -> None:
+        """Drive the executor and report, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            if self.executor is not None:
+                nursery.start_soon(self.executor.look_on)
+            await self.report_on()
+
+    async def report_on(self) -> None:
+        """Report each change at once, and everything at a fixed interval."""
+        reported_at = 0.0
+        while True:
+            with trio.move_on_after(REPORT_INTERVAL_S):
+                await self.changed.wait()
+            self.changed = trio.Event()
+            self.tell_ends()
+            reported_at = self.clock()
+            self.tell_report(reported_at)
+
+    def tell_ends(self) -> None:
+        """Tell the owner of ends that it was not told of."""
+        if self.executor is None:
+            return
+        ends = self.executor.ends
+        fresh = sorted(number for number in ends if number > self.ends_told)
+        if not fresh:
+            return
+        rows = [ends[number] for number in fresh]
+        if self.send(messages.RunsEnded(self.executor.view.incarnation, rows)):
+            self.ends_told = fresh[-1]
+
+    def tell_report(self, now: float) -> None:
+        """Tell the owner everything that is known of the executor."""
+        if self.owner is None:
+            return
+        executor = self.executor
+        if executor is not None and executor.gone:
+            executor = None
+        if executor is None:
+            lapsed_at = self.started_at + TASK_LEASE_S + LEASE_MARGIN_S
+            certain = (
+                self.executor is not None or self.executor_ended or now >= lapsed_at
+            )
+            report = messages.HostReport(
+                now, self.owner.orders_seen, None, [], certain, missing=True
+            )
+        else:
+            lapsed = executor.is_missing(now) and now >= executor.lapse_bound
+            report = messages.HostReport(
+                now,
+                self.owner.orders_seen,
+                None if lapsed else executor.view,
+                [] if lapsed else executor.rows(),
+                executor.is_certain(now),
+                executor.is_missing(now),
+            )
+        self.send(report)
+
+    def tell_refused(self, task: str, attempt: int, reason: str) -> None:
+        """Tell the owner that a run does not start here."""
+        self.send(messages.RunRefused(task, attempt, reason))
+
+    def send(self, message: messages.Message) -> bool:
+        """Send to the owner; return whether there is one."""
+        if self.owner is None or self.owner.session is None:
+            return False
+        try:
+            self.owner.session.send(message)
+        except PeerLostError:
+            return False
+        return True
+
+    async def accept(self, stream: ByteMessageStream) -> None:
+        """Serve one stream of an owner until it ends or is superseded."""
+        try:
+            hello = messages.decode(await stream.receive())
+            if not isinstance(hello, messages.OwnerHello):
+                raise ProtocolError(f"expected a hello, got {type(hello).__name__}")
+        except (PeerLostError, ProtocolError) as error:
+            events.write(events.PEER_MESSAGE_REFUSED, error=error)
+            return
+        if self.owner and (hello.epoch, hello.fence) <= self.owner.rank():
+            events.write(events.OWNER_REFUSED, epoch=hello.epoch, fence=hello.fence)
+            return
+        previous = self.owner
+        owner = self.owner = OwnerSession(hello.epoch, hello.fence)
+        if previous is not None and previous.session is not None:
+            previous.session.close()
+        owner.session = PeerSession(
+            stream, self.clock, lambda message: self.take(owner, message), messages
+        )
+        self.ends_told = 0
+        self.contact_at = self.clock()
+        events.write(
+            events.OWNER_ACCEPTED,
+            owner=hello.owner,
+            epoch=hello.epoch,
+            fence=hello.fence,
+        )
+        if self.executor is not None:
+            self.executor.raise_fence(hello.fence)
+        self.note_change()
+        await owner.session.run()
+        events.write(events.PEER_LOST, peer=hello.owner, epoch=hello.epoch)
+
+    def take(self, owner: OwnerSession, message: Any) -> None:
+        """Carry out one message of the owner."""
+        if owner is not self.owner:
+            return
+        self.contact_at = self.clock()
+        executor = self.executor
+        match message:
+            case messages.Contact() if executor is not None:
+                executor.grant(message.echo + message.lease_s)
+            case messages.StartRun():
+                owner.orders_seen = message.number
+                self.take_start(message)
+            case messages.StopRun():
+                owner.orders_seen = message.number
+                if executor is not None and self.nursery is not None:
+                    self.nursery.start_soon(
+                        executor.stop, message.task, message.attempt
+                    )
+            case messages.EndsStored() if executor is not None:
+                if executor.view.incarnation == message.incarnation:
+                    executor.forget_stored(message.number)
+            case messages.RunFacts() if executor is not None:
+                run = executor.runs.get((message.task, message.attempt))
+                if run is not None and run.facts is None:
+                    run.facts = message
+
+    def take_start(self, order: messages.StartRun) -> None:
+        """Start a run, or refuse it at once."""
+        if self.executor is None or self.nursery is None:
+            self.tell_refused(order.task, order.attempt, "no-executor")
+            return
+        self.nursery.start_soon(self.executor.start, order, self.clock())
+
+
+async def keep_registered(
+    agent: BatchAgent,
+    writer: RecordWriter,
+    address: records.AgentAddress,
+    random: Random,
+    sleep: Callable[[float], Awaitable[None]] = trio.sleep,
+) -> None:
+    """Write the agent's address at the start and whenever no owner calls."""
+    key = records.AGENT_PREFIX + address.node
+    value = records.encode(address)
+    await writer.store_records([(key, value)], None)
+    while True:
+        await sleep(REGISTER_AFTER_S * (1 + random.random()))
+        if agent.clock() - agent.contact_at > REGISTER_AFTER_S:
+            await writer.store_records([(key, value)], None)
--- /dev/null
+++ b/rattanwing/batch/entry.py
@@ -0,0 +1,144 @@
+"""The batch engine of one entry, put together."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from rattanwing.batch import records
+from rattanwing.batch.configuration import CurrentConfiguration
+from rattanwing.batch.owner import OwnerLoop
+from rattanwing.batch.ownership import Candidate
+from rattanwing.batch.ports import Stamp
+from rattanwing.batch.replica import Directory, TopicReader, WorkReplica
+from rattanwing.batch.service import JobService
+from rattanwing.batch.writer import RecordWriter
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from rattanwing.batch.owner import Dial
+    from rattanwing.batch.ports import KeyedStore
+    from rattanwing.batch.settings import BatchSettings
+
+RESIGN_LIMIT_S = 1.0
+"""Longest wait for the resignation to be stored; the others claim without it after
+the owner's silence."""
+
+
+class BatchEntry:
+    """Follows the store, answers callers, and owns the scheduling at times.
+
+    :param incarnation: unique to this run of the process.
+    """
+
+    __slots__ = (
+        "settings",
+        "incarnation",
+        "store",
+        "clock",
+        "wall_ms",
+        "random",
+        "dial",
+        "current",
+        "replica",
+        "reader",
+        "directory",
+        "directory_reader",
+        "writer",
+        "directory_writer",
+        "service",
+        "candidate",
+        "loop",
+    )
+
+    def __init__(
+        self,
+        settings: BatchSettings,
+        store: KeyedStore,
+        clock: Callable[[], float],
+        wall_ms: Callable[[], int],
+        random: Random,
+        dial: Dial,
+    ) -> None:
+        self.settings = settings
+        self.incarnation = f"{settings.name}-{random.getrandbits(64):016x}"
+        self.store = store
+        self.clock = clock
+        self.wall_ms = wall_ms
+        self.random = random
+        self.dial = dial
+        self.current = CurrentConfiguration()
+        self.replica = WorkReplica(clock)
+        self.reader = TopicReader(store, records.WORK_TOPIC, clock, self.replica.take)
+        self.directory = Directory()
+        self.directory_reader = TopicReader(
+            store, records.DIRECTORY_TOPIC, clock, self.directory.take
+        )
+        self.writer = self.make_writer(records.WORK_TOPIC)
+        self.directory_writer = self.make_writer(records.DIRECTORY_TOPIC)
+        self.service = JobService(self.replica, self.reader, self.writer, clock)
+        self.candidate = Candidate(
+            settings.name,
+            self.incarnation,
+            store,
+            self.replica,
+            self.reader,
+            clock,
+            random,
+            self.serve_epoch,
+        )
+        self.loop: OwnerLoop | None = None
+
+    def make_writer(self, topic: str) -> RecordWriter:
+        """Return this entry's own writer of a topic."""
+        stamp = Stamp(self.incarnation, 1, 0)
+        return RecordWriter(self.store, topic, stamp, self.clock, self.random)
+
+    def is_ready(self, now: float) -> bool:
+        """Return whether callers are served well here."""
+        return (
+            not self.candidate.stopping
+            and self.current.version > 0
+            and self.reader.is_fresh(now)
+        )
+
+    def note_configuration(self) -> None:
+        """Decide anew after a change of the configuration."""
+        if self.loop is not None:
+            self.loop.note_change()
+
+    async def run(self) -> None:
+        """Follow the store and stand for ownership until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.reader.run)
+            nursery.start_soon(self.directory_reader.run)
+            nursery.start_soon(self.writer.run)
+            nursery.start_soon(self.directory_writer.run)
+            nursery.start_soon(self.candidate.run)
+
+    async def serve_epoch(self, _epoch: int, writer: RecordWriter) -> None:
+        """Schedule for one epoch."""
+        self.loop = OwnerLoop(
+            self.settings.name,
+            writer,
+            self.replica,
+            self.directory,
+            self.directory_writer,
+            self.current,
+            self.clock,
+            self.wall_ms,
+            self.random,
+            self.dial,
+            self.settings.retention_s,
+        )
+        try:
+            await self.loop.run()
+        finally:
+            self.loop = None
+
+    async def resign(self) -> None:
+        """Give ownership up before a planned stop."""
+        await self.candidate.resign(RESIGN_LIMIT_S)
--- /dev/null
+++ b/rattanwing/batch/messages.py
@@ -0,0 +1,159 @@
+"""Messages between the scheduling entry and the agents, and their codec.
+
+MessagePack arrays with a numeric tag. Times are echoes of the receiver's own
+clock or durations; one process's clock is never read by another.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from rattanwing.batch.ports import EndedRow, ExecutorView, RunningRow  # noqa: TC001
+from rattanwing.errors import ProtocolError
+
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+
+
+class Message(msgspec.Struct, array_like=True, tag_field="kind"):
+    """Base of the messages."""
+
+
+class OwnerHello(Message, tag=1):
+    """First message of the owner on a stream.
+
+    :param fence: rises with every stream that any owner opens to this agent.
+    """
+
+    epoch: int
+    fence: int
+    owner: str
+
+
+class Contact(Message, tag=2):
+    """The owner lives.
+
+    :param echo: the stamp of the agent's newest report.
+    :param lease_s: runs may go on for so long after that stamp.
+    """
+
+    echo: float
+    lease_s: float
+
+
+class StartRun(Message, tag=3):
+    """Order to start a run.
+
+    :param number: counts the orders of this stream.
+    :param start_within_s: the order is void after this time.
+    """
+
+    number: int
+    task: str
+    attempt: int
+    text: str
+    saved: str
+    cpu: int
+    memory_mb: int
+    accelerators: int
+    fills: bool
+    target_ms: int
+    start_within_s: float
+    ticket: str = ""
+
+
+class StopRun(Message, tag=4):
+    """Order to stop a run, and to see to it that it never starts."""
+
+    number: int
+    task: str
+    attempt: int
+
+
+class EndsStored(Message, tag=5):
+    """All ends up to a number are stored; the executor may forget them."""
+
+    incarnation: str
+    number: int
+
+
+class HostReport(Message, tag=6):
+    """Everything that an agent knows of its executor.
+
+    :param stamp: the agent's clock when it sent the report.
+    :param orders_seen: number of the last order that the report covers.
+    :param runs: everything that runs or may yet be started.
+    :param certain: nothing else runs there: the executor has answered under this
+        stream's fence, or every lease on it has lapsed.
+    :param missing: whether the executor no longer answers the agent.
+    """
+
+    stamp: float
+    orders_seen: int
+    executor: ExecutorView | None
+    runs: list[RunningRow]
+    certain: bool
+    missing: bool = False
+
+
+class RunsEnded(Message, tag=7):
+    """Ends that the executor lists, in the order of their numbers."""
+
+    incarnation: str
+    ends: list[EndedRow]
+
+
+class RunRefused(Message, tag=8):
+    """A run was not started and never will be."""
+
+    task: str
+    attempt: int
+    reason: str
+
+
+class RunFacts(Message, tag=9):
+    """What an agent that has restarted can't know of a run.
+
+    The fields are those of :class:`StartRun`.
+    """
+
+    task: str
+    attempt: int
+    cpu: int
+    memory_mb: int
+    accelerators: int
+    fills: bool
+    target_ms: int
+
+
+AnyMessage = (
+    OwnerHello
+    | Contact
+    | StartRun
+    | StopRun
+    | EndsStored
+    | HostReport
+    | RunsEnded
+    | RunRefused
+    | RunFacts
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(AnyMessage)
+
+
+def encode(message: Message) -> bytes:
+    """Return the wire form of a message."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes) -> Message:
+    """Return the message that ``data`` stands for.
+
+    :raises ProtocolError: when it is oversized or no known message.
+    """
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise ProtocolError(f"message of {len(data)} bytes is over the limit")
+    try:
+        return _decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ProtocolError(f"message does not decode: {error}") from error
--- /dev/null
+++ b/rattanwing/batch/owner.py
@@ -0,0 +1,347 @@
+"""The owner's input and output: streams to agents, the store, the clock."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import trio
+
+from rattanwing import events
+from rattanwing.batch import messages, records
+from rattanwing.batch.placement import Constraints
+from rattanwing.batch.replica import RETRY_PAUSE_S
+from rattanwing.batch.scheduler import Scheduler
+from rattanwing.batch.timing import TASK_LEASE_S
+from rattanwing.errors import LogUnavailableError, PeerLostError
+from rattanwing.peer.session import PeerSession
+from rattanwing.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from random import Random
+
+    from rattanwing.batch.configuration import CurrentConfiguration
+    from rattanwing.batch.hosts import Host
+    from rattanwing.batch.replica import Directory, WorkReplica
+    from rattanwing.batch.writer import RecordWriter
+    from rattanwing.peer.stream import ByteMessageStream
+
+    Dial = Callable[
+        [str, Callable[[ByteMessageStream], Awaitable[None]]], Awaitable[None]
+    ]
+
+TICK_S = 0.25
+"""Longest time between two rounds of decisions; bounds how late a lapse, a due
+occurrence or a settled takeover is seen."""
+
+PLAN_PAUSE_S = 0.01
+"""Shortest time between two rounds, so that changes of one moment go together."""
+
+REDIAL_S = 0.25
+"""Pause before an agent is dialled again; well under the lease."""
+
+FENCE_STREAMS = 1 << 20
+"""Streams that one owner may open; an owner's fences all exceed an earlier one's."""
+
+SWEEP_INTERVAL_S = 5.0
+"""How often finished jobs are looked over."""
+
+
+class OwnerLoop:
+    """Runs the scheduler of one epoch.
+
+    :param wall_ms: returns the Unix time in milliseconds.
+    :param retention_s: how long a finished job's state stays readable.
+    """
+
+    __slots__ = (
+        "node",
+        "epoch",
+        "writer",
+        "replica",
+        "directory",
+        "directory_writer",
+        "current",
+        "clock",
+        "wall_ms",
+        "random",
+        "dial",
+        "retention_s",
+        "scheduler",
+        "streams",
+        "sessions",
+        "changed",
+        "linked",
+        "nursery",
+        "stored",
+    )
+
+    def __init__(
+        self,
+        node: str,
+        writer: RecordWriter,
+        replica: WorkReplica,
+        directory: Directory,
+        directory_writer: RecordWriter,
+        current: CurrentConfiguration,
+        clock: Callable[[], float],
+        wall_ms: Callable[[], int],
+        random: Random,
+        dial: Dial,
+        retention_s: float,
+    ) -> None:
+        self.node = node
+        self.epoch = writer.epoch
+        self.writer = writer
+        self.replica = replica
+        self.directory = directory
+        self.directory_writer = directory_writer
+        self.current = current
+        self.clock = clock
+        self.wall_ms = wall_ms
+        self.random = random
+        self.dial = dial
+        self.retention_s = retention_s
+        self.scheduler = Scheduler(writer.epoch, writer.confirmed_at)
+        self.streams = 0
+        self.sessions: dict[str, PeerSession] = {}
+        self.changed = trio.Event()
+        self.linked: set[str] = set()
+        self.nursery: trio.Nursery | None = None
+        self.stored = trio.Event()
+
+    def note_change(self) -> None:
+        """Wake the deciding task."""
+        self.changed.set()
+
+    async def run(self) -> None:
+        """Schedule until cancelled."""
+        now, now_ms = self.clock(), self.wall_ms()
+        for view in self.replica.jobs.values():
+            self.scheduler.take_job(view, now, now_ms, inherited=True)
+        self.replica.on_job = self.take_job
+        try:
+            async with trio.open_nursery() as nursery:
+                self.nursery = nursery
+                self.directory.on_agent = self.link
+                for name in list(self.directory.agents):
+                    self.link(name)
+                nursery.start_soon(self.await_directory)
+                nursery.start_soon(self.store_on)
+                nursery.start_soon(self.sweep_on)
+                await self.decide_on()
+        finally:
+            self.replica.on_job = lambda _job_id: None
+            self.directory.on_agent = lambda _name: None
+
+    def take_job(self, job_id: str) -> None:
+        """Hand a job that is new or has changed to the scheduler."""
+        view = self.replica.jobs[job_id]
+        self.scheduler.take_job(view, self.clock(), self.wall_ms())
+        self.note_change()
+
+    async def await_directory(self) -> None:
+        """Link every agent that an earlier owner may have used.
+
+        Only a list that was asked for after the claim has all of them.
+        """
+        while not self.scheduler.directory_known:
+            try:
+                await self.list_directory()
+            except LogUnavailableError as error:
+                events.write(
+                    events.LOG_UNAVAILABLE,
+                    topic=records.DIRECTORY_TOPIC,
+                    reason=str(error),
+                )
+                await trio.sleep(RETRY_PAUSE_S)
+        self.note_change()
+
+    async def list_directory(self) -> None:
+        """Read the newest record of every agent."""
+        after = ""
+        while True:
+            page = await self.writer.store.newest(records.DIRECTORY_TOPIC, after)
+            for record in page.records:
+                self.directory.take(record)
+            if not page.has_more or not page.records:
+                break
+            after = page.records[-1].key
+        self.scheduler.directory_known = True
+
+    # Decisions
+
+    async def decide_on(self) -> None:
+        """Decide after each change, and at a fixed interval."""
+        while True:
+            with trio.move_on_after(TICK_S):
+                await self.changed.wait()
+            self.changed = trio.Event()
+            self.decide(self.clock(), self.wall_ms())
+            await trio.sleep(PLAN_PAUSE_S)
+
+    def decide(self, now: float, now_ms: int) -> None:
+        """Run one round of decisions and send what comes of it."""
+        scheduler = self.scheduler
+        scheduler.constraints = Constraints(self.current.closed_domains)
+        for name in scheduler.check_lapses(now):
+            self.unlink(name)
+        scheduler.check_settled(now)
+        scheduler.plan(now, now_ms)
+        self.send_orders()
+        if scheduler.unstored or scheduler.unacked:
+            self.stored.set()
+
+    def send_orders(self) -> None:
+        """Send the scheduler's messages; what finds no stream is ordered anew."""
+        outbox, self.scheduler.outbox = self.scheduler.outbox, []
+        for host, message in outbox:
+            session = self.sessions.get(host.name)
+            if session is None:
+                continue
+            try:
+                session.send(message)
+            except PeerLostError:
+                session.close()
+
+    # The store
+
+    async def store_on(self) -> None:
+        """Store progress, then let executors forget the ends that it covers."""
+        while True:
+            await self.stored.wait()
+            self.stored = trio.Event()
+            jobs, self.scheduler.unstored = self.scheduler.unstored, {}
+            acks, self.scheduler.unacked = self.scheduler.unacked, {}
+            changed = [
+                (
+                    records.PROGRESS_PREFIX + job_id,
+                    records.encode(job.progress(self.epoch)),
+                )
+                for job_id, job in jobs.items()
+            ]
+            if changed:
+                verdict = await self.writer.store_records(changed, None)
+                if verdict is not Verdict.RAN:
+                    return
+            for name, (incarnation, number) in acks.items():
+                session = self.sessions.get(name)
+                if session is not None and not session.lost:
+                    session.send(messages.EndsStored(incarnation, number))
+            self.scheduler.forget_finished(self.replica.jobs)
+
+    async def sweep_on(self) -> None:
+        """Drop the records of jobs whose state need no longer be readable."""
+        while True:
+            await trio.sleep(SWEEP_INTERVAL_S)
+            limit_ms = self.wall_ms() - int(self.retention_s * 1000)
+            dropped: list[tuple[str, bytes | None]] = []
+            for job_id, view in self.replica.jobs.items():
+                finished_at_ms = view.progress.finished_at_ms
+                if finished_at_ms and finished_at_ms < limit_ms:
+                    dropped.append((records.JOB_PREFIX + job_id, None))
+                    dropped.append((records.PROGRESS_PREFIX + job_id, None))
+                    dropped.append((records.CANCEL_PREFIX + job_id, None))
+            if dropped:
+                await self.writer.store_records(dropped[:180], None)
+
+    # Agents
+
+    def link(self, name: str) -> None:
+        """Keep a stream to an agent."""
+        if name in self.linked or self.nursery is None:
+            return
+        self.linked.add(name)
+        self.scheduler.add_host(name, self.clock())
+        self.nursery.start_soon(self.keep_link, name)
+
+    def unlink(self, name: str) -> None:
+        """Stop dialling an agent of which nothing is left, and drop its record.
+
+        An agent that comes back writes its address again.
+        """
+        events.write(events.AGENT_GONE, peer=name)
+        self.linked.discard(name)
+        key = records.AGENT_PREFIX + name
+        self.directory.agents.pop(name, None)
+        if self.nursery is not None:
+            self.nursery.start_soon(self.drop_agent, key)
+
+    async def drop_agent(self, key: str) -> None:
+        """Drop an agent's record from the directory."""
+        expires_at = self.clock() + TASK_LEASE_S
+        await self.directory_writer.store_records([(key, None)], expires_at)
+
+    async def keep_link(self, name: str) -> None:
+        """Dial an agent again and again while it is linked."""
+        while name in self.linked:
+            address = self.directory.agents.get(name)
+            host = self.scheduler.hosts.get(name)
+            if address is None or host is None:
+                self.linked.discard(name)
+                return
+            try:
+                await self.dial(address.address, self.make_handler(host))
+            except PeerLostError as error:
+                if host.connected:
+                    events.write(events.PEER_LOST, peer=name, reason=str(error))
+            await trio.sleep(REDIAL_S * (0.5 + self.random.random()))
+
+    def make_handler(self, host: Host) -> Callable[[Any], Awaitable[None]]:
+        """Return the function that serves one stream to a host's agent."""
+
+        async def serve(stream: ByteMessageStream) -> None:
+            session = PeerSession(
+                stream,
+                self.clock,
+                lambda message: self.take(host, session, message),
+                messages,
+            )
+            self.streams += 1
+            fence = self.epoch * FENCE_STREAMS + self.streams
+            session.send(messages.OwnerHello(self.epoch, fence, self.node))
+            self.sessions[host.name] = session
+            self.scheduler.host_connected(host)
+            events.write(events.PEER_CONNECTED, peer=host.name, fence=fence)
+            try:
+                await session.run()
+            finally:
+                if self.sessions.get(host.name) is session:
+                    del self.sessions[host.name]
+                    self.scheduler.host_lost(host)
+                    events.write(events.PEER_LOST, peer=host.name, fence=fence)
+
+        return serve
+
+    def take(self, host: Host, session: PeerSession, message: Any) -> None:
+        """Handle one message of an agent."""
+        if self.sessions.get(host.name) is not session:
+            return
+        now, now_ms = self.clock(), self.wall_ms()
+        match message:
+            case messages.HostReport():
+                self.scheduler.take_report(host, message, now, now_ms)
+                self.answer_report(host, session, message, now)
+            case messages.RunsEnded():
+                self.scheduler.take_ends(host, message, now, now_ms)
+            case messages.RunRefused():
+                self.scheduler.take_refused(host, message)
+        self.note_change()
+
+    def answer_report(
+        self,
+        host: Host,
+        session: PeerSession,
+        report: messages.HostReport,
+        now: float,
+    ) -> None:
+        """Extend the lease of what runs on a host.
+
+        The lease counts from this owner's last confirmation by the store: a later
+        owner waits until every lease that counted from before its claim has ended.
+        """
+        lease_s = TASK_LEASE_S - (now - self.writer.confirmed_at)
+        if lease_s <= 0:
+            return
+        host.grant(now, lease_s)
+        session.send(messages.Contact(report.stamp, lease_s))
--- /dev/null
+++ b/rattanwing/batch/service.py
@@ -0,0 +1,161 @@
+"""What callers may ask an entry: hand a job in, see it, cancel it, count a queue."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import trio
+
+from rattanwing import events
+from rattanwing.batch import records
+from rattanwing.batch.model import JobState, check_steps
+from rattanwing.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from rattanwing.batch.model import JobSpec
+    from rattanwing.batch.replica import JobView, TopicReader, WorkReplica
+    from rattanwing.batch.writer import PendingAppend, RecordWriter
+
+STORE_WITHIN_S = 1.5
+"""A job that surely was not stored after this time is refused: half of the time
+that callers usually wait."""
+
+OUTAGE_REFUSAL_S = 0.4
+"""A store that has failed for so long is taken to be away; jobs are refused at
+once, before their own try."""
+
+CATCH_UP_S = 1.2
+"""Longest wait for a read that was sent after a request for an unknown job."""
+
+POLL_S = 0.01
+"""How often such a wait looks."""
+
+
+class Answer(Enum):
+    """What an entry says to a caller."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN_OUTCOME = "unknown-outcome"
+    NO_SUCH_JOB = "no-such-job"
+    NOT_READY = "not-ready"
+
+
+class JobService:
+    """Serves one entry's callers from its replica and the store."""
+
+    __slots__ = ("replica", "reader", "writer", "clock", "handing_in")
+
+    def __init__(
+        self,
+        replica: WorkReplica,
+        reader: TopicReader,
+        writer: RecordWriter,
+        clock: Callable[[], float],
+    ) -> None:
+        self.replica = replica
+        self.reader = reader
+        self.writer = writer
+        self.clock = clock
+        self.handing_in: dict[str, PendingAppend] = {}
+
+    async def submit(self, spec: JobSpec, wait_s: float) -> Answer:
+        """Hand a job in; the same id is one job, however often it comes.
+
+        :param wait_s: how long the caller waits.
+        :raises RejectedError: when its steps make no sense.
+        """
+        job_id = spec.job_id
+        if job_id in self.replica.jobs:
+            return Answer.ACCEPTED
+        check_steps(spec.steps)
+        now = self.clock()
+        if not self.reader.loaded.is_set():
+            return Answer.NOT_READY
+        pending = self.handing_in.get(job_id)
+        if pending is None:
+            failing_since = self.writer.failing_since
+            if failing_since is not None and now - failing_since > OUTAGE_REFUSAL_S:
+                return self.note_refusal(job_id, "store-away")
+            key = records.JOB_PREFIX + job_id
+            value = records.encode(spec)
+            pending = self.writer.submit([(key, value)], now + STORE_WITHIN_S)
+            self.handing_in[job_id] = pending
+        with trio.move_on_after(wait_s):
+            await pending.done.wait()
+        if not pending.done.is_set():
+            events.write(events.JOB_UNCERTAIN, job=job_id, waited_s=wait_s)
+            return Answer.UNKNOWN_OUTCOME
+        self.handing_in.pop(job_id, None)
+        match pending.verdict:
+            case Verdict.RAN:
+                self.replica.take_job(job_id, spec)
+                events.write(
+                    events.JOB_STORED,
+                    job=job_id,
+                    queue=spec.queue.name,
+                    steps=len(spec.steps),
+                    stored_s=round(self.clock() - now, 3),
+                )
+                return Answer.ACCEPTED
+            case Verdict.NOT_RUN:
+                return self.note_refusal(job_id, "not-stored")
+            case Verdict.MAY_HAVE_RUN:
+                return Answer.UNKNOWN_OUTCOME
+
+    def note_refusal(self, job_id: str, reason: str) -> Answer:
+        """Log a refusal."""
+        events.write(events.JOB_REFUSED, job=job_id, reason=reason)
+        return Answer.REFUSED
+
+    async def find(self, job_id: str, queue: str) -> JobView | Answer:
+        """Return a job of a queue.
+
+        An id that is not known here may have been accepted by another entry a
+        moment ago, so the topic is read once more before it is denied.
+        """
+        view = self.replica.jobs.get(job_id)
+        if view is None:
+            asked_at = self.clock()
+            with trio.move_on_after(CATCH_UP_S):
+                while self.reader.read_at <= asked_at:
+                    await trio.sleep(POLL_S)
+                    if job_id in self.replica.jobs:
+                        break
+            view = self.replica.jobs.get(job_id)
+            if view is None and self.reader.read_at <= asked_at:
+                return Answer.NOT_READY
+        if view is None or view.spec.queue.name != queue:
+            return Answer.NO_SUCH_JOB
+        return view
+
+    async def cancel(self, job_id: str, queue: str, wait_s: float) -> Answer:
+        """Cancel a job; one that has ended stays as it is."""
+        found = await self.find(job_id, queue)
+        if isinstance(found, Answer):
+            return found
+        if found.state.final:
+            return Answer.ACCEPTED
+        now = self.clock()
+        key = records.CANCEL_PREFIX + job_id
+        value = records.encode(records.Cancel(0))
+        pending = self.writer.submit([(key, value)], now + STORE_WITHIN_S)
+        with trio.move_on_after(wait_s):
+            await pending.done.wait()
+        if pending.done.is_set() and pending.verdict is Verdict.RAN:
+            self.replica.take_cancel(job_id)
+            events.write(events.JOB_CANCELLED, job=job_id)
+            return Answer.ACCEPTED
+        if pending.done.is_set() and pending.verdict is Verdict.NOT_RUN:
+            return Answer.REFUSED
+        return Answer.UNKNOWN_OUTCOME
+
+    def pending(self, queue: str) -> int:
+        """Return how many accepted jobs of a queue have no task started."""
+        return sum(
+            view.spec.queue.name == queue and view.state is JobState.QUEUED
+            for view in self.replica.jobs.values()
+        )
--- /dev/null
+++ b/rattanwing/batch/writer.py
@@ -0,0 +1,222 @@
+"""Appends records in groups: one append in flight, the next takes all that waits.
+
+An append whose answer was lost is repeated with the same stamp, so it takes
+effect once; until it is resolved nothing later is sent.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from rattanwing import events
+from rattanwing.batch.ports import Stamp
+from rattanwing.errors import (
+    LogFencedError,
+    LogSequenceError,
+    LogUnavailableError,
+)
+from rattanwing.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from rattanwing.batch.ports import KeyedStore
+
+Records = list[tuple[str, bytes | None]]
+
+MAX_GROUP_RECORDS = 200
+"""Records of one append; keeps it well under the store's limit of a call."""
+
+MAX_WAITING = 2_000
+"""Appends that wait at most; more are refused at once."""
+
+FIRST_BACKOFF_S = 0.05
+"""Wait after the first failure: about two round trips to the store."""
+
+LONGEST_BACKOFF_S = 0.6
+"""Longest wait between two tries, so that a returned store is used at once."""
+
+
+class PendingAppend:
+    """Records that wait to be stored.
+
+    :param expires_at: after it a definite failure is final; ``None`` for never.
+    """
+
+    __slots__ = ("records", "expires_at", "done", "verdict", "sent_at")
+
+    def __init__(self, records: Records, expires_at: float | None) -> None:
+        self.records = records
+        self.expires_at = expires_at
+        self.done = trio.Event()
+        self.verdict = Verdict.MAY_HAVE_RUN
+        self.sent_at = 0.0
+
+    def finish(self, verdict: Verdict) -> None:
+        """Tell the waiting task how it ended."""
+        self.verdict = verdict
+        self.done.set()
+
+
+class RecordWriter:
+    """Writes one topic under one producer's name.
+
+    :param epoch: of the producer; a fenced writer stays ``fenced``.
+    :param confirmed_at: when the newest successful append was sent.
+    """
+
+    __slots__ = (
+        "store",
+        "topic",
+        "producer",
+        "epoch",
+        "sequence",
+        "clock",
+        "random",
+        "waiting",
+        "wake",
+        "fenced",
+        "failing_since",
+        "confirmed_at",
+    )
+
+    def __init__(
+        self,
+        store: KeyedStore,
+        topic: str,
+        stamp: Stamp,
+        clock: Callable[[], float],
+        random: Random,
+    ) -> None:
+        self.store = store
+        self.topic = topic
+        self.producer = stamp.producer
+        self.epoch = stamp.epoch
+        self.sequence = stamp.sequence
+        self.clock = clock
+        self.random = random
+        self.waiting: list[PendingAppend] = []
+        self.wake = trio.Event()
+        self.fenced = False
+        self.failing_since: float | None = None
+        self.confirmed_at = clock()
+
+    def submit(self, records: Records, expires_at: float | None) -> PendingAppend:
+        """Queue records and return their pending append."""
+        pending = PendingAppend(records, expires_at)
+        if self.fenced or len(self.waiting) >= MAX_WAITING:
+            pending.finish(Verdict.NOT_RUN)
+            return pending
+        self.waiting.append(pending)
+        self.wake.set()
+        return pending
+
+    async def store_records(
+        self, records: Records, expires_at: float | None
+    ) -> Verdict:
+        """Append records and return whether they are stored.
+
+        ``RAN`` says that they are, ``NOT_RUN`` that they never will be.
+        """
+        pending = self.submit(records, expires_at)
+        await pending.done.wait()
+        return pending.verdict
+
+    async def run(self) -> None:
+        """Write until cancelled or fenced."""
+        try:
+            while not self.fenced:
+                await self.wake.wait()
+                group = self.take_group()
+                if group:
+                    await self.write_group(group)
+        finally:
+            self.fenced = True
+            for pending in self.waiting:
+                pending.finish(Verdict.NOT_RUN)
+            self.waiting.clear()
+
+    def take_group(self) -> list[PendingAppend]:
+        """Return the appends that go together next."""
+        group: list[PendingAppend] = []
+        size = 0
+        while self.waiting and size < MAX_GROUP_RECORDS:
+            group.append(self.waiting.pop(0))
+            size += len(group[-1].records)
+        if not self.waiting:
+            self.wake = trio.Event()
+        return group
+
+    async def write_group(self, group: list[PendingAppend]) -> None:
+        """Append a group, repeating it until the outcome is known."""
+        self.sequence += 1
+        stamp = Stamp(self.producer, self.epoch, self.sequence)
+        ambiguous = False
+        backoff_s = FIRST_BACKOFF_S
+        while True:
+            sent_at = self.clock()
+            try:
+                records = [record for pending in group for record in pending.records]
+                await self.store.append(self.topic, records, stamp)
+            except LogFencedError:
+                events.write(
+                    events.WRITER_FENCED, producer=self.producer, epoch=self.epoch
+                )
+                self.fenced = True
+                verdict = Verdict.MAY_HAVE_RUN if ambiguous else Verdict.NOT_RUN
+                finish_all(group, verdict)
+                return
+            except LogSequenceError as error:
+                if error.expected > self.sequence:
+                    finish_all(group, Verdict.RAN)
+                    return
+                self.sequence = error.expected
+                stamp = Stamp(self.producer, self.epoch, self.sequence)
+            except LogUnavailableError as error:
+                ambiguous = ambiguous or error.applied
+                self.note_failure(error)
+            else:
+                self.note_success(sent_at)
+                finish_all(group, Verdict.RAN)
+                return
+            if not ambiguous:
+                group = drop_expired(group, self.clock())
+                if not group:
+                    self.sequence -= 1
+                    return
+            await trio.sleep(backoff_s * (0.5 + self.random.random()))
+            backoff_s = min(LONGEST_BACKOFF_S, backoff_s * 2)
+
+    def note_failure(self, error: LogUnavailableError) -> None:
+        """Remember since when appends fail."""
+        if self.failing_since is None:
+            self.failing_since = self.clock()
+            events.write(events.LOG_UNAVAILABLE, topic=self.topic, reason=str(error))
+
+    def note_success(self, sent_at: float) -> None:
+        """Remember that the store takes appends."""
+        self.confirmed_at = sent_at
+        if self.failing_since is not None:
+            outage_s = round(self.clock() - self.failing_since, 3)
+            events.write(events.LOG_AVAILABLE, topic=self.topic, outage_s=outage_s)
+            self.failing_since = None
+
+
+def finish_all(group: list[PendingAppend], verdict: Verdict) -> None:
+    """Finish every append of a group."""
+    for pending in group:
+        pending.finish(verdict)
+
+
+def drop_expired(group: list[PendingAppend], now: float) -> list[PendingAppend]:
+    """Finish appends that were surely not stored in time; return the others."""
+    kept = []
+    for pending in group:
+        if pending.expires_at is not None and pending.expires_at <= now:
+            pending.finish(Verdict.NOT_RUN)
+            continue
+        kept.append(pending)
+    return kept
--- a/rattanwing/errors.py
+++ b/rattanwing/errors.py
@@ -35,7 +35,33 @@
 
 
 class LogUnavailableError(LogError):
-    """The log gave no answer in time; an append may have taken effect."""
+    """The log gave no answer in time, or refused.
+
+    :param applied: whether an append may have taken effect.
+    """
+
+    def __init__(self, detail: str = "", applied: bool = True) -> None:
+        super().__init__(detail)
+        self.applied = applied
+
+
+class LogConditionError(LogError):
+    """The topic did not end where the append demanded."""
+
+
+class LogSequenceError(LogError):
+    """The store expects another sequence number of this writer.
+
+    :param expected: the sequence number that it would take.
+    """
+
+    def __init__(self, expected: int) -> None:
+        super().__init__(f"the store expects sequence number {expected}")
+        self.expected = expected
+
+
+class LogFencedError(LogError):
+    """A writer of a higher epoch has taken over."""
 
 
 class RecordExpiredError(LogError):
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from typing import Any
+from typing import Any, TextIO
 
 import logbook
 import msgspec
@@ -33,6 +33,7 @@
 PROCESS_STOPPED = Event(103, logbook.INFO, "The process has stopped.")
 SETTINGS_REFUSED = Event(104, logbook.ERROR, "The settings can't be used.")
 LISTENING = Event(105, logbook.INFO, "A listener is open.")
+SETTINGS_RELOADED = Event(107, logbook.INFO, "The settings file was read again.")
 SERVICE_FAILED = Event(106, logbook.ERROR, "A background task failed; it restarts.")
 
 PEER_CONNECTED = Event(201, logbook.INFO, "A peer's stream is open.")
@@ -54,6 +55,8 @@
 LOG_GAP = Event(407, logbook.WARNING, "Old records expired; a snapshot is needed.")
 CONFIG_ADOPTED = Event(408, logbook.INFO, "Another entry's configuration was adopted.")
 
+DOMAIN_CHANGED = Event(409, logbook.INFO, "A failure domain was closed or opened.")
+
 SHARD_CLAIMED = Event(501, logbook.INFO, "This entry owns a shard.")
 SHARD_LOST = Event(502, logbook.WARNING, "This entry no longer owns a shard.")
 JOB_ACCEPTED = Event(503, logbook.INFO, "A job was accepted.")
@@ -64,6 +67,33 @@
 JOB_OVERDUE = Event(508, logbook.WARNING, "A job is overdue.")
 WORKER_QUARANTINED = Event(509, logbook.WARNING, "A failing worker gets no tasks.")
 
+OWNERSHIP_TAKEN = Event(521, logbook.INFO, "This entry schedules from now on.")
+OWNERSHIP_LOST = Event(522, logbook.WARNING, "This entry no longer schedules.")
+OWNER_SETTLED = Event(523, logbook.INFO, "All that earlier owners started is known.")
+WRITER_FENCED = Event(524, logbook.WARNING, "The store refused a superseded writer.")
+TOPIC_LOADED = Event(525, logbook.INFO, "A topic's newest records were read.")
+AGENT_GONE = Event(526, logbook.WARNING, "Nothing is left of a silent agent's host.")
+JOB_STORED = Event(530, logbook.INFO, "A job was stored and accepted.")
+JOB_REFUSED = Event(531, logbook.INFO, "A job was refused and will never run.")
+JOB_UNCERTAIN = Event(532, logbook.WARNING, "Whether a job was stored is not known.")
+JOB_CANCELLED = Event(533, logbook.INFO, "A job's cancellation was stored.")
+RUN_PLACED = Event(540, logbook.INFO, "A run was ordered on a host.")
+RUN_ENDED = Event(541, logbook.INFO, "An executor listed the end of a run.")
+RUN_LOST = Event(542, logbook.WARNING, "A run has surely ended, without a listed end.")
+RUN_STOPPED = Event(543, logbook.INFO, "The stop of a run was ordered.")
+RUN_REFUSED = Event(544, logbook.INFO, "An agent did not start a run.")
+RUN_UNKNOWN = Event(545, logbook.WARNING, "A reported run belongs to no known job.")
+RUN_PACED = Event(546, logbook.INFO, "A filling run was slowed or sped up.")
+
+EXECUTOR_KNOWN = Event(610, logbook.INFO, "An executor announced itself.")
+EXECUTOR_DRAINING = Event(611, logbook.INFO, "An executor began or ended draining.")
+EXECUTOR_LEFT = Event(612, logbook.INFO, "An executor has left.")
+EXECUTOR_SILENT = Event(613, logbook.WARNING, "The executor does not answer.")
+ORDER_REFUSED = Event(614, logbook.WARNING, "The executor refused an order.")
+OWNER_ACCEPTED = Event(615, logbook.INFO, "This agent obeys an owner.")
+OWNER_REFUSED = Event(616, logbook.WARNING, "A superseded owner was refused.")
+ANNOUNCEMENT_MALFORMED = Event(617, logbook.WARNING, "An announcement was refused.")
+
 TASK_STARTED = Event(601, logbook.INFO, "A task has started on this worker.")
 TASK_REFUSED = Event(602, logbook.INFO, "A task start was refused.")
 TASK_ENDED = Event(603, logbook.INFO, "A task has ended on this worker.")
@@ -105,8 +135,8 @@
     return msgspec.json.encode(fields, enc_hook=str).decode()
 
 
-def configure(as_json: bool, level: str) -> None:
-    """Send the log lines of this process to stderr."""
-    handler = logbook.StreamHandler(sys.stderr, level=level.upper())
+def configure(as_json: bool, level: str, stream: TextIO | None = None) -> None:
+    """Send the log lines of this process to ``stream``, standard error by default."""
+    handler = logbook.StreamHandler(stream or sys.stderr, level=level.upper())
     handler.formatter = format_json if as_json else format_text
     handler.push_application()
--- a/rattanwing/peer/session.py
+++ b/rattanwing/peer/session.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -25,12 +25,14 @@
     :param stream: the message stream.
     :param clock: returns monotonic seconds.
     :param on_message: called with each decoded message.
+    :param codec: the module that encodes and decodes the stream's messages.
     """
 
     __slots__ = (
         "stream",
         "clock",
         "on_message",
+        "codec",
         "queue",
         "outgoing",
         "last_heard",
@@ -44,11 +46,13 @@
         self,
         stream: ByteMessageStream,
         clock: Callable[[], float],
-        on_message: Callable[[messages.Message], None],
+        on_message: Callable[[Any], None],
+        codec: Any = messages,
     ) -> None:
         self.stream = stream
         self.clock = clock
         self.on_message = on_message
+        self.codec = codec
         self.queue, self.outgoing = trio.open_memory_channel[bytes](SEND_QUEUE_MESSAGES)
         self.last_heard = clock()
         self.scope = trio.CancelScope()
@@ -56,14 +60,14 @@
         self.sent_messages = 0
         self.sent_bytes = 0
 
-    def send(self, message: messages.Message) -> None:
+    def send(self, message: Any) -> None:
         """Queue a message for the peer.
 
         :raises PeerLostError: when the stream has ended or is stuck.
         """
         if self.lost:
             raise PeerLostError("the stream has ended")
-        data = messages.encode(message)
+        data = self.codec.encode(message)
         try:
             self.queue.send_nowait(data)
         except trio.WouldBlock as error:
@@ -94,7 +98,7 @@
         """Decode and hand on messages; a bad one ends the session."""
         while True:
             try:
-                message = messages.decode(await self.stream.receive())
+                message = self.codec.decode(await self.stream.receive())
                 self.last_heard = self.clock()
                 self.on_message(message)
             except PeerLostError:
--- /dev/null
+++ b/rattanwing/platform/main.py
@@ -0,0 +1,212 @@
+"""The programs on the platform: ``entry`` and ``agent``."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+from random import Random
+from typing import TYPE_CHECKING
+
+import trio
+import trio_asyncio
+
+from rattanwing import events
+from rattanwing.batch import records
+from rattanwing.batch.timing import steady_clock, wall_clock_ms
+from rattanwing.errors import SettingsError
+from rattanwing.platform.settings import PATH_VARIABLE, load_settings
+from rattanwing.platform.store import PlatformStore
+from rattanwing.util.http_server import HttpServer, Response, serve_http
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from rattanwing.batch.settings import BatchSettings
+
+EXIT_SETTINGS = 2
+READY = "/rattanwing/ready"
+ROLES = ("entry", "agent")
+
+LEAVE_ROTATION_S = 2.2
+"""From "not ready" until new connections stay away: two checks of one second."""
+
+DRAIN_RESERVE_S = 1.0
+"""Kept of the grace between the last answers and the platform's kill."""
+
+SETTINGS_CHECK_S = 1.0
+"""How often the settings file is compared; it may change without a signal."""
+
+
+class StopSignal:
+    """Tells tasks that SIGTERM has come."""
+
+    __slots__ = ("asked", "drained")
+
+    def __init__(self) -> None:
+        self.asked = trio.Event()
+        self.drained = trio.Event()
+
+    async def watch(self, settings_path: Path, settings: BatchSettings) -> None:
+        """Wait for signals; SIGHUP has the settings read again."""
+        numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with trio.open_signal_receiver(*numbers) as received:
+            async for number in received:
+                if number == signal.SIGHUP:
+                    read_again(settings_path, settings, "signal")
+                    continue
+                self.asked.set()
+                return
+
+
+def read_again(path: Path, settings: BatchSettings, cause: str) -> None:
+    """Read the settings file again; one with faults changes nothing."""
+    try:
+        found = load_settings(path)
+    except SettingsError as error:
+        events.write(events.SETTINGS_REFUSED, problem=str(error))
+        return
+    settings.grace_s = found.grace_s
+    settings.retention_s = found.retention_s
+    events.write(events.SETTINGS_RELOADED, cause=cause, name=found.name)
+
+
+async def watch_settings(path: Path, settings: BatchSettings) -> None:
+    """Read the settings again when the file has changed without a signal."""
+    before = path.read_bytes()
+    while True:
+        await trio.sleep(SETTINGS_CHECK_S)
+        try:
+            data = path.read_bytes()
+        except OSError as error:
+            events.write(events.SETTINGS_REFUSED, problem=str(error))
+            continue
+        if data != before:
+            before = data
+            read_again(path, settings, "changed")
+
+
+def make_random() -> Random:
+    """Return a source of random choices that no other process shares."""
+    return Random(os.urandom(16))
+
+
+async def run_entry(settings: BatchSettings, stop: StopSignal) -> None:
+    """Run an entry until it has been asked to stop and has drained."""
+    from rattanwing.batch.entry import BatchEntry
+    from rattanwing.batch.replica import TopicReader
+    from rattanwing.peer.grpc import dial_peer
+    from rattanwing.platform.callers import CallerRoutes
+    from rattanwing.platform.operator import OPERATOR_TOPIC, OperatorRecords
+
+    store = PlatformStore(settings.store)
+    entry = BatchEntry(
+        settings, store, steady_clock, wall_clock_ms, make_random(), dial_peer
+    )
+    operator = OperatorRecords(entry.current, entry.note_configuration)
+    operator_reader = TopicReader(store, OPERATOR_TOPIC, steady_clock, operator.take)
+    operator_reader.on_loaded = operator.take_loaded
+    callers = CallerRoutes(entry.service, entry.current)
+    front = HttpServer()
+    front.route("*", r".*", callers.handle)
+    readiness = HttpServer()
+
+    async def answer_ready(_request: object) -> Response:
+        ready = entry.is_ready(steady_clock())
+        return Response(200 if ready else 503, [], b"")
+
+    readiness.route("GET", READY, answer_ready)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(entry.run)
+        nursery.start_soon(operator_reader.run)
+        nursery.start_soon(serve_until, readiness, settings.readiness, stop.drained)
+        nursery.start_soon(serve_until, front, settings.callers, stop.drained)
+        await stop.asked.wait()
+        callers.closing = True
+        await entry.resign()
+        await trio.sleep(LEAVE_ROTATION_S)
+        stop.drained.set()
+        await trio.sleep(max(0.0, settings.grace_s - LEAVE_ROTATION_S - 2.0))
+        nursery.cancel_scope.cancel()
+
+
+async def run_agent(settings: BatchSettings, stop: StopSignal) -> None:
+    """Run an agent until it is asked to stop; runs go on under their lease."""
+    from rattanwing.batch.agent import BatchAgent, keep_registered
+    from rattanwing.batch.ports import Stamp
+    from rattanwing.batch.writer import RecordWriter
+    from rattanwing.peer.grpc import serve_peers
+    from rattanwing.platform.executor import (
+        ANNOUNCEMENT,
+        AnnouncementRoutes,
+        ExecutorClient,
+    )
+
+    random = make_random()
+    incarnation = f"{settings.name}-{random.getrandbits(64):016x}"
+    agent = BatchAgent(steady_clock, ExecutorClient)
+    store = PlatformStore(settings.store)
+    stamp = Stamp(incarnation, 1, 0)
+    writer = RecordWriter(store, records.DIRECTORY_TOPIC, stamp, steady_clock, random)
+    address = records.AgentAddress(settings.name, settings.peers, incarnation)
+    routes = AnnouncementRoutes(agent)
+    announcements = HttpServer()
+    announcements.route("PUT", ANNOUNCEMENT, routes.announce)
+    announcements.route("DELETE", ANNOUNCEMENT, routes.leave)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            serve_until, announcements, settings.announcements, stop.drained
+        )
+        await nursery.start(serve_peers, settings.peers, agent.accept)
+        nursery.start_soon(writer.run)
+        nursery.start_soon(agent.run)
+        nursery.start_soon(keep_registered, agent, writer, address, random)
+        await stop.asked.wait()
+        nursery.cancel_scope.cancel()
+
+
+async def serve_until(server: HttpServer, address: str, stop: trio.Event) -> None:
+    """Serve HTTP until ``stop`` is set, then finish what is in progress."""
+    events.write(events.LISTENING, address=address)
+    await serve_http(server, address, stop.wait, DRAIN_RESERVE_S)
+
+
+async def run(role: str, path: Path, settings: BatchSettings) -> None:
+    """Run one role."""
+    stop = StopSignal()
+    programs: dict[str, Callable[..., Awaitable[None]]] = {
+        "entry": run_entry,
+        "agent": run_agent,
+    }
+    async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
+        nursery.start_soon(stop.watch, path, settings)
+        nursery.start_soon(watch_settings, path, settings)
+        await programs[role](settings, stop)
+        nursery.cancel_scope.cancel()
+
+
+def main() -> int:
+    """Run the role that the first argument names; return the exit code."""
+    events.configure(as_json=True, level="info", stream=sys.stdout)
+    role = sys.argv[1] if len(sys.argv) > 1 else ""
+    path = Path(os.environ.get(PATH_VARIABLE, ""))
+    if role not in ROLES:
+        print(f"usage: python3 -m rattanwing.platform {'|'.join(ROLES)}")
+        return EXIT_SETTINGS
+    try:
+        settings = load_settings(path)
+    except SettingsError as error:
+        for problem in error.problems:
+            events.write(events.SETTINGS_REFUSED, problem=problem)
+        return EXIT_SETTINGS
+    events.write(
+        events.PROCESS_STARTED,
+        process=settings.name,
+        roles=role,
+        cpu_s=round(time.process_time(), 3),
+    )
+    trio.run(run, role, path, settings)
+    events.write(events.PROCESS_STOPPED, process=settings.name)
+    return 0
--- /dev/null
+++ b/tests/batch/test_engine.py
@@ -0,0 +1,311 @@
+from __future__ import annotations
+
+import unittest
+
+import trio
+import trio.testing  # noqa: F401
+
+from rattanwing.batch.model import JobState, StepSpec
+from rattanwing.batch.service import Answer
+from tests.batch.world import job, play
+
+TASK = StepSpec(4, cpu=500, memory_mb=100)
+
+
+class PathTests(unittest.TestCase):
+    def test_job_of_two_steps_runs_in_order(self):
+        async def scenario(world):
+            await trio.sleep(2)
+            steps = (TASK, StepSpec(2, cpu=500, after=(0,)))
+            self.assertIs(await world.submit(job(steps=steps)), Answer.ACCEPTED)
+            done = await world.wait_for_state("job-1", JobState.COMPLETED)
+            self.assertTrue(done)
+
+        world = play(scenario)
+        first_ends = max(r.ended_at for r in world.history if ".0.0." in r.task)
+        second_begins = min(r.began_at for r in world.history if ".0.1." in r.task)
+        self.assertEqual(len(world.history), 6)
+        self.assertLessEqual(first_ends, second_begins)
+
+    def test_job_handed_in_at_every_entry_runs_once(self):
+        async def scenario(world):
+            await trio.sleep(2)
+            async with trio.open_nursery() as nursery:
+                for entry in world.entries.values():
+                    nursery.start_soon(world.submit, job(), entry)
+            self.assertTrue(await world.wait_for_state("job-1", JobState.COMPLETED))
+            await trio.sleep(5)
+
+        world = play(scenario)
+        self.assertEqual(len(world.history), 2)
+
+    def test_finished_job_is_not_started_again(self):
+        """Older records of a job are read after its end was stored."""
+
+        async def scenario(world):
+            await trio.sleep(2)
+            world.durations = lambda _task: 0.01
+            for number in range(30):
+                await world.submit(job(f"job-{number}"))
+            for number in range(30):
+                done = await world.wait_for_state(f"job-{number}", JobState.COMPLETED)
+                self.assertTrue(done)
+            await trio.sleep(2)
+
+        world = play(scenario)
+        self.assertEqual(world.repeats(), [])
+        self.assertEqual(len(world.history), 60)
+
+    def test_cancelled_job_stops_everywhere(self):
+        async def scenario(world):
+            await trio.sleep(2)
+            world.durations = lambda _task: 60.0
+            await world.submit(job())
+            await trio.sleep(1)
+            entry = list(world.entries.values())[-1]
+            answer = await entry.service.cancel("job-1", "queue-1", 2.0)
+            self.assertIs(answer, Answer.ACCEPTED)
+            await trio.sleep(1)
+            running = [r for r in world.history if r.ended_at is None]
+            self.assertEqual(running, [])
+            self.assertTrue(await world.wait_for_state("job-1", JobState.CANCELLED))
+
+        play(scenario)
+
+    def test_lasting_tasks_are_started_again_however_they_end(self):
+        async def scenario(world):
+            await trio.sleep(2)
+            lasting = StepSpec(2, cpu=100, lasting=True)
+            await world.submit(job(steps=(lasting,)))
+            await trio.sleep(6)
+
+        world = play(scenario)
+        self.assertGreaterEqual(len(world.history), 8)
+        self.assertEqual(world.overlaps(), [])
+
+    def test_job_fails_after_its_attempts(self):
+        async def scenario(world):
+            await trio.sleep(2)
+            for executor in world.executors:
+                executor.failing = True
+            await world.submit(job(steps=(StepSpec(1, cpu=100),)))
+            self.assertTrue(await world.wait_for_state("job-1", JobState.FAILED))
+            await trio.sleep(3)
+
+        world = play(scenario)
+        self.assertEqual(len(world.history), 3)
+
+    def test_hosts_are_never_overcommitted(self):
+        async def scenario(world):
+            await trio.sleep(2)
+            for number in range(12):
+                big = StepSpec(3, cpu=1500, memory_mb=2000)
+                await world.submit(job(f"job-{number}", steps=(big,)))
+            for number in range(12):
+                self.assertTrue(
+                    await world.wait_for_state(f"job-{number}", JobState.COMPLETED)
+                )
+
+        world = play(scenario)
+        for run in world.history:
+            beside = [
+                other
+                for other in world.history
+                if other.executor == run.executor
+                and other.began_at <= run.began_at < other.ended_at
+            ]
+            self.assertLessEqual(len(beside) * 1500, 4000)
+
+
+class FaultTests(unittest.TestCase):
+    def check(self, world):
+        self.assertEqual(world.overlaps(), [])
+        self.assertEqual(world.repeats(), [])
+
+    def run_jobs_through(self, fault, **options):
+        """Hand jobs in, let a fault happen, and want every job done, once."""
+
+        async def scenario(world):
+            await trio.sleep(2)
+            world.durations = lambda _task: 2.0
+            for number in range(4):
+                await world.submit(job(f"job-{number}", steps=(TASK,)))
+            await trio.sleep(0.5)
+            await fault(world)
+            for number in range(4):
+                done = await world.wait_for_state(f"job-{number}", JobState.COMPLETED)
+                self.assertTrue(done, f"job-{number}")
+            await trio.sleep(3)
+
+        world = play(scenario, **options)
+        self.check(world)
+        return world
+
+    def test_owner_dies(self):
+        async def fault(world):
+            name = world.owner().settings.name
+            world.kill(name)
+            await trio.sleep(1)
+            await world.start_entry(name)
+
+        world = self.run_jobs_through(fault)
+        self.assertEqual(len(world.history), 16)
+
+    def test_all_processes_die(self):
+        async def fault(world):
+            names = list(world.scopes)
+            for name in names:
+                world.kill(name)
+            await trio.sleep(1)
+            for index in range(len(world.executors)):
+                await world.start_agent(index)
+            for name in world.entry_names:
+                await world.start_entry(name)
+
+        world = self.run_jobs_through(fault)
+        self.assertEqual(len(world.history), 16)
+
+    def test_agent_dies_and_its_runs_go_on(self):
+        async def fault(world):
+            world.kill("agent-0")
+            await trio.sleep(2)
+            await world.start_agent(0)
+
+        world = self.run_jobs_through(fault)
+        self.assertEqual(len(world.history), 16)
+
+    def test_agent_dies_for_good(self):
+        async def fault(world):
+            world.kill("agent-0")
+            world.executors[0].crash()
+
+        self.run_jobs_through(fault)
+
+    def test_owner_and_a_host_die_together(self):
+        async def fault(world):
+            world.kill(world.owner().settings.name)
+            world.kill("agent-0")
+
+        self.run_jobs_through(fault)
+
+    def test_executor_is_born_again_under_its_name(self):
+        async def fault(world):
+            world.executors[0].crash()
+            await trio.sleep(0.3)
+            world.executors[0].begin_life()
+
+        self.run_jobs_through(fault)
+
+    def test_owner_is_cut_from_the_store(self):
+        async def fault(world):
+            name = world.owner().settings.name
+            world.store.away.add(name)
+            await trio.sleep(9)
+            world.store.away.discard(name)
+
+        world = self.run_jobs_through(fault)
+        self.assertEqual(len(world.history), 16)
+
+    def test_store_is_away_for_all(self):
+        async def fault(world):
+            world.store.away.update(world.scopes)
+            await trio.sleep(6)
+            world.store.away.clear()
+
+        world = self.run_jobs_through(fault)
+        self.assertEqual(len(world.history), 16)
+
+    def test_store_loses_answers(self):
+        async def fault(world):
+            world.store.lose_answers = 6
+            await trio.sleep(1)
+
+        world = self.run_jobs_through(fault)
+        self.assertEqual(len(world.history), 16)
+
+    def test_store_carries_appends_out_late(self):
+        async def fault(world):
+            world.store.late_s = 2.0
+            world.store.lose_answers = 6
+            await trio.sleep(1)
+
+        world = self.run_jobs_through(fault)
+        self.assertEqual(len(world.history), 16)
+
+    def test_store_forgets_its_history(self):
+        async def fault(world):
+            for topic in world.store.topics.values():
+                topic.forget_history()
+
+        world = self.run_jobs_through(fault)
+        self.assertEqual(len(world.history), 16)
+
+    def test_host_is_cut_off_and_runs_on(self):
+        async def fault(world):
+            world.cut.add("agent-0")
+            await trio.sleep(5)
+            world.cut.clear()
+
+        world = self.run_jobs_through(fault)
+        self.assertEqual(len(world.history), 16)
+
+    def test_host_is_cut_off_past_its_lease(self):
+        async def fault(world):
+            world.durations = lambda _task: 30.0
+            await world.submit(job("job-0", steps=(TASK,)))
+            world.cut.add("agent-0")
+            await trio.sleep(20)
+            world.cut.clear()
+
+        self.run_jobs_through(fault)
+
+    def test_orders_are_carried_out_late(self):
+        async def fault(world):
+            for executor in world.executors:
+                executor.late.count = 3
+            for number in range(4, 8):
+                await world.submit(job(f"job-{number}", steps=(TASK,)))
+            for number in range(4, 8):
+                done = await world.wait_for_state(f"job-{number}", JobState.COMPLETED)
+                self.assertTrue(done, f"job-{number}")
+
+        self.run_jobs_through(fault)
+
+    def test_agent_dies_while_its_order_is_carried_out_late(self):
+        async def fault(world):
+            for executor in world.executors:
+                executor.late.count = 2
+                executor.late.delay_s = 4.0
+            await world.submit(job("job-4", steps=(TASK,)))
+            await trio.sleep(0.3)
+            for index in range(4):
+                world.kill(f"agent-{index}")
+                await world.start_agent(index)
+
+        self.run_jobs_through(fault)
+
+    def test_executor_drains_and_leaves(self):
+        async def fault(world):
+            executor = world.executors[0]
+            executor.draining = True
+            await trio.sleep(1.5)
+            begun = len(world.history)
+            await world.submit(job("job-4", steps=(TASK,)))
+            await trio.sleep(2)
+            new = [run.executor for run in world.history[begun:]]
+            self.assertNotIn("executor-0", new)
+
+        self.run_jobs_through(fault)
+
+    def test_failure_domain_is_closed(self):
+        async def fault(world):
+            for entry in world.entries.values():
+                entry.current.close_domain("domain-a")
+                entry.note_configuration()
+            begun = len(world.history)
+            await world.submit(job("job-4", steps=(TASK,)))
+            self.assertTrue(await world.wait_for_state("job-4", JobState.COMPLETED))
+            new = {run.executor for run in world.history[begun:]}
+            self.assertFalse(new & {"executor-0", "executor-3"})
+
+        self.run_jobs_through(fault)
--- /dev/null
+++ b/tests/batch/world.py
@@ -0,0 +1,232 @@
+"""A whole deployment of the batch engine on virtual time, with faults."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from functools import partial
+from random import Random
+
+import trio
+import trio.testing
+
+from rattanwing.batch import records
+from rattanwing.batch.agent import BatchAgent, keep_registered
+from rattanwing.batch.configuration import Configuration, Queue
+from rattanwing.batch.entry import BatchEntry
+from rattanwing.batch.model import JobSpec, QueueRules, StepSpec
+from rattanwing.batch.ports import RunEnding, Stamp
+from rattanwing.batch.settings import BatchSettings
+from rattanwing.batch.writer import RecordWriter
+from rattanwing.errors import PeerLostError
+from rattanwing.peer.stream import memory_stream_pair
+from rattanwing.standin.keyed_store import StandinStore
+from rattanwing.standin.runs import StandinExecutor
+
+RULES = QueueRules("queue-1", "service-1", 0, 3, 2.0, 1000)
+DOMAINS = ("domain-a", "domain-b", "domain-c")
+
+
+PAIR = StepSpec(2, cpu=1000, memory_mb=100)
+
+
+def job(job_id="job-1", steps=(PAIR,), **more):
+    """Return a job for the test queue."""
+    return JobSpec(job_id, RULES, "text", tuple(steps), 0, **more)
+
+
+class World:
+    """Entries, agents, executors and a store in one trio run."""
+
+    def __init__(self, entries=3, hosts=4, seed=1):
+        self.random = Random(seed)
+        self.store = StandinStore()
+        self.history = []
+        self.durations = lambda _task: 1.0
+        self.executors = [
+            StandinExecutor(
+                f"executor-{i}",
+                DOMAINS[i % 3],
+                self.history,
+                lambda task: self.durations(task),
+            )
+            for i in range(hosts)
+        ]
+        self.entry_names = [f"entry-{i}" for i in range(entries)]
+        self.entries = {}
+        self.agents = {}
+        self.scopes = {}
+        self.cut = set()
+        self.lives = 0
+
+    def now(self):
+        return trio.current_time()
+
+    def wall_ms(self):
+        return int(self.now() * 1000)
+
+    def owner(self):
+        """Return the entry that schedules, or None."""
+        owners = [e for e in self.entries.values() if e.loop is not None]
+        return max(owners, key=lambda e: e.loop.epoch, default=None)
+
+    async def start_entry(self, name):
+        settings = BatchSettings(name, "domain-a", "127.0.0.1:1", 120.0, 6.0)
+        entry = BatchEntry(
+            settings,
+            self.store.client(name),
+            self.now,
+            self.wall_ms,
+            Random(self.random.random()),
+            lambda address, handler: self.dial(name, address, handler),
+        )
+        queue = Queue("host", "/q/", RULES)
+        entry.current.apply(Configuration(1, (queue,)))
+        self.entries[name] = entry
+        self.start_process(name, entry.run)
+
+    async def start_agent(self, index):
+        name = f"agent-{index}"
+        executor = self.executors[index]
+        agent = BatchAgent(self.now, executor.port)
+        self.agents[name] = agent
+        self.lives += 1
+        incarnation = f"{name}-{self.lives}"
+        writer = RecordWriter(
+            self.store.client(name),
+            records.DIRECTORY_TOPIC,
+            Stamp(incarnation, 1, 0),
+            self.now,
+            Random(self.random.random()),
+        )
+        address = records.AgentAddress(name, name, incarnation)
+        self.start_process(
+            name,
+            agent.run,
+            writer.run,
+            partial(keep_registered, agent, writer, address, self.random),
+            partial(self.announce, agent, executor),
+        )
+
+    async def announce(self, agent, executor):
+        """Announce the executor to its agent at a fixed interval."""
+        while True:
+            if executor.up and executor.reachable:
+                agent.take_announcement(executor.view())
+            await trio.sleep(1.0)
+
+    def start_process(self, name, *tasks):
+        """Run tasks that a kill of the process ends together."""
+        scope = self.scopes[name] = trio.CancelScope()
+        self.nursery.start_soon(self.run_process, scope, tasks)
+
+    async def run_process(self, scope, tasks):
+        with scope:
+            async with trio.open_nursery() as nursery:
+                for task in tasks:
+                    nursery.start_soon(task)
+
+    def kill(self, name):
+        """End a process at once."""
+        self.scopes.pop(name).cancel()
+        self.entries.pop(name, None)
+        self.agents.pop(name, None)
+
+    async def dial(self, caller, address, handler):
+        """Open a stream in memory that a cut or a death ends."""
+        agent = self.agents.get(address)
+        if agent is None or {caller, address} & self.cut:
+            await trio.sleep(0.5)
+            raise PeerLostError("no connection")
+        near, far = memory_stream_pair()
+        scope = self.scopes[address]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.serve_side, scope, agent.accept, far)
+            nursery.start_soon(self.watch_cut, caller, address, agent, nursery)
+            await handler(near)
+            nursery.cancel_scope.cancel()
+
+    async def serve_side(self, scope, accept, stream):
+        if scope.cancel_called:
+            return
+        await accept(stream)
+
+    async def watch_cut(self, caller, address, agent, nursery):
+        """End a stream 3 s after it was cut, as its silence limit would."""
+        while True:
+            await trio.sleep(0.05)
+            if self.agents.get(address) is not agent or caller not in self.entries:
+                nursery.cancel_scope.cancel()
+            if {caller, address} & self.cut:
+                nursery.cancel_scope.cancel()
+
+    @asynccontextmanager
+    async def running(self):
+        """Run everything while the body of the context runs."""
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            for executor in self.executors:
+                nursery.start_soon(executor.live)
+            for index in range(len(self.executors)):
+                await self.start_agent(index)
+            for name in self.entry_names:
+                await self.start_entry(name)
+            yield self
+            nursery.cancel_scope.cancel()
+
+    async def submit(self, spec, entry=None):
+        """Hand a job in at an entry."""
+        entry = entry or next(iter(self.entries.values()))
+        return await entry.service.submit(spec, 2.0)
+
+    async def wait_for_state(self, job_id, state, limit_s=30.0):
+        """Wait until every entry shows a job in a state; return whether it did."""
+        with trio.move_on_after(limit_s):
+            while True:
+                views = [e.replica.jobs.get(job_id) for e in self.entries.values()]
+                if views and all(v is not None and v.state is state for v in views):
+                    return True
+                await trio.sleep(0.05)
+        return False
+
+    def overlaps(self):
+        """Return the tasks of which two runs were there at the same time."""
+        found = []
+        for one in self.history:
+            for other in self.history:
+                if one is other or one.task != other.task:
+                    continue
+                ended_at = one.ended_at if one.ended_at is not None else float("inf")
+                if one.began_at <= other.began_at < ended_at:
+                    found.append((one.task, one.attempt, other.attempt))
+        return found
+
+    def repeats(self):
+        """Return the tasks that were started after they had ended as done.
+
+        An end that nobody took note of before the executor's lease lapsed is void.
+        """
+        lapses = {executor.name: executor.lapses for executor in self.executors}
+        return [
+            later.task
+            for later in self.history
+            for run in self.history
+            if run.task == later.task
+            and run.ending is RunEnding.DONE
+            and run.ended_at < later.began_at
+            and not any(
+                run.ended_at <= at <= later.began_at for at in lapses[run.executor]
+            )
+        ]
+
+
+def play(scenario, **options):
+    """Run a scenario, a coroutine function of the world, on virtual time."""
+
+    async def main():
+        world = World(**options)
+        async with world.running():
+            await scenario(world)
+        return world
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(main, clock=clock)
--- /dev/null
+++ b/tests/platform/test_adapter.py
@@ -0,0 +1,334 @@
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+import trio
+
+from rattanwing.batch.agent import BatchAgent
+from rattanwing.batch.configuration import Configuration, CurrentConfiguration
+from rattanwing.batch.model import JobState, QueueRules
+from rattanwing.batch.ports import OrderOutcome, RunEnding, StoredRecord
+from rattanwing.batch.service import Answer
+from rattanwing.errors import SettingsError
+from rattanwing.platform.callers import CallerRoutes
+from rattanwing.platform.executor import (
+    AnnouncementRoutes,
+    ExecutorClient,
+    make_result,
+)
+from rattanwing.platform.operator import OperatorRecords
+from rattanwing.platform.settings import parse_settings
+from rattanwing.util.http_client import HttpAnswer, HttpCallError
+from rattanwing.util.http_server import Request
+
+SETTINGS = b"""
+node = "side-1"
+ip = "10.1.0.14"
+zone = "zone-a"
+port_range = [7720,7735]
+new_field = {a = 1}
+[listen]
+control = "10.1.0.14:8166"
+[bounds]
+grace_s = 6
+status_s = 120
+[platform]
+addr = "10.200.1.7:8169"
+"""
+ROUTE = {
+    "name": "r-1",
+    "host": "h.example",
+    "path_prefix": "/q/",
+    "backend": "svc",
+    "priority": 2,
+    "max_attempts": 4,
+    "stretch": 1.5,
+    "target_latency_ms": 250,
+}
+CONFIG = {"version": 7, "routes": [ROUTE], "services": [], "limits": {}}
+JOB_ID = "5c0e7a21d94b36f8"
+BEAT = {
+    "backend": "svc",
+    "addr": "10.1.0.14:8165",
+    "zone": "zone-a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clock_ms": 482113,
+    "seq": 4,
+    "born": 1000,
+}
+
+
+def request(method, path, body=b"", headers=(), match=None):
+    return Request(method, path, path, {}, list(headers), body, match or {})
+
+
+class SettingsTests(unittest.TestCase):
+    def test_settings_are_decoded_and_new_fields_left_out(self):
+        settings = parse_settings(SETTINGS)
+        self.assertEqual(settings.name, "side-1")
+        self.assertEqual(settings.failure_domain, "zone-a")
+        self.assertEqual(settings.peers, "10.1.0.14:7720")
+        self.assertEqual(settings.announcements, "10.1.0.14:8166")
+        self.assertIsNone(settings.callers)
+
+    def test_unusable_settings_are_refused_with_a_reason(self):
+        for data in (b"\xff", b"node = ", b"", SETTINGS.replace(b"7720", b'"x"')):
+            with self.subTest(data=data[:20]), self.assertRaises(SettingsError):
+                parse_settings(data)
+
+
+class OperatorTests(unittest.TestCase):
+    def setUp(self):
+        self.current = CurrentConfiguration()
+        self.changes = 0
+        self.records = OperatorRecords(self.current, self.note)
+
+    def note(self):
+        self.changes += 1
+
+    def take(self, key, value):
+        data = value if value is None or isinstance(value, bytes) else None
+        data = msgspec.json.encode(value) if data is None and value else data
+        self.records.take(StoredRecord(key, data, 1))
+
+    def test_configuration_is_in_force_and_never_goes_back(self):
+        self.take("config", CONFIG)
+        self.take("config", {**CONFIG, "version": 5, "routes": []})
+        self.assertEqual(self.current.version, 7)
+        queue = self.current.find_queue("h.example", "/q/abc")
+        self.assertEqual(queue.rules, QueueRules("r-1", "svc", 2, 4, 1.5, 250))
+        self.assertIsNone(self.current.find_queue("h.example", "/other/abc"))
+        self.assertEqual(self.changes, 1)
+
+    def test_longest_prefix_wins(self):
+        longer = {**ROUTE, "name": "r-2", "path_prefix": "/q/more/"}
+        self.take("config", {**CONFIG, "routes": [ROUTE, longer]})
+        found = self.current.find_queue("h.example", "/q/more/x")
+        self.assertEqual(found.rules.name, "r-2")
+
+    def test_malformed_configuration_changes_nothing(self):
+        self.take("config", CONFIG)
+        for data in (b"\xff", b"{", b'{"version":9}', b'{"version":9,"routes":[1]}'):
+            self.take("config", data)
+        self.assertEqual(self.current.version, 7)
+
+    def test_failure_domain_is_closed_and_opened(self):
+        self.take("evacuate/zone-a", b"{}")
+        self.assertEqual(self.current.closed_domains, {"zone-a"})
+        self.take("evacuate/zone-a", None)
+        self.assertEqual(self.current.closed_domains, frozenset())
+
+    def test_domains_without_a_record_are_open_after_a_gap(self):
+        self.take("evacuate/zone-a", b"{}")
+        self.take("evacuate/zone-b", b"{}")
+        self.records.take_loaded({"config", "evacuate/zone-b"})
+        self.assertEqual(self.current.closed_domains, {"zone-b"})
+
+
+class FakeService:
+    """Remembers what was handed in and gives prepared answers."""
+
+    def __init__(self):
+        self.jobs = []
+        self.answer = Answer.ACCEPTED
+
+    async def submit(self, spec, wait_s):
+        self.jobs.append((spec, wait_s))
+        return self.answer
+
+    async def find(self, job_id, queue):
+        return self.answer
+
+    async def cancel(self, job_id, queue, wait_s):
+        return self.answer
+
+    def pending(self, queue):
+        return 12
+
+
+class CallerTests(unittest.TestCase):
+    def setUp(self):
+        self.service = FakeService()
+        self.current = CurrentConfiguration()
+        self.routes = CallerRoutes(self.service, self.current)
+
+    def configure(self):
+        records = OperatorRecords(self.current, lambda: None)
+        data = msgspec.json.encode(CONFIG)
+        records.take(StoredRecord("config", data, 1))
+
+    def ask(self, method, path, body=b""):
+        headers = [(b"host", b"H.example:80"), (b"rattanwing-deadline-ms", b"2000")]
+        return trio.run(self.routes.handle, request(method, path, body, headers))
+
+    def test_without_a_configuration_nothing_runs(self):
+        response = self.ask("POST", f"/q/{JOB_ID}", b"{}")
+        self.assertEqual(response.status, 503)
+        self.assertIn(b"retry-after", dict(response.headers))
+
+    def test_job_is_decoded(self):
+        self.configure()
+        body = (
+            b'{"spec":"t","steps":[{"count":4,"cpu":500,"mem_mb":256,'
+            b'"estimate_ms":900,"affinity":"r1-3"},{"count":2,"cpu":2000,"after":[0],'
+            b'"checkpoint":true,"perpetual":true,"anti_affinity":1,"new":1}]}'
+        )
+        self.assertEqual(self.ask("POST", f"/q/{JOB_ID}", body).status, 200)
+        spec, wait_s = self.service.jobs[0]
+        self.assertEqual(spec.job_id, JOB_ID)
+        self.assertEqual(spec.steps[0].data_rack, "r1-3")
+        self.assertEqual(spec.steps[0].memory_mb, 256)
+        self.assertTrue(spec.steps[1].lasting)
+        self.assertEqual(spec.steps[1].spread_limit, 1)
+        self.assertEqual(spec.steps[1].after, (0,))
+        self.assertAlmostEqual(wait_s, 1.7)
+
+    def test_malformed_jobs_are_refused(self):
+        self.configure()
+        for body in (b"", b"{}", b"\xff", b'{"steps":1}', b'{"steps":[{"cpu":"x"}]}'):
+            with self.subTest(body=body):
+                self.assertEqual(self.ask("POST", f"/q/{JOB_ID}", body).status, 400)
+        self.assertEqual(self.service.jobs, [])
+
+    def test_paths_that_name_nothing(self):
+        self.configure()
+        for path in ("/", "/other/x", "/q/short", f"/q/{JOB_ID}/more"):
+            with self.subTest(path=path):
+                self.assertEqual(self.ask("POST", path).status, 404)
+        self.assertEqual(self.ask("PATCH", f"/q/{JOB_ID}").status, 405)
+
+    def test_pending_jobs_are_counted(self):
+        self.configure()
+        self.assertEqual(self.ask("GET", "/q/").body, b'{"pending":12}')
+
+    def test_answers_have_their_status(self):
+        self.configure()
+        statuses = {
+            Answer.ACCEPTED: 200,
+            Answer.REFUSED: 503,
+            Answer.NOT_READY: 503,
+            Answer.NO_SUCH_JOB: 410,
+            Answer.UNKNOWN_OUTCOME: 504,
+        }
+        for answer, status in statuses.items():
+            self.service.answer = answer
+            with self.subTest(answer=answer):
+                self.assertEqual(self.ask("DELETE", f"/q/{JOB_ID}").status, status)
+
+    def test_state_is_spelled_as_the_platform_wants(self):
+        self.configure()
+
+        class View:
+            state = JobState.COMPLETED
+
+        self.service.answer = View()
+        response = self.ask("GET", f"/q/{JOB_ID}")
+        self.assertEqual(response.body, b'{"state":"completed"}')
+
+    def test_connections_are_closed_once_the_entry_leaves(self):
+        self.configure()
+        self.routes.closing = True
+        response = self.ask("GET", "/q/")
+        self.assertEqual(dict(response.headers)[b"connection"], b"close")
+
+
+class FakeHttp:
+    def __init__(self, status, body):
+        self.answer = HttpAnswer(status, [], body)
+
+    async def call(self, method, target, headers, body, timeout_s):
+        self.headers = headers
+        self.body = msgspec.json.decode(body)
+        return self.answer
+
+
+class ExecutorTests(unittest.TestCase):
+    def make_agent(self):
+        return BatchAgent(lambda: 0.0, lambda _view: None)
+
+    def announce(self, routes, **changes):
+        body = msgspec.json.encode({**BEAT, **changes})
+        made = request("PUT", "/x", body, match={"executor_id": "i-1"})
+        return trio.run(routes.announce, made).status
+
+    def test_announcement_is_decoded(self):
+        agent = self.make_agent()
+        self.assertEqual(self.announce(AnnouncementRoutes(agent)), 200)
+        view = agent.executor.view
+        self.assertEqual((view.cpu, view.memory_mb, view.rack), (16000, 32768, "r1-3"))
+        self.assertFalse(view.draining)
+
+    def test_late_announcement_of_an_earlier_life_changes_nothing(self):
+        agent = self.make_agent()
+        routes = AnnouncementRoutes(agent)
+        self.announce(routes, born=2000, seq=1)
+        self.announce(routes, born=1000, seq=90)
+        self.announce(routes, born=2000, seq=0, state="draining")
+        self.assertEqual(agent.executor.view.incarnation, "i-1@2000")
+        self.assertFalse(agent.executor.view.draining)
+
+    def test_announcement_of_another_writer_names_no_executor(self):
+        agent = self.make_agent()
+        routes = AnnouncementRoutes(agent)
+        self.assertEqual(self.announce(routes, capacity="much"), 400)
+        self.assertEqual(self.announce(routes, seq=None), 400)
+        self.assertIsNone(agent.executor)
+
+    def client(self, status, body):
+        agent = self.make_agent()
+        self.announce(AnnouncementRoutes(agent))
+        client = ExecutorClient(agent.executor.view)
+        client.client = FakeHttp(status, body)
+        return client
+
+    def test_hold_is_decoded(self):
+        body = (
+            b'{"clock_ms":482113,"running":[["j.0.1.17",2,"s",41],["j.0.1.2",1,"",0,77]],'
+            b'"ended":[[58,"j.0.1.9",1,"done",""]]}'
+        )
+        client = self.client(200, body)
+        result = trio.run(client.hold, 7, 57, 486000, 1.0)
+        self.assertEqual(result.running[1].usage, 77)
+        self.assertIs(result.ended[0].ending, RunEnding.DONE)
+        sent = client.client.body
+        self.assertEqual(sent["wait_ms"], 1000)
+        self.assertEqual(sent["ack_offset"], 57)
+        self.assertIn((b"rattanwing-expect-instance", b"i-1"), client.client.headers)
+
+    def test_malformed_rows_are_an_unanswered_call(self):
+        for body in (
+            b'{"clock_ms":1,"running":[[1]],"ended":[]}',
+            b'{"clock_ms":1,"running":[],"ended":[[1,"t",1,"vanished",""]]}',
+            b"{}",
+            b"\xff",
+        ):
+            with self.subTest(body=body), self.assertRaises(HttpCallError):
+                trio.run(self.client(200, body).hold, 7, 57, None, 0.0)
+
+    def test_refusals_of_orders_are_told_apart(self):
+        cases = {
+            (409, b'{"reason":"fence"}'): OrderOutcome.FENCED,
+            (409, b'{"reason":"old"}'): OrderOutcome.OLD_ATTEMPT,
+            (409, b'{"reason":"late"}'): OrderOutcome.LATE,
+            (409, b'{"reason":"room"}'): OrderOutcome.NO_ROOM,
+            (421, b""): OrderOutcome.OTHER_INCARNATION,
+            (503, b""): OrderOutcome.UNHEALTHY,
+            (400, b""): OrderOutcome.MALFORMED,
+        }
+        for (status, body), outcome in cases.items():
+            self.assertIs(make_result(status, body).outcome, outcome)
+        with self.assertRaises(HttpCallError):
+            make_result(409, b'{"reason":"whatever"}')
+
+
+class ConfigurationTests(unittest.TestCase):
+    def test_same_version_again_changes_nothing(self):
+        current = CurrentConfiguration()
+        self.assertTrue(current.apply(Configuration(3, ())))
+        self.assertFalse(current.apply(Configuration(3, ())))
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,128 @@
+from __future__ import annotations
+
+import base64
+import struct
+import unittest
+
+import msgspec
+import trio
+
+from rattanwing.batch.ports import Stamp
+from rattanwing.errors import (
+    LogConditionError,
+    LogFencedError,
+    LogSequenceError,
+    LogUnavailableError,
+    RecordExpiredError,
+)
+from rattanwing.platform.store import PlatformStore, decode_batch, encode_record
+from rattanwing.util.http_client import HttpAnswer, HttpCallError
+from rattanwing.verdict import Verdict
+
+STAMP = Stamp("a b", 7, 12)
+
+
+class FakeClient:
+    """Answers with a prepared answer and remembers the call."""
+
+    def __init__(self, status, body=b"", error=None):
+        self.answer = HttpAnswer(status, [], body)
+        self.error = error
+
+    async def call(self, method, target, headers, body, timeout_s):
+        self.method, self.target, self.body = method, target, body
+        if self.error:
+            raise self.error
+        return self.answer
+
+
+def store_with(status, body=b"", error=None):
+    store = PlatformStore("127.0.0.1:1")
+    store.client = FakeClient(status, body, error)
+    return store
+
+
+def append(store, at=None):
+    return trio.run(store.append, "work", [("k", b"v"), ("gone", None)], STAMP, at)
+
+
+class AppendTests(unittest.TestCase):
+    def test_records_and_query_are_spelled_as_the_platform_wants(self):
+        store = store_with(200, b'{"offset":840,"end":842}')
+        self.assertEqual(append(store, at=840), 840)
+        self.assertEqual(
+            store.client.target,
+            "/rattanwing/log-append?topic=keyed.work&part=0"
+            "&producer=a%20b&epoch=7&seq=12&at=840",
+        )
+        wanted = struct.pack(">I", 3) + b"\x01kv" + struct.pack(">I", 5) + b"\x04gone"
+        self.assertEqual(store.client.body, wanted)
+
+    def test_refusals_are_told_apart(self):
+        cases = (
+            (412, b'{"end":9}', LogConditionError),
+            (409, b'{"reason":"fenced"}', LogFencedError),
+            (409, b'{"reason":"seq","expected":4}', LogSequenceError),
+        )
+        for status, body, error in cases:
+            with self.subTest(status=status, body=body), self.assertRaises(error):
+                append(store_with(status, body))
+
+    def test_only_a_refusal_or_no_connection_says_that_nothing_was_stored(self):
+        lost = HttpCallError(Verdict.MAY_HAVE_RUN, "lost")
+        refused = HttpCallError(Verdict.NOT_RUN, "no connection")
+        cases = (
+            (store_with(503), False),
+            (store_with(429), False),
+            (store_with(507), False),
+            (store_with(500), True),
+            (store_with(200, b"{"), True),
+            (store_with(0, error=lost), True),
+            (store_with(0, error=refused), False),
+        )
+        for store, applied in cases:
+            with self.assertRaises(LogUnavailableError) as caught:
+                append(store)
+            self.assertEqual(caught.exception.applied, applied)
+
+
+class ReadTests(unittest.TestCase):
+    def test_records_get_their_offsets(self):
+        data = struct.pack(">QQ", 42, 3) + encode_record("a", b"1")
+        data += encode_record("b", None)
+        batch = decode_batch(data, 40)
+        self.assertEqual(batch.end, 42)
+        found = [(r.key, r.value, r.offset) for r in batch.records]
+        self.assertEqual(found, [("a", b"1", 40), ("b", None, 41)])
+
+    def test_bytes_that_are_cut_short_are_refused_at_every_length(self):
+        data = struct.pack(">QQ", 1, 0) + encode_record("key", b"value")
+        for length in [*range(16), *range(20, len(data))]:
+            with self.subTest(length=length), self.assertRaises(LogUnavailableError):
+                decode_batch(data[:length], 0)
+
+    def test_expired_records_name_the_oldest_that_is_kept(self):
+        store = store_with(410, b'{"first":17}')
+        with self.assertRaises(RecordExpiredError) as caught:
+            trio.run(store.read, "work", 3, 1.0)
+        self.assertEqual(caught.exception.first, 17)
+
+    def test_newest_records_are_decoded(self):
+        value = base64.b64encode(b"\x00x").decode()
+        body = msgspec.json.encode(
+            {
+                "items": [{"key": "job/1", "value": value, "offset": 4}],
+                "has_more": False,
+                "end": 6,
+            }
+        )
+        store = store_with(200, body)
+        page = trio.run(store.newest, "work", "job/0 ä")
+        self.assertEqual(page.records[0].value, b"\x00x")
+        self.assertEqual(page.end, 6)
+        self.assertIn("after=job%2F0%20%C3%A4", store.client.target)
+
+    def test_answer_of_another_kind_is_refused(self):
+        for body in (b"", b"[]", b'{"items":[{"key":1}],"end":0}', b"\xff"):
+            with self.subTest(body=body), self.assertRaises(LogUnavailableError):
+                trio.run(store_with(200, body).newest, "work", "")
