Count a run as possibly running from the moment its order came

Change: the run is registered in the same step that takes the order. Test: test_report_lists_a_run_whose_order_has_just_come failed before.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -274,7 +274,10 @@
         if self.executor is None or self.nursery is None:
             self.tell_refused(order.task, order.attempt, "no-executor")
             return
-        self.nursery.start_soon(self.executor.start, order, self.clock())
+        run = self.executor.accept(order)
+        if run is not None:
+            expires_at = self.clock() + order.start_within_s
+            self.nursery.start_soon(self.executor.start, order, run, expires_at)
 
 
 async def keep_registered(
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -263,15 +263,17 @@
                 news = True
         return news
 
-    async def start(self, order: messages.StartRun, received_at: float) -> None:
-        """Start a run, or make sure that it never starts."""
-        key = (order.task, order.attempt)
-        expires_at = received_at + order.start_within_s
-        fence = self.fence
+    def accept(self, order: messages.StartRun) -> RunState | None:
+        """Count a run as possibly running from the moment its order came.
+
+        A report that is made before the executor was called must list it.
+
+        :returns: ``None`` where the order is refused.
+        """
         reason = self.refusal(order)
         if reason:
             self.refuse(order, reason)
-            return
+            return None
         facts = messages.RunFacts(
             order.task,
             order.attempt,
@@ -281,7 +283,16 @@
             order.fills,
             order.target_ms,
         )
-        run = self.runs[key] = RunState(facts, fence, self.clock(), sure=False)
+        run = RunState(facts, self.fence, self.clock(), sure=False)
+        self.runs[(order.task, order.attempt)] = run
+        return run
+
+    async def start(
+        self, order: messages.StartRun, run: RunState, expires_at: float
+    ) -> None:
+        """Start an accepted run, or make sure that it never starts."""
+        key = (order.task, order.attempt)
+        fence = run.fence
         maybe_sent = False
         while fence == self.fence and not self.gone and not run.sure:
             deadline_ms = self.deadline_ms()
--- /dev/null
+++ b/tests/batch/test_agent.py
@@ -0,0 +1,66 @@
+from __future__ import annotations
+
+import unittest
+
+from rattanwing.batch import messages
+from rattanwing.batch.agent import BatchAgent, OwnerSession
+from rattanwing.standin.runs import StandinExecutor
+
+
+class RecordingSession:
+    """Keeps what the agent sends."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+
+class LazyNursery:
+    """Notes tasks and runs none of them, like a nursery between two checkpoints."""
+
+    def __init__(self):
+        self.tasks = []
+
+    def start_soon(self, task, *args):
+        self.tasks.append((task, args))
+
+
+def start_order(number=1, cpu=100):
+    return messages.StartRun(
+        number, "job-1.0.0.0", 1, "text", "", cpu, 10, 0, False, 0, 1.5
+    )
+
+
+class ReportTests(unittest.TestCase):
+    def setUp(self):
+        executor = StandinExecutor("executor-0", "domain-a", [], lambda _task: 1.0)
+        self.now = 10.0
+        self.agent = BatchAgent(lambda: self.now, executor.port)
+        self.agent.nursery = LazyNursery()
+        self.owner = self.agent.owner = OwnerSession(1, 1)
+        self.owner.session = RecordingSession()
+        self.agent.take_announcement(executor.view())
+        self.agent.executor.clean_fence = 1
+
+    def report(self):
+        self.agent.tell_report(self.now)
+        return self.owner.session.sent[-1]
+
+    def test_report_lists_a_run_whose_order_has_just_come(self):
+        """Before its start was called, the owner must not take it for lost."""
+        self.agent.take(self.owner, start_order())
+        report = self.report()
+        self.assertEqual(report.orders_seen, 1)
+        self.assertEqual([row.task for row in report.runs], ["job-1.0.0.0"])
+
+    def test_orders_beyond_the_room_are_refused(self):
+        self.agent.take(self.owner, start_order(cpu=4001))
+        self.assertEqual(self.owner.session.sent[-1].reason, "no-cpu")
+        self.assertEqual(self.report().runs, [])
+
+    def test_messages_of_a_superseded_owner_change_nothing(self):
+        older = OwnerSession(0, 9)
+        self.agent.take(older, start_order())
+        self.assertEqual(self.report().runs, [])
