Wait for no agent whose executor has left in order

Ruled out: the leases themselves; all other agents had reported within 0.2 s. Change: a stopping agent beside which nothing can run drops its address; an owner drops a host at once whose last report said that its executor had ended. Test: test_owner_dies_after_a_host_has_left.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -28,6 +28,9 @@
 """An agent without an owner for so long writes its address again, in case its
 record was dropped: a little longer than the usual change of owner needs."""
 
+DROP_LIMIT_S = 1.0
+"""Longest wait of a stopping agent for the store; an owner drops the address, too."""
+
 
 class OwnerSession:
     """The stream of the owner that this agent obeys."""
@@ -280,6 +283,18 @@
             self.nursery.start_soon(self.executor.start, order, run, expires_at)
 
 
+async def drop_registration(agent: BatchAgent, writer: RecordWriter, node: str) -> None:
+    """Drop the agent's address before a stop, if nothing can run beside it.
+
+    A later owner would else wait for an agent that never comes back.
+    """
+    if agent.executor is not None or not agent.executor_ended:
+        return
+    expires_at = agent.clock() + DROP_LIMIT_S
+    with trio.move_on_after(DROP_LIMIT_S):
+        await writer.store_records([(records.AGENT_PREFIX + node, None)], expires_at)
+
+
 async def keep_registered(
     agent: BatchAgent,
     writer: RecordWriter,
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -137,8 +137,13 @@
             run.order_number = 0
 
     def host_lost(self, host: Host) -> None:
-        """Take note that the stream has ended; what runs there may go on."""
+        """Take note that the stream has ended; what runs there may go on.
+
+        Where the executor had ended before, nothing is left to wait for.
+        """
         host.connected = False
+        if host.settled and host.executor is None and not host.runs:
+            host.granted_until = float("-inf")
         host.settled = False
 
     def check_lapses(self, now: float) -> list[str]:
--- a/rattanwing/platform/main.py
+++ b/rattanwing/platform/main.py
@@ -134,7 +134,7 @@
 
 async def run_agent(settings: BatchSettings, stop: StopSignal) -> None:
     """Run an agent until it is asked to stop; runs go on under their lease."""
-    from rattanwing.batch.agent import BatchAgent, keep_registered
+    from rattanwing.batch.agent import BatchAgent, drop_registration, keep_registered
     from rattanwing.batch.ports import Stamp
     from rattanwing.batch.writer import RecordWriter
     from rattanwing.peer.grpc import serve_peers
@@ -164,6 +164,7 @@
         nursery.start_soon(agent.run)
         nursery.start_soon(keep_registered, agent, writer, address, random)
         await stop.asked.wait()
+        await drop_registration(agent, writer, settings.name)
         nursery.cancel_scope.cancel()
 
 
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -309,3 +309,24 @@
             self.assertFalse(new & {"executor-0", "executor-3"})
 
         self.run_jobs_through(fault)
+
+    def test_owner_dies_after_a_host_has_left(self):
+        """A host that left in order is not waited for."""
+
+        async def scenario(world):
+            await trio.sleep(2)
+            agent = world.agents["agent-0"]
+            agent.take_leave("executor-0")
+            world.executors[0].up = False
+            await trio.sleep(1)
+            world.kill("agent-0")
+            await trio.sleep(1)
+            world.durations = lambda _task: 0.5
+            await world.submit(job("job-1", steps=(TASK, StepSpec(2, after=(0,)))))
+            name = world.owner().settings.name
+            world.kill(name)
+            await world.start_entry(name)
+            done = await world.wait_for_state("job-1", JobState.COMPLETED, 5.0)
+            self.assertTrue(done)
+
+        play(scenario)
