Sharing by learnt pairs of images; relay calls of an entry that is cut off

Change: the owner learns the pairs (rattanwing/batch/pressure.py), agents slow those that press or are not known, placement keeps them apart.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -270,7 +270,9 @@
             case messages.RunFacts() if executor is not None:
                 run = executor.runs.get((message.task, message.attempt))
                 if run is not None and run.facts is None:
-                    run.facts = message
+                    run.facts = message.facts
+            case messages.Pressures() if executor is not None:
+                executor.pacer.take_pressures(message.rows)
 
     def take_start(self, order: messages.StartRun) -> None:
         """Start a run, or refuse it at once."""
--- a/rattanwing/batch/entry.py
+++ b/rattanwing/batch/entry.py
@@ -11,6 +11,7 @@
 from rattanwing.batch.owner import OwnerLoop
 from rattanwing.batch.ownership import Candidate
 from rattanwing.batch.ports import Stamp
+from rattanwing.batch.relay import RelayingService
 from rattanwing.batch.replica import Directory, TopicReader, WorkReplica
 from rattanwing.batch.service import JobService
 from rattanwing.batch.writer import RecordWriter
@@ -50,6 +51,7 @@
         "writer",
         "directory_writer",
         "service",
+        "relaying",
         "candidate",
         "loop",
     )
@@ -72,7 +74,13 @@
         self.dial = dial
         self.current = CurrentConfiguration()
         self.replica = WorkReplica(clock)
-        self.reader = TopicReader(store, records.WORK_TOPIC, clock, self.replica.take)
+        self.reader = TopicReader(
+            store,
+            records.WORK_TOPIC,
+            clock,
+            self.replica.take,
+            load_order=self.replica.load_order,
+        )
         self.directory = Directory()
         self.directory_reader = TopicReader(
             store, records.DIRECTORY_TOPIC, clock, self.directory.take
@@ -80,6 +88,9 @@
         self.writer = self.make_writer(records.WORK_TOPIC)
         self.directory_writer = self.make_writer(records.DIRECTORY_TOPIC)
         self.service = JobService(self.replica, self.reader, self.writer, clock)
+        self.relaying = RelayingService(
+            settings.name, self.service, self.directory, clock, random, dial
+        )
         self.candidate = Candidate(
             settings.name,
             self.incarnation,
@@ -118,6 +129,16 @@
             nursery.start_soon(self.writer.run)
             nursery.start_soon(self.directory_writer.run)
             nursery.start_soon(self.candidate.run)
+            nursery.start_soon(self.register)
+
+    async def register(self) -> None:
+        """Write where this entry takes relayed calls."""
+        if self.settings.peers is None:
+            return
+        address = records.EntryAddress(self.settings.name, self.settings.peers)
+        key = records.ENTRY_PREFIX + address.node
+        value = records.encode(address)
+        await self.directory_writer.store_records([(key, value)], None)
 
     async def serve_epoch(self, _epoch: int, writer: RecordWriter) -> None:
         """Schedule for one epoch."""
--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -71,6 +71,7 @@
         "granted_until",
         "next_order",
         "used_cpu",
+        "used_lasting_cpu",
         "used_fill_cpu",
         "used_memory_mb",
         "used_accelerators",
@@ -89,6 +90,7 @@
         self.granted_until = granted_until
         self.next_order = 1
         self.used_cpu = 0
+        self.used_lasting_cpu = 0
         self.used_fill_cpu = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
@@ -111,6 +113,7 @@
             self.used_fill_cpu += sign * step.cpu
         else:
             self.used_cpu += sign * step.cpu
+            self.used_lasting_cpu += sign * step.cpu if step.lasting else 0
         self.used_memory_mb += sign * step.memory_mb
         self.used_accelerators += sign * step.accelerators
 
@@ -120,6 +123,14 @@
             return 0
         return self.executor.cpu - self.used_cpu - self.used_fill_cpu
 
+    def room_for_fillers(self, lasting_use_share: float) -> int:
+        """Return the thousandths of a core that fillers may yet declare.
+
+        :param lasting_use_share: what lasting tasks use of what they declare.
+        """
+        unused = int(self.used_lasting_cpu * (1 - lasting_use_share))
+        return self.free_cpu() + unused
+
     def takes_starts(self, now: float) -> bool:
         """Return whether new runs may be ordered here at all."""
         return (
--- a/rattanwing/batch/messages.py
+++ b/rattanwing/batch/messages.py
@@ -1,4 +1,4 @@
-"""Messages between the scheduling entry and the agents, and their codec.
+"""Messages between entries and agents, and among entries, and their codec.
 
 MessagePack arrays with a numeric tag. Times are echoes of the receiver's own
 clock or durations; one process's clock is never read by another.
@@ -6,18 +6,46 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 import msgspec
 
+from rattanwing.batch.model import JobSpec, JobState  # noqa: TC001
 from rattanwing.batch.ports import EndedRow, ExecutorView, RunningRow  # noqa: TC001
 from rattanwing.errors import ProtocolError
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
 
+class Answer(Enum):
+    """What an entry says to a caller."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN_OUTCOME = "unknown-outcome"
+    NO_SUCH_JOB = "no-such-job"
+    NOT_READY = "not-ready"
+
+
 class Message(msgspec.Struct, array_like=True, tag_field="kind"):
     """Base of the messages."""
 
 
+class TaskFacts(msgspec.Struct, array_like=True, frozen=True):
+    """What an agent has to know of a task beside its text.
+
+    :param cpu: thousandths of a core.
+    :param target_ms: bound on the tail latency of a serving task; 0 for none.
+    """
+
+    cpu: int
+    memory_mb: int
+    accelerators: int
+    fills: bool
+    target_ms: int
+    image: str
+
+
 class OwnerHello(Message, tag=1):
     """First message of the owner on a stream.
 
@@ -52,11 +80,7 @@
     attempt: int
     text: str
     saved: str
-    cpu: int
-    memory_mb: int
-    accelerators: int
-    fills: bool
-    target_ms: int
+    facts: TaskFacts
     start_within_s: float
     ticket: str = ""
 
@@ -111,18 +135,50 @@
 
 
 class RunFacts(Message, tag=9):
-    """What an agent that has restarted can't know of a run.
-
-    The fields are those of :class:`StartRun`.
-    """
+    """What an agent that has restarted can't know of a run."""
 
     task: str
     attempt: int
-    cpu: int
-    memory_mb: int
-    accelerators: int
-    fills: bool
-    target_ms: int
+    facts: TaskFacts
+
+
+class Pressures(Message, tag=10):
+    """Which filling images press on which serving images.
+
+    :param rows: serving image, filling image, and the share of the target that
+        one core of the filler adds. Pairs that are not listed are not known yet.
+    """
+
+    rows: list[tuple[str, str, float]]
+
+
+class RelayedSubmit(Message, tag=11):
+    """A job that an entry hands in for another one that is cut off."""
+
+    spec: JobSpec
+    wait_s: float
+
+
+class RelayedCancel(Message, tag=12):
+    """A cancellation for another entry."""
+
+    job_id: str
+    queue: str
+    wait_s: float
+
+
+class RelayedFind(Message, tag=13):
+    """A question for a job's state for another entry."""
+
+    job_id: str
+    queue: str
+
+
+class RelayedAnswer(Message, tag=14):
+    """The answer to a relayed call; ``state`` where a job was found."""
+
+    answer: Answer
+    state: JobState | None = None
 
 
 AnyMessage = (
@@ -135,6 +191,11 @@
     | RunsEnded
     | RunRefused
     | RunFacts
+    | Pressures
+    | RelayedSubmit
+    | RelayedCancel
+    | RelayedFind
+    | RelayedAnswer
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -188,6 +188,7 @@
             self.unlink(name)
         scheduler.check_settled(now)
         scheduler.plan(now, now_ms)
+        scheduler.tell_pressures(now)
         self.send_orders()
         if scheduler.unstored or scheduler.unacked:
             self.stored.set()
--- a/rattanwing/batch/placement.py
+++ b/rattanwing/batch/placement.py
@@ -13,10 +13,19 @@
     from rattanwing.batch.hosts import Host
     from rattanwing.batch.jobs import OwnedJob, Task
     from rattanwing.batch.model import StepSpec
+    from rattanwing.batch.pressure import PressureModel
 
-FILL_CAPACITY_SHARE = 1.0
-"""Share of a host's processors that serving, plain and filling tasks may declare
-together; above 1 fillers would slow each other down."""
+LASTING_USE_SHARE = 0.6
+"""Share of what lasting tasks declare that they are taken to use, when the room
+that they leave to fillers is reckoned; their use is not reported."""
+
+PRESSURE_WEIGHT = 20_000
+"""Thousandths of a core that a filler's pressure of a whole target weighs: a tenth
+of a target is worth two cores of free room."""
+
+PRESSURE_LIMIT = 0.5
+"""Share of a target that a filler may add beside a serving task; beyond it the
+filler would be slowed at once, and waits instead."""
 
 SAME_STEP_WEIGHT = 4_000
 """Thousandths of a core that one more task of a lasting step on a host weighs,
@@ -25,9 +34,9 @@
 SAME_DOMAIN_WEIGHT = 1_000
 """The same for a task of the step in the host's failure domain."""
 
-SERVING_WEIGHT = 3_000
-"""Thousandths of a core that a serving task beside a filler, or a filler beside
-a serving task, weighs: each pair may disturb the other."""
+SERVING_WEIGHT = 1_500
+"""Thousandths of a core that each serving task on a host weighs for another one:
+they disturb each other, too."""
 
 FAR_WEIGHT = 8_000
 """The same for a host on another rack than the data, where work takes longer."""
@@ -66,8 +75,7 @@
     if host.used_accelerators + step.accelerators > executor.accelerators:
         return False
     if step.fills:
-        limit = int(executor.cpu * FILL_CAPACITY_SHARE)
-        return host.used_cpu + host.used_fill_cpu + step.cpu <= limit
+        return step.cpu <= host.room_for_fillers(LASTING_USE_SHARE)
     return host.used_cpu + step.cpu <= executor.cpu
 
 
@@ -81,23 +89,38 @@
     )
 
 
-def disturbed(host: Host, step: StepSpec) -> int:
-    """Return how many runs on a host a task of the step would disturb or suffer."""
-    if step.fills:
-        return sum(run.task.step.target_ms > 0 for run in host.runs.values())
-    if step.target_ms > 0:
-        return sum(
-            run.task.step.fills or run.task.step.target_ms > 0
-            for run in host.runs.values()
-        )
-    return 0
-
+def worst_pressure(host: Host, step: StepSpec, pressures: PressureModel) -> float:
+    """Return the most that a task of a step would add to, or suffer from, a run.
 
-def cost(host: Host, task: Task, by_domain: dict[str, int]) -> int:
+    In shares of the serving task's target.
+    """
+    worst = 0.0
+    for run in host.runs.values():
+        other = run.task.step
+        if step.fills and other.target_ms > 0:
+            added = pressures.pressure(other.image, step.image, step.cpu)
+        elif step.target_ms > 0 and other.fills:
+            added = pressures.pressure(step.image, other.image, other.cpu)
+        else:
+            continue
+        worst = max(worst, added)
+    return worst
+
+
+def cost(
+    host: Host, task: Task, by_domain: dict[str, int], pressures: PressureModel
+) -> int:
     """Return how little a host suits a task; the lowest suits best."""
     step = task.step
     executor = host.executor
-    total = -host.free_cpu() + SERVING_WEIGHT * disturbed(host, step)
+    total = -host.free_cpu()
+    if step.fills:
+        total = -host.room_for_fillers(LASTING_USE_SHARE)
+    total += int(PRESSURE_WEIGHT * worst_pressure(host, step, pressures))
+    if step.target_ms > 0:
+        total += SERVING_WEIGHT * sum(
+            run.task.step.target_ms > 0 for run in host.runs.values()
+        )
     if step.lasting:
         total += SAME_STEP_WEIGHT * count_on(host, task)
         total += SAME_DOMAIN_WEIGHT * by_domain.get(executor.failure_domain, 0)
@@ -113,6 +136,7 @@
     job: OwnedJob,
     task: Task,
     constraints: Constraints,
+    pressures: PressureModel,
     now: float,
 ) -> Host | None:
     """Return the best host for a task, or ``None`` where it must wait.
@@ -129,6 +153,12 @@
     ):
         return None
     candidates = healthy or fitting
+    if task.step.fills:
+        candidates = [
+            host
+            for host in candidates
+            if worst_pressure(host, task.step, pressures) <= PRESSURE_LIMIT
+        ]
     if not candidates:
         return None
     by_domain: dict[str, int] = {}
@@ -137,4 +167,4 @@
             if host.executor is not None:
                 domain = host.executor.failure_domain
                 by_domain[domain] = by_domain.get(domain, 0) + count_on(host, task)
-    return min(candidates, key=lambda host: (cost(host, task, by_domain), host.name))
+    return min(candidates, key=lambda h: (cost(h, task, by_domain, pressures), h.name))
--- a/rattanwing/batch/records.py
+++ b/rattanwing/batch/records.py
@@ -19,6 +19,7 @@
 PROGRESS_PREFIX = "progress/"
 CANCEL_PREFIX = "cancel/"
 AGENT_PREFIX = "agent/"
+ENTRY_PREFIX = "entry/"
 OWNER_KEY = "owner"
 
 
@@ -72,12 +73,20 @@
     incarnation: str
 
 
+class EntryAddress(msgspec.Struct, array_like=True):
+    """Where an entry takes relayed calls of other entries."""
+
+    node: str
+    address: str
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoders = {
     JOB_PREFIX: msgspec.msgpack.Decoder(JobSpec),
     PROGRESS_PREFIX: msgspec.msgpack.Decoder(Progress),
     CANCEL_PREFIX: msgspec.msgpack.Decoder(Cancel),
     AGENT_PREFIX: msgspec.msgpack.Decoder(AgentAddress),
+    ENTRY_PREFIX: msgspec.msgpack.Decoder(EntryAddress),
     OWNER_KEY: msgspec.msgpack.Decoder(Owner),
 }
 
--- /dev/null
+++ b/rattanwing/batch/relay.py
@@ -0,0 +1,184 @@
+"""Calls that another entry answers, for an entry that does not reach the store.
+
+Load: the store turns some machines away for seconds and serves the others, while
+callers' open connections stay with their entry. A job's id makes it one job, so
+handing it in at two entries is safe.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from rattanwing import events
+from rattanwing.batch import messages
+from rattanwing.batch.messages import Answer
+from rattanwing.errors import PeerLostError, ProtocolError, RejectedError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from rattanwing.batch.model import JobSpec, JobState
+    from rattanwing.batch.owner import Dial
+    from rattanwing.batch.replica import Directory
+    from rattanwing.batch.service import JobService
+    from rattanwing.peer.stream import ByteMessageStream
+
+RELAY_AFTER_S = 0.6
+"""A store that has not taken a record after this time may be out of reach from
+here alone; it answers within 0.35 s in its slow phases."""
+
+MOST_PEERS = 3
+"""Entries that are asked for one call."""
+
+PEER_WAIT_S = 1.0
+"""Longest wait for one of them."""
+
+
+class RelayingService:
+    """The service that callers see: this entry's own, and others' behind it."""
+
+    __slots__ = ("node", "local", "directory", "clock", "random", "dial")
+
+    def __init__(
+        self,
+        node: str,
+        local: JobService,
+        directory: Directory,
+        clock: Callable[[], float],
+        random: Random,
+        dial: Dial,
+    ) -> None:
+        self.node = node
+        self.local = local
+        self.directory = directory
+        self.clock = clock
+        self.random = random
+        self.dial = dial
+
+    async def submit(self, spec: JobSpec, wait_s: float) -> Answer:
+        """Hand a job in here, or at another entry.
+
+        :raises RejectedError: when the job makes no sense.
+        """
+        ends_at = self.clock() + wait_s
+        first = Answer.NOT_READY
+        if not self.local.is_cut_off(self.clock()):
+            first = await self.local.submit(spec, min(wait_s, RELAY_AFTER_S))
+            if first is Answer.ACCEPTED:
+                return first
+        left_s = ends_at - self.clock()
+        relayed = await self.ask(messages.RelayedSubmit(spec, left_s), left_s)
+        if relayed is not None and relayed.answer is Answer.ACCEPTED:
+            return Answer.ACCEPTED
+        if first is Answer.UNKNOWN_OUTCOME:
+            return await self.local.submit(spec, max(0.0, ends_at - self.clock()))
+        return relayed.answer if relayed is not None else first
+
+    async def cancel(self, job_id: str, queue: str, wait_s: float) -> Answer:
+        """Cancel a job here, or at another entry."""
+        ends_at = self.clock() + wait_s
+        first = Answer.NOT_READY
+        if not self.local.is_cut_off(self.clock()):
+            first = await self.local.cancel(job_id, queue, min(wait_s, RELAY_AFTER_S))
+            if first in (Answer.ACCEPTED, Answer.NO_SUCH_JOB):
+                return first
+        left_s = ends_at - self.clock()
+        call = messages.RelayedCancel(job_id, queue, left_s)
+        relayed = await self.ask(call, left_s)
+        if relayed is not None and relayed.answer is not Answer.REFUSED:
+            return relayed.answer
+        return first
+
+    async def find(self, job_id: str, queue: str) -> JobState | Answer:
+        """Return a job's state, from another entry where this one's copy is old."""
+        if not self.local.is_cut_off(self.clock()):
+            return await self.local.find(job_id, queue)
+        call = messages.RelayedFind(job_id, queue)
+        relayed = await self.ask(call, PEER_WAIT_S)
+        if relayed is None:
+            return await self.local.find(job_id, queue)
+        return relayed.answer if relayed.state is None else relayed.state
+
+    def pending(self, queue: str) -> int:
+        """Return how many accepted jobs of a queue have no task started."""
+        return self.local.pending(queue)
+
+    async def ask(
+        self, call: messages.Message, wait_s: float
+    ) -> messages.RelayedAnswer | None:
+        """Ask other entries, one after the other, until one is able to answer.
+
+        :returns: ``None`` where none is; then the call has not run.
+        """
+        addresses = [a for n, a in self.directory.entries.items() if n != self.node]
+        self.random.shuffle(addresses)
+        found: messages.RelayedAnswer | None = None
+        with trio.move_on_after(wait_s):
+            for address in addresses[:MOST_PEERS]:
+                with trio.move_on_after(PEER_WAIT_S):
+                    found = await self.ask_one(address.address, call)
+                if found is None or found.answer is not Answer.NOT_READY:
+                    events.write(
+                        events.CALL_RELAYED,
+                        call=type(call).__name__,
+                        peer=address.node,
+                        answer=found.answer.value if found else "none",
+                    )
+                if found is not None and found.answer is not Answer.NOT_READY:
+                    return found
+        return found
+
+    async def ask_one(
+        self, address: str, call: messages.Message
+    ) -> messages.RelayedAnswer | None:
+        """Ask one entry; ``None`` where it can't be reached."""
+        found: list[messages.RelayedAnswer] = []
+
+        async def exchange(stream: ByteMessageStream) -> None:
+            await stream.send(messages.encode(call))
+            answer = messages.decode(await stream.receive())
+            if isinstance(answer, messages.RelayedAnswer):
+                found.append(answer)
+
+        try:
+            await self.dial(address, exchange)
+        except (PeerLostError, ProtocolError) as error:
+            events.write(events.PEER_LOST, peer=address, reason=str(error))
+        return found[0] if found else None
+
+    async def accept(self, stream: ByteMessageStream) -> None:
+        """Answer one relayed call of another entry."""
+        try:
+            call = messages.decode(await stream.receive())
+            answer = await self.answer(call)
+            await stream.send(messages.encode(answer))
+            await stream.receive()
+        except ProtocolError as error:
+            events.write(events.PEER_MESSAGE_REFUSED, error=error)
+        except PeerLostError:
+            return
+
+    async def answer(self, call: messages.Message) -> messages.RelayedAnswer:
+        """Answer a call by this entry's own service alone."""
+        if self.local.is_cut_off(self.clock()):
+            return messages.RelayedAnswer(Answer.NOT_READY)
+        try:
+            match call:
+                case messages.RelayedSubmit():
+                    found = await self.local.submit(call.spec, call.wait_s)
+                case messages.RelayedCancel():
+                    found = await self.local.cancel(
+                        call.job_id, call.queue, call.wait_s
+                    )
+                case messages.RelayedFind():
+                    found = await self.local.find(call.job_id, call.queue)
+                case _:
+                    raise ProtocolError(f"no relayed call: {type(call).__name__}")
+        except RejectedError:
+            return messages.RelayedAnswer(Answer.REFUSED)
+        if isinstance(found, Answer):
+            return messages.RelayedAnswer(found)
+        return messages.RelayedAnswer(Answer.ACCEPTED, found)
--- a/rattanwing/batch/replica.py
+++ b/rattanwing/batch/replica.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -30,6 +30,11 @@
 answered from; two longest waits and a round trip."""
 
 
+def by_offset(record: StoredRecord) -> int:
+    """Return the order in which records were written."""
+    return record.offset
+
+
 class JobView:
     """What the records say of one job."""
 
@@ -54,6 +59,7 @@
     :param take: called with each record, in the order of offsets.
     :param read_at: when the newest successful read was sent.
     :param end: offset after the last record that was taken.
+    :param load_order: sort key of the newest records when they are loaded.
     """
 
     __slots__ = (
@@ -67,6 +73,7 @@
         "fresh_since",
         "pause_s",
         "on_loaded",
+        "load_order",
     )
 
     def __init__(
@@ -76,6 +83,7 @@
         clock: Callable[[], float],
         take: Callable[[StoredRecord], None],
         pause_s: float = READ_PAUSE_S,
+        load_order: Callable[[StoredRecord], Any] = by_offset,
     ) -> None:
         self.store = store
         self.topic = topic
@@ -87,6 +95,7 @@
         self.fresh_since = 0.0
         self.pause_s = pause_s
         self.on_loaded: Callable[[set[str]], None] | None = None
+        self.load_order = load_order
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the topic was read to its end lately."""
@@ -136,7 +145,7 @@
             after = page.records[-1].key
         if self.on_loaded is not None:
             self.on_loaded({record.key for record in found})
-        for record in sorted(found, key=lambda record: record.offset):
+        for record in sorted(found, key=self.load_order):
             self.take(record)
         self.end = end
         self.note_read(sent_at)
@@ -178,6 +187,14 @@
         self.on_job: Callable[[str], None] = ignore
         self.on_owner: Callable[[records.Owner], None] = ignore
 
+    @staticmethod
+    def load_order(record: StoredRecord) -> tuple[bool, int]:
+        """Return the order of newest records: jobs first.
+
+        A job that was handed in again has a newer record than its progress.
+        """
+        return not record.key.startswith(records.JOB_PREFIX), record.offset
+
     def take(self, record: StoredRecord) -> None:
         """Fold one record; one that does not decode is left out."""
         if record.value is None:
@@ -248,28 +265,37 @@
 
 
 class Directory:
-    """Folds the directory topic: where agents take orders.
+    """Folds the directory topic: where agents and entries are reached.
 
     :param on_agent: called with the name of each agent that came or changed.
     """
 
-    __slots__ = ("agents", "on_agent")
+    __slots__ = ("agents", "entries", "on_agent")
 
     def __init__(self) -> None:
         self.agents: dict[str, records.AgentAddress] = {}
+        self.entries: dict[str, records.EntryAddress] = {}
         self.on_agent: Callable[[str], None] = ignore
 
     def take(self, record: StoredRecord) -> None:
         """Fold one record; one that does not decode is left out."""
-        name = record.key.removeprefix(records.AGENT_PREFIX)
+        name = record.key.partition("/")[2]
         if record.value is None:
-            self.agents.pop(name, None)
+            known = self.find_kind(record.key)
+            known.pop(name, None)
             return
         try:
             value = records.decode(record.key, record.value)
         except RecordError as error:
             events.write(events.RECORD_MALFORMED, offset=record.offset, error=error)
             return
-        if isinstance(value, records.AgentAddress):
-            self.agents[name] = value
-            self.on_agent(name)
+        match value:
+            case records.AgentAddress():
+                self.agents[name] = value
+                self.on_agent(name)
+            case records.EntryAddress():
+                self.entries[name] = value
+
+    def find_kind(self, key: str) -> dict[str, Any]:
+        """Return the addresses among which a key stands."""
+        return self.entries if key.startswith(records.ENTRY_PREFIX) else self.agents
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -12,8 +12,7 @@
 import trio
 
 from rattanwing import events
-from rattanwing.batch import messages
-from rattanwing.batch.pacing import FULL_PERCENT, FillerPacer, ServingLoad
+from rattanwing.batch.pacing import FULL_PERCENT, Filler, FillerPacer, ServingLoad
 from rattanwing.batch.ports import (
     EndedRow,
     ExecutorView,
@@ -29,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from rattanwing.batch import messages
     from rattanwing.batch.ports import ExecutorPort
 
 HOLD_WAIT_S = 0.5
@@ -66,7 +66,7 @@
     )
 
     def __init__(
-        self, facts: messages.RunFacts | None, fence: int, now: float, sure: bool
+        self, facts: messages.TaskFacts | None, fence: int, now: float, sure: bool
     ) -> None:
         self.facts = facts
         self.fence = fence
@@ -274,16 +274,7 @@
         if reason:
             self.refuse(order, reason)
             return None
-        facts = messages.RunFacts(
-            order.task,
-            order.attempt,
-            order.cpu,
-            order.memory_mb,
-            order.accelerators,
-            order.fills,
-            order.target_ms,
-        )
-        run = RunState(facts, self.fence, self.clock(), sure=False)
+        run = RunState(order.facts, self.fence, self.clock(), sure=False)
         self.runs[(order.task, order.attempt)] = run
         return run
 
@@ -342,9 +333,9 @@
         if self.clean_fence != self.fence:
             return "unclean"
         cpu, memory_mb = self.used()
-        if not order.fills and cpu + order.cpu > self.view.cpu:
+        if not order.facts.fills and cpu + order.facts.cpu > self.view.cpu:
             return "no-cpu"
-        if memory_mb + order.memory_mb > self.view.memory_mb:
+        if memory_mb + order.facts.memory_mb > self.view.memory_mb:
             return "no-memory"
         return ""
 
@@ -399,28 +390,37 @@
 
     async def pace_fillers(self) -> None:
         """Slow fillers, or speed them up, by the tails of the serving tasks."""
+        known = [(key, run) for key, run in self.runs.items() if run.facts and run.sure]
         serving = [
-            ServingLoad(run.usage, run.facts.target_ms)
-            for run in self.runs.values()
-            if run.facts is not None and run.facts.target_ms > 0
+            ServingLoad(run.facts.image, run.usage, run.facts.target_ms)
+            for _key, run in known
+            if run.facts.target_ms > 0
         ]
-        percent = self.pacer.decide(serving, self.clock())
-        for (task, attempt), run in list(self.runs.items()):
-            if run.facts is None or not run.facts.fills or run.pace == percent:
-                continue
-            if not run.sure:
-                continue
-            try:
-                result = await self.port.pace(task, attempt, percent, self.fence)
-            except HttpCallError as error:
-                events.write(events.EXECUTOR_SILENT, task=task, error=error)
-                return
-            if result.outcome is OrderOutcome.ACCEPTED:
-                events.write(
-                    events.RUN_PACED,
-                    task=task,
-                    attempt=attempt,
-                    percent=percent,
-                    tails=[(load.tail_ms, load.target_ms) for load in serving],
-                )
-                run.pace = percent
+        fillers = {
+            key: Filler(run.facts.image, run.facts.cpu, run.pace)
+            for key, run in known
+            if run.facts.fills
+        }
+        for key, percent in self.pacer.decide(serving, fillers, self.clock()).items():
+            await self.pace(key, percent, serving)
+
+    async def pace(self, key: RunKey, percent: int, serving: list[ServingLoad]) -> None:
+        """Give one filler a pace."""
+        task, attempt = key
+        try:
+            result = await self.port.pace(task, attempt, percent, self.fence)
+        except HttpCallError as error:
+            events.write(events.EXECUTOR_SILENT, task=task, error=error)
+            return
+        run = self.runs.get(key)
+        if result.outcome is not OrderOutcome.ACCEPTED or run is None:
+            return
+        events.write(
+            events.RUN_PACED,
+            task=task,
+            attempt=attempt,
+            before=run.pace,
+            percent=percent,
+            tails=[(load.tail_ms, load.target_ms) for load in serving],
+        )
+        run.pace = percent
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -16,16 +16,21 @@
 from rattanwing.batch.order import by_urgency
 from rattanwing.batch.placement import Constraints, choose_host
 from rattanwing.batch.ports import EndedRow, RunEnding, RunningRow
+from rattanwing.batch.pressure import PressureModel
 from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
 
 if TYPE_CHECKING:
     from rattanwing.batch.jobs import StepTasks
+    from rattanwing.batch.model import StepSpec
     from rattanwing.batch.replica import JobView
 
 START_WITHIN_S = 1.5
 """An order that was not carried out after this time is void, so that none is
 carried out against a newer evacuation, drain or cancellation."""
 
+PRESSURES_INTERVAL_S = 1.0
+"""How often agents are told what was learnt of the pairs of images."""
+
 STOP_AGAIN_S = 2.0
 """A stop is ordered again when the run is still reported after this time."""
 
@@ -48,6 +53,8 @@
         "expected_hosts",
         "settled",
         "directory_known",
+        "pressures",
+        "pressures_told_at",
     )
 
     def __init__(self, epoch: int, claimed_at: float) -> None:
@@ -61,6 +68,8 @@
         self.unacked: dict[str, tuple[str, int]] = {}
         self.settled = False
         self.directory_known = False
+        self.pressures = PressureModel()
+        self.pressures_told_at = claimed_at
 
     # Jobs
 
@@ -214,6 +223,7 @@
                     self.lose(run, "not-reported")
         if first:
             self.describe_runs(host)
+        self.pressures.observe(list(host.runs.values()), now)
         if view is not None and view.draining:
             self.empty_draining(host, view.remaining_ms, now)
 
@@ -252,15 +262,8 @@
     def describe_runs(self, host: Host) -> None:
         """Tell an agent the sizes of what it runs; it may have restarted."""
         for run in host.runs.values():
-            step = run.task.step
             facts = messages.RunFacts(
-                str(run.task.id),
-                run.attempt,
-                step.cpu,
-                step.memory_mb,
-                step.accelerators,
-                step.fills,
-                step.target_ms,
+                str(run.task.id), run.attempt, task_facts(run.task.step)
             )
             self.outbox.append((host, facts))
 
@@ -275,6 +278,18 @@
             if step.lasting or saves:
                 self.stop(run, "draining", now)
 
+    def tell_pressures(self, now: float) -> None:
+        """Tell the agents which pairs press, at a fixed interval."""
+        if now - self.pressures_told_at < PRESSURES_INTERVAL_S:
+            return
+        self.pressures_told_at = now
+        rows = self.pressures.known_rows()
+        if not rows:
+            return
+        for host in self.hosts.values():
+            if host.connected and host.used_fill_cpu:
+                self.outbox.append((host, messages.Pressures(rows)))
+
     # Runs
 
     def take_ends(
@@ -417,7 +432,7 @@
         for task in steps.tasks:
             if not task.waits():
                 continue
-            host = choose_host(hosts, job, task, self.constraints, now)
+            host = choose_host(hosts, job, task, self.constraints, self.pressures, now)
             if host is None:
                 return
             self.start(job, task, task.attempt + 1, host, now)
@@ -432,7 +447,7 @@
         saved = next((task.saved for task in steps.tasks if task.saved), "")
         placed: list[tuple[Task, Host]] = []
         for task in steps.tasks:
-            host = choose_host(hosts, job, task, self.constraints, now)
+            host = choose_host(hosts, job, task, self.constraints, self.pressures, now)
             if host is None:
                 break
             placed.append((task, host))
@@ -458,18 +473,13 @@
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
             self.note_unstored(job)
-        step = task.step
         order = messages.StartRun(
             run.order_number,
             str(task.id),
             attempt,
             job.spec.text,
             task.saved,
-            step.cpu,
-            step.memory_mb,
-            step.accelerators,
-            step.fills,
-            step.target_ms,
+            task_facts(task.step),
             START_WITHIN_S,
         )
         self.outbox.append((host, order))
@@ -481,3 +491,15 @@
             heard_s=round(now - host.heard_at, 3),
             epoch=self.epoch,
         )
+
+
+def task_facts(step: StepSpec) -> messages.TaskFacts:
+    """Return what an agent has to know of a step's tasks."""
+    return messages.TaskFacts(
+        step.cpu,
+        step.memory_mb,
+        step.accelerators,
+        step.fills,
+        step.target_ms,
+        step.image,
+    )
--- a/rattanwing/batch/service.py
+++ b/rattanwing/batch/service.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import TYPE_CHECKING
 
 import trio
 
 from rattanwing import events
 from rattanwing.batch import records
+from rattanwing.batch.messages import Answer
 from rattanwing.batch.model import JobState, check_steps
 from rattanwing.verdict import Verdict
 
@@ -16,7 +16,7 @@
     from collections.abc import Callable
 
     from rattanwing.batch.model import JobSpec
-    from rattanwing.batch.replica import JobView, TopicReader, WorkReplica
+    from rattanwing.batch.replica import TopicReader, WorkReplica
     from rattanwing.batch.writer import PendingAppend, RecordWriter
 
 STORE_WITHIN_S = 1.5
@@ -34,16 +34,6 @@
 """How often such a wait looks."""
 
 
-class Answer(Enum):
-    """What an entry says to a caller."""
-
-    ACCEPTED = "accepted"
-    REFUSED = "refused"
-    UNKNOWN_OUTCOME = "unknown-outcome"
-    NO_SUCH_JOB = "no-such-job"
-    NOT_READY = "not-ready"
-
-
 class JobService:
     """Serves one entry's callers from its replica and the store."""
 
@@ -111,8 +101,8 @@
         events.write(events.JOB_REFUSED, job=job_id, reason=reason)
         return Answer.REFUSED
 
-    async def find(self, job_id: str, queue: str) -> JobView | Answer:
-        """Return a job of a queue.
+    async def find(self, job_id: str, queue: str) -> JobState | Answer:
+        """Return the state of a job of a queue.
 
         An id that is not known here may have been accepted by another entry a
         moment ago, so the topic is read once more before it is denied.
@@ -130,14 +120,14 @@
                 return Answer.NOT_READY
         if view is None or view.spec.queue.name != queue:
             return Answer.NO_SUCH_JOB
-        return view
+        return view.state
 
     async def cancel(self, job_id: str, queue: str, wait_s: float) -> Answer:
         """Cancel a job; one that has ended stays as it is."""
         found = await self.find(job_id, queue)
         if isinstance(found, Answer):
             return found
-        if found.state.final:
+        if found.final:
             return Answer.ACCEPTED
         now = self.clock()
         key = records.CANCEL_PREFIX + job_id
@@ -153,6 +143,12 @@
             return Answer.REFUSED
         return Answer.UNKNOWN_OUTCOME
 
+    def is_cut_off(self, now: float) -> bool:
+        """Return whether this entry does not reach the store at the moment."""
+        failing_since = self.writer.failing_since
+        failing = failing_since is not None and now - failing_since > OUTAGE_REFUSAL_S
+        return failing or not self.reader.is_fresh(now)
+
     def pending(self, queue: str) -> int:
         """Return how many accepted jobs of a queue have no task started."""
         return sum(
--- a/rattanwing/batch/settings.py
+++ b/rattanwing/batch/settings.py
@@ -14,7 +14,7 @@
     :param store: address of the platform's store.
     :param callers: address for callers; entries only.
     :param readiness: address for the balancer's readiness checks; entries only.
-    :param peers: address for the owner's streams; agents only.
+    :param peers: address for the streams of entries.
     :param announcements: address for the executor's announcements; agents only.
     :param retention_s: how long a finished job's state stays readable.
     :param grace_s: from the request to stop until the process is killed.
--- a/rattanwing/platform/callers.py
+++ b/rattanwing/platform/callers.py
@@ -8,15 +8,15 @@
 import msgspec
 
 from rattanwing import events
+from rattanwing.batch.messages import Answer
 from rattanwing.batch.model import JobSpec, JobState, StepSpec
-from rattanwing.batch.service import Answer
 from rattanwing.batch.timing import wall_clock_ms
 from rattanwing.errors import RejectedError
 from rattanwing.util.http_server import Response, error_response, json_response
 
 if TYPE_CHECKING:
     from rattanwing.batch.configuration import CurrentConfiguration, Queue
-    from rattanwing.batch.service import JobService
+    from rattanwing.batch.relay import RelayingService
     from rattanwing.util.http_server import Request
 
 DEADLINE_HEADER = b"rattanwing-deadline-ms"
@@ -82,7 +82,7 @@
 
     __slots__ = ("service", "current", "closing")
 
-    def __init__(self, service: JobService, current: CurrentConfiguration) -> None:
+    def __init__(self, service: RelayingService, current: CurrentConfiguration) -> None:
         self.service = service
         self.current = current
         self.closing = False
@@ -116,7 +116,7 @@
                 found = await self.service.find(rest, name)
                 if isinstance(found, Answer):
                     return to_response(found)
-                return json_response(200, {"state": STATE_WORDS[found.state]})
+                return json_response(200, {"state": STATE_WORDS[found]})
             case "DELETE":
                 return to_response(await self.service.cancel(rest, name, wait_s))
         return error_response(405, "method-not-allowed", request.method)
--- a/rattanwing/platform/main.py
+++ b/rattanwing/platform/main.py
@@ -97,7 +97,7 @@
     """Run an entry until it has been asked to stop and has drained."""
     from rattanwing.batch.entry import BatchEntry
     from rattanwing.batch.replica import TopicReader
-    from rattanwing.peer.grpc import dial_peer
+    from rattanwing.peer.grpc import dial_peer, serve_peers
     from rattanwing.platform.callers import CallerRoutes
     from rattanwing.platform.operator import OPERATOR_TOPIC, OperatorRecords
 
@@ -108,7 +108,7 @@
     operator = OperatorRecords(entry.current, entry.note_configuration)
     operator_reader = TopicReader(store, OPERATOR_TOPIC, steady_clock, operator.take)
     operator_reader.on_loaded = operator.take_loaded
-    callers = CallerRoutes(entry.service, entry.current)
+    callers = CallerRoutes(entry.relaying, entry.current)
     front = HttpServer()
     front.route("*", r".*", callers.handle)
     readiness = HttpServer()
@@ -119,6 +119,7 @@
 
     readiness.route("GET", READY, answer_ready)
     async with trio.open_nursery() as nursery:
+        await nursery.start(serve_peers, settings.peers, entry.relaying.accept)
         nursery.start_soon(entry.run)
         nursery.start_soon(operator_reader.run)
         nursery.start_soon(serve_until, readiness, settings.readiness, stop.drained)
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -28,9 +28,8 @@
 
 
 def start_order(number=1, cpu=100):
-    return messages.StartRun(
-        number, "job-1.0.0.0", 1, "text", "", cpu, 10, 0, False, 0, 1.5
-    )
+    facts = messages.TaskFacts(cpu, 10, 0, False, 0, "")
+    return messages.StartRun(number, "job-1.0.0.0", 1, "text", "", facts, 1.5)
 
 
 class ReportTests(unittest.TestCase):
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -5,8 +5,8 @@
 import trio
 import trio.testing  # noqa: F401
 
+from rattanwing.batch.messages import Answer
 from rattanwing.batch.model import JobState, StepSpec
-from rattanwing.batch.service import Answer
 from tests.batch.world import job, play
 
 TASK = StepSpec(4, cpu=500, memory_mb=100)
@@ -330,3 +330,47 @@
             self.assertTrue(done)
 
         play(scenario)
+
+
+class RelayTests(unittest.TestCase):
+    """An entry that the store turns away lets another one answer."""
+
+    def cut_off_entry(self, world):
+        """Turn an entry away that does not schedule, and return it."""
+        owner = world.owner().settings.name
+        name = next(name for name in world.entry_names if name != owner)
+        world.store.away.add(name)
+        return world.entries[name]
+
+    def test_job_is_accepted_by_way_of_another_entry(self):
+        async def scenario(world):
+            await trio.sleep(2)
+            entry = self.cut_off_entry(world)
+            for number in range(4):
+                answer = await world.submit(job(f"job-{number}"), entry)
+                self.assertIs(answer, Answer.ACCEPTED)
+                await trio.sleep(1)
+            state = await entry.relaying.find("job-0", "queue-1")
+            self.assertIs(state, JobState.COMPLETED)
+            answer = await entry.relaying.cancel("job-9", "queue-1", 2.0)
+            self.assertIs(answer, Answer.NO_SUCH_JOB)
+
+        world = play(scenario)
+        self.assertEqual(len(world.history), 8)
+        self.assertEqual(world.repeats(), [])
+
+    def test_refusal_is_true_when_no_entry_reaches_the_store(self):
+        async def scenario(world):
+            await trio.sleep(2)
+            world.store.away.update(world.entry_names)
+            await trio.sleep(4)
+            entry = self.cut_off_entry(world)
+            began = trio.current_time()
+            answer = await world.submit(job(), entry)
+            self.assertIn(answer, (Answer.NOT_READY, Answer.REFUSED))
+            self.assertLess(trio.current_time() - began, 0.5)
+            world.store.away.clear()
+            await trio.sleep(5)
+
+        world = play(scenario)
+        self.assertEqual(world.history, [])
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -70,7 +70,7 @@
         return max(owners, key=lambda e: e.loop.epoch, default=None)
 
     async def start_entry(self, name):
-        settings = BatchSettings(name, "domain-a", "127.0.0.1:1", 120.0, 6.0)
+        settings = BatchSettings(name, "domain-a", "", 120.0, 6.0, peers=name)
         entry = BatchEntry(
             settings,
             self.store.client(name),
@@ -133,14 +133,15 @@
 
     async def dial(self, caller, address, handler):
         """Open a stream in memory that a cut or a death ends."""
-        agent = self.agents.get(address)
+        agent = self.agents.get(address) or self.entries.get(address)
         if agent is None or {caller, address} & self.cut:
             await trio.sleep(0.5)
             raise PeerLostError("no connection")
         near, far = memory_stream_pair()
         scope = self.scopes[address]
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.serve_side, scope, agent.accept, far)
+            accept = getattr(agent, "relaying", agent).accept
+            nursery.start_soon(self.serve_side, scope, accept, far)
             nursery.start_soon(self.watch_cut, caller, address, agent, nursery)
             await handler(near)
             nursery.cancel_scope.cancel()
@@ -154,7 +155,8 @@
         """End a stream 3 s after it was cut, as its silence limit would."""
         while True:
             await trio.sleep(0.05)
-            if self.agents.get(address) is not agent or caller not in self.entries:
+            there = self.agents.get(address) or self.entries.get(address)
+            if there is not agent or caller not in self.entries:
                 nursery.cancel_scope.cancel()
             if {caller, address} & self.cut:
                 nursery.cancel_scope.cancel()
@@ -176,7 +178,7 @@
     async def submit(self, spec, entry=None):
         """Hand a job in at an entry."""
         entry = entry or next(iter(self.entries.values()))
-        return await entry.service.submit(spec, 2.0)
+        return await entry.relaying.submit(spec, 2.0)
 
     async def wait_for_state(self, job_id, state, limit_s=30.0):
         """Wait until every entry shows a job in a state; return whether it did."""
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -7,9 +7,9 @@
 
 from rattanwing.batch.agent import BatchAgent
 from rattanwing.batch.configuration import Configuration, CurrentConfiguration
+from rattanwing.batch.messages import Answer
 from rattanwing.batch.model import JobState, QueueRules
 from rattanwing.batch.ports import OrderOutcome, RunEnding, StoredRecord
-from rattanwing.batch.service import Answer
 from rattanwing.errors import SettingsError
 from rattanwing.platform.callers import CallerRoutes
 from rattanwing.platform.executor import (
@@ -223,11 +223,7 @@
 
     def test_state_is_spelled_as_the_platform_wants(self):
         self.configure()
-
-        class View:
-            state = JobState.COMPLETED
-
-        self.service.answer = View()
+        self.service.answer = JobState.COMPLETED
         response = self.ask("GET", f"/q/{JOB_ID}")
         self.assertEqual(response.body, b'{"state":"completed"}')
 
