Fence the directory with the ownership

Change: addresses are dropped under the owner's epoch; a new owner raises it before it lists the directory. Test: test_superseded_owner_drops_no_agent failed before (0 of 4 agents left).

--- a/rattanwing/batch/entry.py
+++ b/rattanwing/batch/entry.py
@@ -147,7 +147,6 @@
             writer,
             self.replica,
             self.directory,
-            self.directory_writer,
             self.current,
             self.clock,
             self.wall_ms,
--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -8,11 +8,14 @@
 
 from rattanwing import events
 from rattanwing.batch import messages, records
+from rattanwing.batch.ownership import FIRST_SEQUENCE_LIMIT, PRODUCER
 from rattanwing.batch.placement import Constraints
+from rattanwing.batch.ports import Stamp
 from rattanwing.batch.replica import RETRY_PAUSE_S
 from rattanwing.batch.scheduler import Scheduler
 from rattanwing.batch.timing import TASK_LEASE_S
-from rattanwing.errors import LogUnavailableError, PeerLostError
+from rattanwing.batch.writer import RecordWriter
+from rattanwing.errors import LogError, PeerLostError
 from rattanwing.peer.session import PeerSession
 from rattanwing.verdict import Verdict
 
@@ -23,7 +26,6 @@
     from rattanwing.batch.configuration import CurrentConfiguration
     from rattanwing.batch.hosts import Host
     from rattanwing.batch.replica import Directory, WorkReplica
-    from rattanwing.batch.writer import RecordWriter
     from rattanwing.peer.stream import ByteMessageStream
 
     Dial = Callable[
@@ -82,7 +84,6 @@
         writer: RecordWriter,
         replica: WorkReplica,
         directory: Directory,
-        directory_writer: RecordWriter,
         current: CurrentConfiguration,
         clock: Callable[[], float],
         wall_ms: Callable[[], int],
@@ -95,7 +96,13 @@
         self.writer = writer
         self.replica = replica
         self.directory = directory
-        self.directory_writer = directory_writer
+        self.directory_writer = RecordWriter(
+            writer.store,
+            records.DIRECTORY_TOPIC,
+            Stamp(PRODUCER, writer.epoch, random.randrange(1, FIRST_SEQUENCE_LIMIT)),
+            clock,
+            random,
+        )
         self.current = current
         self.clock = clock
         self.wall_ms = wall_ms
@@ -127,6 +134,7 @@
                 for name in list(self.directory.agents):
                     self.link(name)
                 nursery.start_soon(self.await_directory)
+                nursery.start_soon(self.directory_writer.run)
                 nursery.start_soon(self.store_on)
                 nursery.start_soon(self.sweep_on)
                 await self.decide_on()
@@ -148,7 +156,7 @@
         while not self.scheduler.directory_known:
             try:
                 await self.list_directory()
-            except LogUnavailableError as error:
+            except LogError as error:
                 events.write(
                     events.LOG_UNAVAILABLE,
                     topic=records.DIRECTORY_TOPIC,
@@ -158,10 +166,21 @@
         self.note_change()
 
     async def list_directory(self) -> None:
-        """Read the newest record of every agent."""
+        """Read the newest record of every agent.
+
+        The empty append comes first: from then on the store refuses the earlier
+        owner's drops, who may take agents for gone that have left it for this one.
+        """
+        store = self.writer.store
+        stamp = Stamp(
+            self.directory_writer.producer,
+            self.directory_writer.epoch,
+            self.directory_writer.sequence,
+        )
+        await store.append(records.DIRECTORY_TOPIC, [], stamp)
         after = ""
         while True:
-            page = await self.writer.store.newest(records.DIRECTORY_TOPIC, after)
+            page = await store.newest(records.DIRECTORY_TOPIC, after)
             for record in page.records:
                 self.directory.take(record)
             if not page.has_more or not page.records:
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -331,6 +331,21 @@
 
         play(scenario)
 
+    def test_superseded_owner_drops_no_agent(self):
+        """The agents left it for the new owner; they are not gone."""
+
+        async def fault(world):
+            name = world.owner().settings.name
+            world.store.away.add(name)
+            await trio.sleep(12)
+            world.store.away.discard(name)
+            await trio.sleep(1)
+            known = world.store.topic("directory").newest
+            agents = [key for key in known if key.startswith("agent/")]
+            self.assertEqual(len(agents), 4)
+
+        self.run_jobs_through(fault)
+
 
 class RelayTests(unittest.TestCase):
     """An entry that the store turns away lets another one answer."""
