--- a/rattanwing/batch/entry.py
+++ b/rattanwing/batch/entry.py
@@ -160,5 +160,9 @@
             self.loop = None
 
     async def resign(self) -> None:
-        """Give ownership up before a planned stop."""
+        """Give ownership up before a planned stop, and take no more relayed calls."""
         await self.candidate.resign(RESIGN_LIMIT_S)
+        key = records.ENTRY_PREFIX + self.settings.name
+        with trio.move_on_after(RESIGN_LIMIT_S):
+            expires_at = self.clock() + RESIGN_LIMIT_S
+            await self.directory_writer.store_records([(key, None)], expires_at)
--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -107,6 +107,12 @@
         if self.runs.pop((str(run.task.id), run.attempt), None) is not None:
             self.reserve(run.task.step, -1)
 
+    def take_order_number(self) -> int:
+        """Return the number of the next order on this host's stream."""
+        number = self.next_order
+        self.next_order += 1
+        return number
+
     def reserve(self, step: StepSpec, sign: int) -> None:
         """Add or take off the room of one task."""
         if step.fills:
--- a/rattanwing/batch/jobs.py
+++ b/rattanwing/batch/jobs.py
@@ -22,6 +22,7 @@
     """
 
     __slots__ = (
+        "job",
         "id",
         "step",
         "attempt",
@@ -33,7 +34,8 @@
         "failed_on",
     )
 
-    def __init__(self, task_id: TaskId, step: StepSpec) -> None:
+    def __init__(self, job: OwnedJob, task_id: TaskId, step: StepSpec) -> None:
+        self.job = job
         self.id = task_id
         self.step = step
         self.attempt = 0
@@ -59,12 +61,14 @@
 
     __slots__ = ("spec", "occurrence", "number", "tasks", "left")
 
-    def __init__(self, job_id: str, occurrence: int, number: int, spec: StepSpec):
+    def __init__(
+        self, job: OwnedJob, occurrence: int, number: int, spec: StepSpec
+    ) -> None:
         self.spec = spec
         self.occurrence = occurrence
         self.number = number
         self.tasks = [
-            Task(TaskId(job_id, occurrence, number, index), spec)
+            Task(job, TaskId(job.spec.job_id, occurrence, number, index), spec)
             for index in range(spec.count)
         ]
         self.left = spec.count
@@ -102,7 +106,8 @@
         "inherited",
         "dirty",
         "finished_at_ms",
-        "received_at",
+        "idle_since",
+        "running",
         "stored",
     )
 
@@ -114,7 +119,8 @@
         self.inherited = inherited
         self.dirty = False
         self.finished_at_ms = 0
-        self.received_at = received_at
+        self.idle_since = received_at
+        self.running = 0
         self.stored: Progress | None = None
 
     def begin_due(self, now_ms: int) -> None:
@@ -124,7 +130,7 @@
             if self.spec.times and now_ms < due_at_ms:
                 return
             self.occurrences[self.due] = [
-                StepTasks(self.spec.job_id, self.due, number, step)
+                StepTasks(self, self.due, number, step)
                 for number, step in enumerate(self.spec.steps)
             ]
             if self.stored is not None:
@@ -173,6 +179,15 @@
             for steps in steps_list
         )
 
+    def note_run(self, change: int, now: float) -> None:
+        """Count a run that began (1) or ended (-1)."""
+        self.running += change
+        self.idle_since = now
+
+    def is_starved(self, now: float, limit_s: float) -> bool:
+        """Return whether nothing of the job has run for a while."""
+        return self.running == 0 and now - self.idle_since > limit_s
+
     def finish_task(self, task: Task) -> None:
         """Mark a task as done; a gang is done as a whole."""
         steps = self.occurrences[task.id.occurrence][task.id.step]
--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -214,7 +214,8 @@
 
     def send_orders(self) -> None:
         """Send the scheduler's messages; what finds no stream is ordered anew."""
-        outbox, self.scheduler.outbox = self.scheduler.outbox, []
+        ledger = self.scheduler.ledger
+        outbox, ledger.outbox = ledger.outbox, []
         for host, message in outbox:
             session = self.sessions.get(host.name)
             if session is None:
@@ -272,7 +273,7 @@
         if name in self.linked or self.nursery is None:
             return
         self.linked.add(name)
-        self.scheduler.add_host(name, self.clock())
+        self.scheduler.ledger.add_host(name, self.clock())
         self.nursery.start_soon(self.keep_link, name)
 
     def unlink(self, name: str) -> None:
@@ -296,7 +297,7 @@
         """Dial an agent again and again while it is linked."""
         while name in self.linked:
             address = self.directory.agents.get(name)
-            host = self.scheduler.hosts.get(name)
+            host = self.scheduler.ledger.hosts.get(name)
             if address is None or host is None:
                 self.linked.discard(name)
                 return
@@ -321,14 +322,14 @@
             fence = self.epoch * FENCE_STREAMS + self.streams
             session.send(messages.OwnerHello(self.epoch, fence, self.node))
             self.sessions[host.name] = session
-            self.scheduler.host_connected(host)
+            self.scheduler.ledger.host_connected(host)
             events.write(events.PEER_CONNECTED, peer=host.name, fence=fence)
             try:
                 await session.run()
             finally:
                 if self.sessions.get(host.name) is session:
                     del self.sessions[host.name]
-                    self.scheduler.host_lost(host)
+                    self.scheduler.ledger.host_lost(host)
                     events.write(events.PEER_LOST, peer=host.name, fence=fence)
 
         return serve
@@ -345,7 +346,7 @@
             case messages.RunsEnded():
                 self.scheduler.take_ends(host, message, now, now_ms)
             case messages.RunRefused():
-                self.scheduler.take_refused(host, message)
+                self.scheduler.take_refused(host, message, now)
         self.note_change()
 
     def answer_report(
--- a/rattanwing/batch/placement.py
+++ b/rattanwing/batch/placement.py
@@ -41,6 +41,10 @@
 FAR_WEIGHT = 8_000
 """The same for a host on another rack than the data, where work takes longer."""
 
+STARVED_AFTER_S = 1.2
+"""After this time without a run a job is placed where it does not suit: a third
+of the 3 s after which the platform counts it as forgotten."""
+
 FAILED_HERE_WEIGHT = 50_000
 """Weight of a host on which the task has failed before: only the last resort."""
 
@@ -60,7 +64,7 @@
 def fits(
     host: Host, job: OwnedJob, step: StepSpec, constraints: Constraints, now: float
 ) -> bool:
-    """Return whether one more task of a step may run on a host."""
+    """Return whether one more task of a step may run on a host at all."""
     executor = host.executor
     if executor is None or not host.takes_starts(now):
         return False
@@ -74,9 +78,21 @@
         return False
     if host.used_accelerators + step.accelerators > executor.accelerators:
         return False
-    if step.fills:
-        return step.cpu <= host.room_for_fillers(LASTING_USE_SHARE)
-    return host.used_cpu + step.cpu <= executor.cpu
+    return step.fills or host.used_cpu + step.cpu <= executor.cpu
+
+
+def suits(host: Host, step: StepSpec, pressures: PressureModel, now: float) -> bool:
+    """Return whether one more task of a step should run on a host.
+
+    A filler should find unused room, and no serving task that it presses on.
+    """
+    if host.health.is_sick(now):
+        return False
+    if not step.fills:
+        return True
+    if step.cpu > host.room_for_fillers(LASTING_USE_SHARE):
+        return False
+    return worst_pressure(host, step, pressures) <= PRESSURE_LIMIT
 
 
 def count_on(host: Host, task: Task) -> int:
@@ -141,24 +157,16 @@
 ) -> Host | None:
     """Return the best host for a task, or ``None`` where it must wait.
 
-    Hosts that were seen to fail are used only when no other one is there at all.
+    A job of which nothing has run for ``STARVED_AFTER_S`` takes any host that has
+    the room.
     """
     fitting = [h for h in hosts if fits(h, job, task.step, constraints, now)]
     limit = task.step.spread_limit
     if limit:
         fitting = [host for host in fitting if count_on(host, task) < limit]
-    healthy = [host for host in fitting if not host.health.is_sick(now)]
-    if not healthy and any(
-        not h.health.is_sick(now) and h.takes_starts(now) for h in hosts
-    ):
-        return None
-    candidates = healthy or fitting
-    if task.step.fills:
-        candidates = [
-            host
-            for host in candidates
-            if worst_pressure(host, task.step, pressures) <= PRESSURE_LIMIT
-        ]
+    candidates = [host for host in fitting if suits(host, task.step, pressures, now)]
+    if not candidates and job.is_starved(now, STARVED_AFTER_S):
+        candidates = fitting
     if not candidates:
         return None
     by_domain: dict[str, int] = {}
--- a/rattanwing/batch/relay.py
+++ b/rattanwing/batch/relay.py
@@ -20,6 +20,7 @@
     from collections.abc import Callable
     from random import Random
 
+    from rattanwing.batch import records
     from rattanwing.batch.model import JobSpec, JobState
     from rattanwing.batch.owner import Dial
     from rattanwing.batch.replica import Directory
@@ -33,8 +34,12 @@
 MOST_PEERS = 3
 """Entries that are asked for one call."""
 
-PEER_WAIT_S = 1.0
-"""Longest wait for one of them."""
+ASK_INTERVAL_S = 0.25
+"""Between asking one and the next: a dead machine does not answer, and a living
+one does within some round trips."""
+
+ASK_LIMIT_S = 1.5
+"""Longest wait for all of them: half of what callers usually wait."""
 
 
 class RelayingService:
@@ -97,7 +102,7 @@
         if not self.local.is_cut_off(self.clock()):
             return await self.local.find(job_id, queue)
         call = messages.RelayedFind(job_id, queue)
-        relayed = await self.ask(call, PEER_WAIT_S)
+        relayed = await self.ask(call, ASK_LIMIT_S)
         if relayed is None:
             return await self.local.find(job_id, queue)
         return relayed.answer if relayed.state is None else relayed.state
@@ -109,45 +114,63 @@
     async def ask(
         self, call: messages.Message, wait_s: float
     ) -> messages.RelayedAnswer | None:
-        """Ask other entries, one after the other, until one is able to answer.
+        """Ask other entries, each once the one before has failed or is slow.
 
-        :returns: ``None`` where none is; then the call has not run.
+        :returns: the first answer of an entry that is able to answer, or any other
+            one; ``None`` where no entry was reached.
         """
         addresses = [a for n, a in self.directory.entries.items() if n != self.node]
         self.random.shuffle(addresses)
-        found: messages.RelayedAnswer | None = None
-        with trio.move_on_after(wait_s):
-            for address in addresses[:MOST_PEERS]:
-                with trio.move_on_after(PEER_WAIT_S):
-                    found = await self.ask_one(address.address, call)
-                if found is None or found.answer is not Answer.NOT_READY:
-                    events.write(
-                        events.CALL_RELAYED,
-                        call=type(call).__name__,
-                        peer=address.node,
-                        answer=found.answer.value if found else "none",
+        found: list[messages.RelayedAnswer] = []
+        with trio.move_on_after(min(wait_s, ASK_LIMIT_S)):
+            async with trio.open_nursery() as nursery:
+                for address in addresses[:MOST_PEERS]:
+                    ended = trio.Event()
+                    nursery.start_soon(
+                        self.ask_one, address, call, found, ended, nursery
                     )
-                if found is not None and found.answer is not Answer.NOT_READY:
-                    return found
-        return found
+                    with trio.move_on_after(ASK_INTERVAL_S):
+                        await ended.wait()
+        answer = next((a for a in found if a.answer is not Answer.NOT_READY), None)
+        return answer or next(iter(found), None)
 
     async def ask_one(
-        self, address: str, call: messages.Message
-    ) -> messages.RelayedAnswer | None:
-        """Ask one entry; ``None`` where it can't be reached."""
-        found: list[messages.RelayedAnswer] = []
+        self,
+        address: records.EntryAddress,
+        call: messages.Message,
+        found: list[messages.RelayedAnswer],
+        ended: trio.Event,
+        nursery: trio.Nursery,
+    ) -> None:
+        """Ask one entry; its answer ends the nursery, unless it is not able to."""
+        taken: list[messages.RelayedAnswer] = []
 
         async def exchange(stream: ByteMessageStream) -> None:
-            await stream.send(messages.encode(call))
-            answer = messages.decode(await stream.receive())
+            try:
+                await stream.send(messages.encode(call))
+                answer = messages.decode(await stream.receive())
+            except (PeerLostError, ProtocolError) as error:
+                events.write(events.PEER_LOST, peer=address.node, reason=str(error))
+                return
             if isinstance(answer, messages.RelayedAnswer):
-                found.append(answer)
+                taken.append(answer)
 
         try:
-            await self.dial(address, exchange)
-        except (PeerLostError, ProtocolError) as error:
-            events.write(events.PEER_LOST, peer=address, reason=str(error))
-        return found[0] if found else None
+            await self.dial(address.address, exchange)
+        except PeerLostError as error:
+            events.write(events.PEER_LOST, peer=address.node, reason=str(error))
+        found += taken
+        ended.set()
+        if not taken:
+            return
+        events.write(
+            events.CALL_RELAYED,
+            call=type(call).__name__,
+            peer=address.node,
+            answer=taken[0].answer.value,
+        )
+        if taken[0].answer is not Answer.NOT_READY:
+            nursery.cancel_scope.cancel()
 
     async def accept(self, stream: ByteMessageStream) -> None:
         """Answer one relayed call of another entry."""
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -1,6 +1,6 @@
 """The owner's decisions: what runs where, what has ended, what is to be stored.
 
-No input and no output: messages to agents collect in ``outbox``, jobs to be
+No input and no output: messages to agents collect in the ledger, jobs to be
 stored in ``unstored``, ends that may be forgotten once stored in ``unacked``.
 """
 
@@ -10,8 +10,8 @@
 
 from rattanwing import events
 from rattanwing.batch import messages
-from rattanwing.batch.hosts import Host, Run
 from rattanwing.batch.jobs import OwnedJob, Task
+from rattanwing.batch.ledger import RunLedger, task_facts
 from rattanwing.batch.model import JobState, parse_task_id
 from rattanwing.batch.order import by_urgency
 from rattanwing.batch.placement import Constraints, choose_host
@@ -20,8 +20,8 @@
 from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
 
 if TYPE_CHECKING:
+    from rattanwing.batch.hosts import Host, Run
     from rattanwing.batch.jobs import StepTasks
-    from rattanwing.batch.model import StepSpec
     from rattanwing.batch.replica import JobView
 
 START_WITHIN_S = 1.5
@@ -29,7 +29,8 @@
 carried out against a newer evacuation, drain or cancellation."""
 
 PRESSURES_INTERVAL_S = 1.0
-"""How often agents are told what was learnt of the pairs of images."""
+"""How often agents are told what was learnt of the pairs of images; the model
+forgets by this interval."""
 
 STOP_AGAIN_S = 2.0
 """A stop is ordered again when the run is still reported after this time."""
@@ -45,9 +46,8 @@
         "epoch",
         "claimed_at",
         "jobs",
-        "hosts",
+        "ledger",
         "constraints",
-        "outbox",
         "unstored",
         "unacked",
         "expected_hosts",
@@ -61,9 +61,8 @@
         self.epoch = epoch
         self.claimed_at = claimed_at
         self.jobs: dict[str, OwnedJob] = {}
-        self.hosts: dict[str, Host] = {}
+        self.ledger = RunLedger(claimed_at)
         self.constraints = Constraints()
-        self.outbox: list[tuple[Host, messages.Message]] = []
         self.unstored: dict[str, OwnedJob] = {}
         self.unacked: dict[str, tuple[str, int]] = {}
         self.settled = False
@@ -102,7 +101,7 @@
         )
         for task in job.tasks():
             for run in list(task.runs):
-                self.stop(run, "job-final", now)
+                self.ledger.stop(run, "job-final", now)
 
     def note_unstored(self, job: OwnedJob) -> None:
         """Remember that a job's progress must be stored."""
@@ -126,47 +125,18 @@
 
     # Hosts
 
-    def add_host(self, name: str, now: float) -> Host:
-        """Return the host of an agent, new or known.
-
-        An earlier owner may have granted a whole lease just before the claim.
-        """
-        host = self.hosts.get(name)
-        if host is None:
-            host = self.hosts[name] = Host(name, self.claimed_at + TASK_LEASE_S)
-            host.heard_at = now
-        return host
-
-    def host_connected(self, host: Host) -> None:
-        """Begin a new stream: orders of the old one count no more."""
-        host.connected = True
-        host.settled = False
-        host.next_order = 1
-        for run in host.runs.values():
-            run.order_number = 0
-
-    def host_lost(self, host: Host) -> None:
-        """Take note that the stream has ended; what runs there may go on.
-
-        Where the executor had ended before, nothing is left to wait for.
-        """
-        host.connected = False
-        if host.settled and host.executor is None and not host.runs:
-            host.granted_until = float("-inf")
-        host.settled = False
-
     def check_lapses(self, now: float) -> list[str]:
         """Give up on runs whose lease has surely lapsed.
 
         :returns: the names of the hosts of which nothing is left.
         """
         lapsed = []
-        for host in list(self.hosts.values()):
+        for host in list(self.ledger.hosts.values()):
             if not host.has_lapsed(now):
                 continue
-            self.lose_all(host, "lapsed")
+            self.ledger.lose_all(host, "lapsed", now)
             lapsed.append(host.name)
-            del self.hosts[host.name]
+            del self.ledger.hosts[host.name]
         return lapsed
 
     def check_settled(self, now: float) -> None:
@@ -178,7 +148,7 @@
         if self.settled or not self.directory_known:
             return
         lapsed = now >= self.claimed_at + TASK_LEASE_S + LEASE_MARGIN_S
-        waiting = [h.name for h in self.hosts.values() if not h.settled]
+        waiting = [h.name for h in self.ledger.hosts.values() if not h.settled]
         if waiting and not lapsed:
             return
         self.settled = True
@@ -206,7 +176,7 @@
             view.incarnation != before.incarnation if view else report.certain
         )
         if replaced:
-            self.lose_all(host, "executor-gone")
+            self.ledger.lose_all(host, "executor-gone", now)
             host.ends_taken = 0
         if view is not None or report.certain:
             host.executor = view
@@ -220,9 +190,9 @@
         if report.certain:
             for key, run in list(host.runs.items()):
                 if key not in listed and run.order_number <= report.orders_seen:
-                    self.lose(run, "not-reported")
+                    self.ledger.lose(run, "not-reported", now)
         if first:
-            self.describe_runs(host)
+            self.ledger.describe_runs(host)
         self.pressures.observe(list(host.runs.values()), now)
         if view is not None and view.draining:
             self.empty_draining(host, view.remaining_ms, now)
@@ -233,7 +203,7 @@
         run.percent, run.usage = row.percent, row.usage
         run.saved = row.saved or run.saved
         if run.stopping_since is not None and now - run.stopping_since > STOP_AGAIN_S:
-            self.stop(run, "again", now)
+            self.ledger.stop(run, "again", now)
 
     def adopt(self, host: Host, row: RunningRow, now: float) -> Run | None:
         """Take over a run that an earlier owner, or an earlier stream, started."""
@@ -246,27 +216,17 @@
         task = job.task(task_id) if job is not None else None
         if task is None:
             events.write(events.RUN_UNKNOWN, host=host.name, task=row.task)
-            self.order_stop(host, row.task, row.attempt)
+            self.ledger.order_stop(host, row.task, row.attempt)
             return None
-        run = Run(task, row.attempt, host, now)
-        host.add(run)
-        task.runs.append(run)
+        run = self.ledger.book(task, row.attempt, host, now)
         task.attempt = max(task.attempt, row.attempt)
         if task.done or job.state.final or row.attempt < task.attempt:
-            self.stop(run, "superseded", now)
+            self.ledger.stop(run, "superseded", now)
         elif job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
             self.note_unstored(job)
         return run
 
-    def describe_runs(self, host: Host) -> None:
-        """Tell an agent the sizes of what it runs; it may have restarted."""
-        for run in host.runs.values():
-            facts = messages.RunFacts(
-                str(run.task.id), run.attempt, task_facts(run.task.step)
-            )
-            self.outbox.append((host, facts))
-
     def empty_draining(self, host: Host, remaining_ms: int, now: float) -> None:
         """Move what will not be done before the executor leaves."""
         for run in list(host.runs.values()):
@@ -276,19 +236,20 @@
             needs_ms = step.estimate_ms * (100 - run.percent) // 100
             saves = step.checkpoint and needs_ms > remaining_ms
             if step.lasting or saves:
-                self.stop(run, "draining", now)
+                self.ledger.stop(run, "draining", now)
 
     def tell_pressures(self, now: float) -> None:
-        """Tell the agents which pairs press, at a fixed interval."""
+        """Learn, and tell the agents, which pairs press, once a second."""
         if now - self.pressures_told_at < PRESSURES_INTERVAL_S:
             return
         self.pressures_told_at = now
+        self.pressures.refit()
         rows = self.pressures.known_rows()
         if not rows:
             return
-        for host in self.hosts.values():
+        for host in self.ledger.hosts.values():
             if host.connected and host.used_fill_cpu:
-                self.outbox.append((host, messages.Pressures(rows)))
+                self.ledger.send(host, messages.Pressures(rows))
 
     # Runs
 
@@ -317,7 +278,7 @@
         )
         run = host.runs.get((end.task, end.attempt))
         if run is not None:
-            self.release(run)
+            self.ledger.release(run, now)
         try:
             task_id = parse_task_id(end.task)
         except ValueError:
@@ -347,7 +308,7 @@
         if not task.done:
             job.finish_task(task)
         for other in list(task.runs):
-            self.stop(other, "done-elsewhere", now)
+            self.ledger.stop(other, "done-elsewhere", now)
         if job.all_done():
             self.finish(job, JobState.COMPLETED, now, now_ms)
 
@@ -361,61 +322,21 @@
             return
         self.finish(job, JobState.FAILED, now, now_ms)
 
-    def take_refused(self, host: Host, refused: messages.RunRefused) -> None:
+    def take_refused(
+        self, host: Host, refused: messages.RunRefused, now: float
+    ) -> None:
         """Place a run anew that an agent did not start."""
         run = host.runs.get((refused.task, refused.attempt))
         if run is not None:
-            self.lose(run, refused.reason)
-
-    def lose_all(self, host: Host, reason: str) -> None:
-        """Give up on every run of a host."""
-        for run in list(host.runs.values()):
-            self.lose(run, reason)
-
-    def lose(self, run: Run, reason: str) -> None:
-        """Give up on a run that has surely ended without a listed end."""
-        events.write(
-            events.RUN_LOST,
-            task=str(run.task.id),
-            attempt=run.attempt,
-            host=run.host.name,
-            reason=reason,
-        )
-        if run.saved and run.attempt == run.task.attempt:
-            run.task.saved = run.saved
-        self.release(run)
-
-    def release(self, run: Run) -> None:
-        """Free the room of a run."""
-        run.host.remove(run)
-        if run in run.task.runs:
-            run.task.runs.remove(run)
-
-    def stop(self, run: Run, reason: str, now: float) -> None:
-        """Order the stop of a run; its room is free once its end is listed."""
-        run.stopping_since = now
-        events.write(
-            events.RUN_STOPPED,
-            task=str(run.task.id),
-            attempt=run.attempt,
-            host=run.host.name,
-            reason=reason,
-        )
-        self.order_stop(run.host, str(run.task.id), run.attempt)
-
-    def order_stop(self, host: Host, task: str, attempt: int) -> None:
-        """Send a stop order."""
-        number = host.next_order
-        host.next_order += 1
-        self.outbox.append((host, messages.StopRun(number, task, attempt)))
+            self.ledger.lose(run, refused.reason, now)
 
     # Placement
 
     def plan(self, now: float, now_ms: int) -> None:
         """Place every waiting task that there is room for."""
-        hosts = list(self.hosts.values())
+        hosts = list(self.ledger.hosts.values())
         waiting = [job for job in self.jobs.values() if not job.state.final]
-        for job in by_urgency(waiting):
+        for job in by_urgency(waiting, now_ms):
             job.begin_due(now_ms)
             if job.inherited and not self.settled:
                 continue
@@ -465,11 +386,8 @@
     ) -> None:
         """Order the start of a run."""
         task.attempt = attempt
-        run = Run(task, attempt, host, now)
-        run.order_number = host.next_order
-        host.next_order += 1
-        host.add(run)
-        task.runs.append(run)
+        run = self.ledger.book(task, attempt, host, now)
+        run.order_number = host.take_order_number()
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
             self.note_unstored(job)
@@ -482,7 +400,7 @@
             task_facts(task.step),
             START_WITHIN_S,
         )
-        self.outbox.append((host, order))
+        self.ledger.send(host, order)
         events.write(
             events.RUN_PLACED,
             task=str(task.id),
@@ -491,15 +409,3 @@
             heard_s=round(now - host.heard_at, 3),
             epoch=self.epoch,
         )
-
-
-def task_facts(step: StepSpec) -> messages.TaskFacts:
-    """Return what an agent has to know of a step's tasks."""
-    return messages.TaskFacts(
-        step.cpu,
-        step.memory_mb,
-        step.accelerators,
-        step.fills,
-        step.target_ms,
-        step.image,
-    )
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -44,6 +44,7 @@
 REQUEST_REFUSED = Event(301, logbook.INFO, "A request was refused; it did not run.")
 REQUEST_UNCERTAIN = Event(302, logbook.WARNING, "A request's answer was lost.")
 REQUEST_MALFORMED = Event(303, logbook.INFO, "A malformed request was refused.")
+REQUEST_FAILED = Event(305, logbook.ERROR, "A request met an unforeseen error.")
 EXECUTOR_EJECTED = Event(304, logbook.WARNING, "A slow executor gets no new work.")
 
 LOG_UNAVAILABLE = Event(401, logbook.WARNING, "The platform's log does not answer.")
--- a/rattanwing/util/http_server.py
+++ b/rattanwing/util/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import traceback
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qsl
 
@@ -11,6 +12,7 @@
 import trio
 from hypercorn.trio import serve
 
+from rattanwing import events
 from rattanwing.errors import RejectedError
 
 if TYPE_CHECKING:
@@ -130,12 +132,26 @@
                 return error_response(413, error.rule, error.detail)
             except BodyIncompleteError as error:
                 return error_response(400, error.rule, error.detail)
-            return await handler(make_request(scope, body, match.groupdict()))
+            return await answer_by(
+                handler, make_request(scope, body, match.groupdict())
+            )
         if known_path:
             return error_response(405, "method-not-allowed", scope["method"])
         return error_response(404, "unknown-path", path)
 
 
+async def answer_by(
+    handler: Callable[[Request], Awaitable[Response]], request: Request
+) -> Response:
+    """Return the handler's answer; an unforeseen error is logged and answered."""
+    try:
+        return await handler(request)
+    except Exception as error:
+        detail = "".join(traceback.format_exception(error))
+        events.write(events.REQUEST_FAILED, path=request.path, trace=detail)
+        return error_response(500, "internal-error", "see the log of this process")
+
+
 def make_request(scope: Any, body: bytes, match: dict[str, str]) -> Request:
     """Return the typed form of an ASGI scope and its body."""
     raw = scope.get("raw_path") or scope["path"].encode()
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import unittest
+from types import SimpleNamespace
 
 import trio
 import trio.testing  # noqa: F401
@@ -374,6 +375,42 @@
         self.assertEqual(len(world.history), 8)
         self.assertEqual(world.repeats(), [])
 
+    def test_peer_that_breaks_off_is_followed_by_the_next(self):
+        async def scenario(world):
+            await trio.sleep(2)
+            entry = self.cut_off_entry(world)
+            name = entry.settings.name
+            broken = next(n for n in world.entry_names if n != name)
+
+            async def break_off(stream):
+                await stream.aclose()
+
+            world.entries[broken].relaying = SimpleNamespace(accept=break_off)
+            for number in range(8):
+                answer = await world.submit(job(f"job-{number}"), entry)
+                self.assertIs(answer, Answer.ACCEPTED)
+
+        play(scenario)
+
+    def test_silent_peer_does_not_hold_a_call_up(self):
+        async def scenario(world):
+            await trio.sleep(2)
+            entry = self.cut_off_entry(world)
+            name = entry.settings.name
+            silent = next(n for n in world.entry_names if n != name)
+
+            async def keep_silent(_stream):
+                await trio.sleep_forever()
+
+            world.entries[silent].relaying = SimpleNamespace(accept=keep_silent)
+            for number in range(8):
+                began = trio.current_time()
+                answer = await world.submit(job(f"job-{number}"), entry)
+                self.assertIs(answer, Answer.ACCEPTED)
+                self.assertLess(trio.current_time() - began, 1.1)
+
+        play(scenario)
+
     def test_refusal_is_true_when_no_entry_reaches_the_store(self):
         async def scenario(world):
             await trio.sleep(2)
