Keep fillers further from the serving tasks that they press on

Change: at most 0.15 of a target a filler beside a serving task; slow from 0.7 of the target; 0.03 counts as pressing.

--- a/rattanwing/batch/pacing.py
+++ b/rattanwing/batch/pacing.py
@@ -21,15 +21,15 @@
 
 FULL_PERCENT = 100
 
-SLOW_ABOVE = 0.85
+SLOW_ABOVE = 0.7
 """Share of the target above which pressing fillers are slowed: below 1, for the
 figure lags by half a second."""
 
-RELEASE_BELOW = 0.7
+RELEASE_BELOW = 0.6
 """Share of the target that a tail may reach by a filler's speeding up; the gap to
 ``SLOW_ABOVE`` keeps the pace from swinging."""
 
-PRESSES_ABOVE = 0.08
+PRESSES_ABOVE = 0.03
 """Share of the target from which a filler counts as pressing: the tails swing by
 more than this without any filler."""
 
--- a/rattanwing/batch/placement.py
+++ b/rattanwing/batch/placement.py
@@ -23,7 +23,7 @@
 """Thousandths of a core that a filler's pressure of a whole target weighs: a tenth
 of a target is worth two cores of free room."""
 
-PRESSURE_LIMIT = 0.5
+PRESSURE_LIMIT = 0.15
 """Share of a target that a filler may add beside a serving task; beyond it the
 filler would be slowed at once, and waits instead."""
 
