--- a/tests/test_proof_model.py
+++ b/tests/test_proof_model.py
@@ -6,7 +6,7 @@
 
 from minicheck import check_safety
 
-from spec import attempts, freshness, ownership
+from spec import attempts, freshness, ownership, takeover
 
 MAX_STATES = 3_000_000
 
@@ -43,3 +43,7 @@
     def test_attempts(self):
         self.check_holds(attempts)
         self.check_rules_are_needed(attempts)
+
+    def test_takeover_without_records_of_starts(self):
+        self.check_holds(takeover)
+        self.check_rules_are_needed(takeover)
