Bounded structured logs, metrics, rattanwing explain; stalls and lonely owners

Cause 1 (issue on explaining failures): logs could block on a pipe that nobody reads, had no bound, and no command joined them. Change: a task whose percentage has not changed for 2 s is stopped and placed elsewhere; fillers, lasting tasks and gangs are left out. Cause 3: an owner cut off from the agents but not from the store kept the scheduling until all leases lapsed. Change: after 2 s without half of the agents it gives way for 3 s. Ruled out: claims by entries that reach more agents; they do not know what the owner reaches.

--- a/rattanwing/batch/entry.py
+++ b/rattanwing/batch/entry.py
@@ -155,10 +155,17 @@
             self.settings.retention_s,
         )
         try:
-            await self.loop.run()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.give_way, self.loop)
+                await self.loop.run()
         finally:
             self.loop = None
 
+    async def give_way(self, loop: OwnerLoop) -> None:
+        """Resign for a while when the loop asks for it."""
+        await loop.give_way.wait()
+        await self.candidate.give_way()
+
     async def resign(self) -> None:
         """Give ownership up before a planned stop, and take no more relayed calls."""
         await self.candidate.resign(RESIGN_LIMIT_S)
--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -21,6 +21,7 @@
 
     :param order_number: of the start order; 0 for a run that was adopted.
     :param confirmed: the agent has reported it.
+    :param progressed_at: when its percentage last changed.
     :param stopping_since: when a stop was ordered, else ``None``.
     """
 
@@ -29,6 +30,7 @@
         "attempt",
         "host",
         "placed_at",
+        "progressed_at",
         "order_number",
         "confirmed",
         "stopping_since",
@@ -42,6 +44,7 @@
         self.attempt = attempt
         self.host = host
         self.placed_at = now
+        self.progressed_at = now
         self.order_number = 0
         self.confirmed = False
         self.stopping_since: float | None = None
@@ -192,6 +195,10 @@
             self.sick_until = now + SICK_FOR_S
             self.ends.clear()
 
+    def note_stall(self, now: float) -> None:
+        """Note that a task stood still here."""
+        self.stalled_until = now + SICK_FOR_S
+
     def is_sick(self, now: float) -> bool:
         """Return whether new runs should go elsewhere."""
         return now < self.sick_until or now < self.stalled_until
--- /dev/null
+++ b/rattanwing/batch/metrics.py
@@ -0,0 +1,67 @@
+"""Metrics of an entry and of an agent, as text for scrapes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from rattanwing import events
+
+if TYPE_CHECKING:
+    from rattanwing.batch.agent import BatchAgent
+    from rattanwing.batch.entry import BatchEntry
+    from rattanwing.metrics import Metrics
+
+
+def render_events() -> list[str]:
+    """Return a counter for each event and outcome, also of lines left out."""
+    lines = ["# TYPE rattanwing_events_total counter"]
+    for (number, kind), count in sorted(events.counts.outcomes.items()):
+        lines.append(
+            f'rattanwing_events_total{{event="{number}",kind="{kind}"}} {count}'
+        )
+    return lines
+
+
+def render_entry(entry: BatchEntry, metrics: Metrics, now: float) -> str:
+    """Return the metrics of an entry."""
+    gauges = metrics.gauges
+    gauges["config_version"] = entry.current.version
+    gauges["work_read_age_seconds"] = max(0.0, now - entry.reader.read_at)
+    gauges["directory_read_age_seconds"] = max(
+        0.0, now - entry.directory_reader.read_at
+    )
+    failing_since = entry.writer.failing_since
+    gauges["store_failing_seconds"] = (
+        0 if failing_since is None else now - failing_since
+    )
+    gauges["jobs_known"] = len(entry.replica.jobs)
+    gauges["appends_waiting"] = len(entry.writer.waiting)
+    loop = entry.loop
+    gauges["owner_epoch"] = 0 if loop is None else loop.epoch
+    if loop is not None:
+        jobs = [job for job in loop.scheduler.jobs.values() if not job.state.final]
+        hosts = loop.scheduler.ledger.hosts.values()
+        gauges["jobs_unfinished"] = len(jobs)
+        gauges["jobs_without_run"] = sum(job.running == 0 for job in jobs)
+        gauges["oldest_idle_seconds"] = max(
+            (now - job.idle_since for job in jobs if job.running == 0), default=0.0
+        )
+        gauges["runs"] = sum(len(host.runs) for host in hosts)
+        gauges["hosts_connected"] = sum(host.connected for host in hosts)
+        gauges["owner_confirmed_age_seconds"] = now - loop.writer.confirmed_at
+    return metrics.render() + "\n".join(render_events()) + "\n"
+
+
+def render_agent(agent: BatchAgent, metrics: Metrics, now: float) -> str:
+    """Return the metrics of an agent."""
+    gauges = metrics.gauges
+    gauges["owner_epoch"] = agent.owner.epoch if agent.owner else 0
+    gauges["owner_contact_age_seconds"] = now - agent.contact_at
+    executor = agent.executor
+    gauges["executor_known"] = int(executor is not None)
+    if executor is not None:
+        gauges["executor_answer_age_seconds"] = now - executor.answered_at
+        gauges["lease_left_seconds"] = executor.lease_until - now
+        gauges["runs"] = len(executor.runs)
+        gauges["ends_unstored"] = len(executor.ends)
+    return metrics.render() + "\n".join(render_events()) + "\n"
--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -45,6 +45,10 @@
 FENCE_STREAMS = 1 << 20
 """Streams that one owner may open; an owner's fences all exceed an earlier one's."""
 
+UNREACHED_LIMIT_S = 2.0
+"""An owner out of reach of most agents for so long gives way; streams fall silent
+3 s before, and a lease is 9 s."""
+
 SWEEP_INTERVAL_S = 5.0
 """How often finished jobs are looked over."""
 
@@ -76,6 +80,8 @@
         "linked",
         "nursery",
         "stored",
+        "reached_at",
+        "give_way",
     )
 
     def __init__(
@@ -116,6 +122,8 @@
         self.linked: set[str] = set()
         self.nursery: trio.Nursery | None = None
         self.stored = trio.Event()
+        self.reached_at = clock()
+        self.give_way = trio.Event()
 
     def note_change(self) -> None:
         """Wake the deciding task."""
@@ -206,12 +214,34 @@
         for name in scheduler.check_lapses(now):
             self.unlink(name)
         scheduler.check_settled(now)
+        scheduler.check_stalls(now)
+        self.check_reach(now)
         scheduler.plan(now, now_ms)
         scheduler.tell_pressures(now)
         self.send_orders()
         if scheduler.unstored or scheduler.unacked:
             self.stored.set()
 
+    def check_reach(self, now: float) -> None:
+        """Give way when most agents have been out of reach from here for a while.
+
+        Another entry may reach them. Where none claims, this one goes on.
+        """
+        hosts = self.scheduler.ledger.hosts.values()
+        connected = sum(host.connected for host in hosts)
+        if not hosts or connected * 2 >= len(hosts):
+            self.reached_at = now
+            return
+        if now - self.reached_at > UNREACHED_LIMIT_S:
+            events.write(
+                events.OWNER_GIVES_WAY,
+                epoch=self.epoch,
+                connected=connected,
+                hosts=len(hosts),
+            )
+            self.reached_at = now
+            self.give_way.set()
+
     def send_orders(self) -> None:
         """Send the scheduler's messages; what finds no stream is ordered anew."""
         ledger = self.scheduler.ledger
--- a/rattanwing/batch/ownership.py
+++ b/rattanwing/batch/ownership.py
@@ -39,6 +39,10 @@
 CLAIM_TRIES = 6
 """Tries of one claim before the candidate reads on."""
 
+REFRAIN_S = 3.0
+"""How long an owner that gave way leaves the claim to others: several of their
+looks at the topic; where nobody claims, it claims again."""
+
 FIRST_SEQUENCE_LIMIT = 1 << 31
 """Claims begin at a random sequence number below this, so that the claims of
 two candidates are never taken for repeats of one append."""
@@ -62,6 +66,7 @@
         "serve",
         "writer",
         "stopping",
+        "refrains_until",
     )
 
     def __init__(
@@ -85,6 +90,7 @@
         self.serve = serve
         self.writer: RecordWriter | None = None
         self.stopping = False
+        self.refrains_until = clock()
 
     def may_claim(self, now: float, jitter_s: float) -> bool:
         """Return whether the scheduling has no living owner.
@@ -92,7 +98,9 @@
         Silence counts only while this entry reads the store without a break: in
         an outage nobody can write, and the owner goes on.
         """
-        if self.stopping or not self.reader.is_fresh(now):
+        if self.stopping or now < self.refrains_until:
+            return False
+        if not self.reader.is_fresh(now):
             return False
         owner = self.replica.owner
         if owner is None or owner.resigned:
@@ -177,6 +185,16 @@
         value = records.encode(owner)
         await writer.store_records([(records.OWNER_KEY, value)], None)
 
+    async def give_way(self) -> None:
+        """Resign, and leave the claim to others for a while."""
+        if self.writer is None:
+            return
+        self.refrains_until = self.clock() + REFRAIN_S
+        await self.write_owner(self.writer, resigned=True)
+        if self.writer is not None:
+            self.writer.fenced = True
+            self.writer.wake.set()
+
     async def resign(self, limit_s: float) -> None:
         """Give the scheduling up before a planned stop."""
         self.stopping = True
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -32,6 +32,10 @@
 """How often agents are told what was learnt of the pairs of images; the model
 forgets by this interval."""
 
+STALL_LIMIT_S = 2.0
+"""A task whose percentage has not changed for so long stands still; the longest
+tasks change it several times a second, also when their host is slow."""
+
 STOP_AGAIN_S = 2.0
 """A stop is ordered again when the run is still reported after this time."""
 
@@ -199,6 +203,8 @@
 
     def refresh(self, run: Run, row: RunningRow, now: float) -> None:
         """Take a run's newest figures; order a stop again if it was not obeyed."""
+        if row.percent != run.percent or not run.confirmed:
+            run.progressed_at = now
         run.confirmed = True
         run.percent, run.usage = row.percent, row.usage
         run.saved = row.saved or run.saved
@@ -227,6 +233,24 @@
             self.note_unstored(job)
         return run
 
+    def check_stalls(self, now: float) -> None:
+        """Move tasks that stand still on a host that answers.
+
+        Fillers may stand still for their pace, gangs for a member that is late.
+        """
+        for host in self.ledger.hosts.values():
+            if host.missing or not host.takes_starts(now):
+                continue
+            for run in list(host.runs.values()):
+                step = run.task.step
+                if step.lasting or step.fills or step.gang:
+                    continue
+                if not run.confirmed or run.stopping_since is not None:
+                    continue
+                if now - run.progressed_at > STALL_LIMIT_S:
+                    host.health.note_stall(now)
+                    self.ledger.stop(run, "stalled", now)
+
     def empty_draining(self, host: Host, remaining_ms: int, now: float) -> None:
         """Move what will not be done before the executor leaves."""
         for run in list(host.runs.values()):
--- a/rattanwing/batch/writer.py
+++ b/rattanwing/batch/writer.py
@@ -66,6 +66,7 @@
 
     :param epoch: of the producer; a fenced writer stays ``fenced``.
     :param confirmed_at: when the newest successful append was sent.
+    :param on_stored: called with the seconds that each append took.
     """
 
     __slots__ = (
@@ -81,6 +82,7 @@
         "fenced",
         "failing_since",
         "confirmed_at",
+        "on_stored",
     )
 
     def __init__(
@@ -103,6 +105,7 @@
         self.fenced = False
         self.failing_since: float | None = None
         self.confirmed_at = clock()
+        self.on_stored: Callable[[float], None] | None = None
 
     def submit(self, records: Records, expires_at: float | None) -> PendingAppend:
         """Queue records and return their pending append."""
@@ -199,6 +202,8 @@
     def note_success(self, sent_at: float) -> None:
         """Remember that the store takes appends."""
         self.confirmed_at = sent_at
+        if self.on_stored is not None:
+            self.on_stored(self.clock() - sent_at)
         if self.failing_since is not None:
             outage_s = round(self.clock() - self.failing_since, 3)
             events.write(events.LOG_AVAILABLE, topic=self.topic, outage_s=outage_s)
--- a/rattanwing/cmd/cli.py
+++ b/rattanwing/cmd/cli.py
@@ -15,6 +15,7 @@
     PlanCommand,
     SettingsCheckCommand,
 )
+from rattanwing.cmd.explain_command import ExplainCommand
 from rattanwing.cmd.job_commands import (
     JobCancelCommand,
     JobListCommand,
@@ -45,6 +46,7 @@
     WorkerListCommand,
     StatusCommand,
     AuditCommand,
+    ExplainCommand,
 )
 
 
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from typing import Any, TextIO
+from typing import Any
 
 import logbook
 import msgspec
@@ -34,6 +34,7 @@
 SETTINGS_REFUSED = Event(104, logbook.ERROR, "The settings can't be used.")
 LISTENING = Event(105, logbook.INFO, "A listener is open.")
 SETTINGS_RELOADED = Event(107, logbook.INFO, "The settings file was read again.")
+LINES_LEFT_OUT = Event(108, logbook.WARNING, "Log lines were left out.")
 SERVICE_FAILED = Event(106, logbook.ERROR, "A background task failed; it restarts.")
 
 PEER_CONNECTED = Event(201, logbook.INFO, "A peer's stream is open.")
@@ -74,6 +75,7 @@
 WRITER_FENCED = Event(524, logbook.WARNING, "The store refused a superseded writer.")
 TOPIC_LOADED = Event(525, logbook.INFO, "A topic's newest records were read.")
 AGENT_GONE = Event(526, logbook.WARNING, "Nothing is left of a silent agent's host.")
+OWNER_GIVES_WAY = Event(527, logbook.WARNING, "The owner reaches too few agents.")
 JOB_STORED = Event(530, logbook.INFO, "A job was stored and accepted.")
 JOB_REFUSED = Event(531, logbook.INFO, "A job was refused and will never run.")
 JOB_UNCERTAIN = Event(532, logbook.WARNING, "Whether a job was stored is not known.")
@@ -111,8 +113,35 @@
     return sorted(pairs, key=lambda pair: pair[1].number)
 
 
+class Counts:
+    """How often each event was written, also where its line was left out.
+
+    :param outcomes: by event number and the line's outcome, reason or answer.
+    """
+
+    __slots__ = ("outcomes",)
+
+    def __init__(self) -> None:
+        self.outcomes: dict[tuple[int, str], int] = {}
+
+    def add(self, event: Event, fields: dict[str, Any]) -> None:
+        """Count one event."""
+        kind = ""
+        for name in OUTCOME_FIELDS:
+            if name in fields:
+                kind = str(fields[name])
+                break
+        key = (event.number, kind)
+        self.outcomes[key] = self.outcomes.get(key, 0) + 1
+
+
+OUTCOME_FIELDS = ("ending", "outcome", "answer", "state", "order")
+counts = Counts()
+
+
 def write(event: Event, **fields: Any) -> None:
     """Write one log line for ``event``."""
+    counts.add(event, fields)
     logger.log(event.level, event.text, extra={"number": event.number, **fields})
 
 
@@ -125,7 +154,7 @@
     return f"{stamp} {record.level_name} [{number}] {record.message} {tail}".rstrip()
 
 
-def format_json(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
+def format_json(record: logbook.LogRecord, _handler: logbook.Handler | None) -> str:
     """Return a log line for programs: one JSON object."""
     fields = {
         "time": record.time.isoformat(timespec="milliseconds"),
@@ -137,8 +166,8 @@
     return msgspec.json.encode(fields, enc_hook=str).decode()
 
 
-def configure(as_json: bool, level: str, stream: TextIO | None = None) -> None:
-    """Send the log lines of this process to ``stream``, standard error by default."""
-    handler = logbook.StreamHandler(stream or sys.stderr, level=level.upper())
+def configure(as_json: bool, level: str) -> None:
+    """Send the log lines of this process to standard error."""
+    handler = logbook.StreamHandler(sys.stderr, level=level.upper())
     handler.formatter = format_json if as_json else format_text
     handler.push_application()
--- a/rattanwing/platform/main.py
+++ b/rattanwing/platform/main.py
@@ -17,9 +17,17 @@
 from rattanwing.batch import records
 from rattanwing.batch.timing import steady_clock, wall_clock_ms
 from rattanwing.errors import SettingsError
+from rattanwing.logs import configure_bounded
+from rattanwing.metrics import Metrics
 from rattanwing.platform.settings import PATH_VARIABLE, load_settings
 from rattanwing.platform.store import PlatformStore
-from rattanwing.util.http_server import HttpServer, Response, serve_http
+from rattanwing.util.address import split_address
+from rattanwing.util.http_server import (
+    HttpServer,
+    Response,
+    metrics_response,
+    serve_http,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -28,6 +36,10 @@
 
 EXIT_SETTINGS = 2
 READY = "/rattanwing/ready"
+METRICS = "/metrics"
+METRICS_PORT = 9464
+"""Outside the platform's ports; stands in the deploy file, too."""
+
 ROLES = ("entry", "agent")
 
 LEAVE_ROTATION_S = 2.2
@@ -96,6 +108,7 @@
 async def run_entry(settings: BatchSettings, stop: StopSignal) -> None:
     """Run an entry until it has been asked to stop and has drained."""
     from rattanwing.batch.entry import BatchEntry
+    from rattanwing.batch.metrics import render_entry
     from rattanwing.batch.replica import TopicReader
     from rattanwing.peer.grpc import dial_peer, serve_peers
     from rattanwing.platform.callers import CallerRoutes
@@ -118,7 +131,13 @@
         return Response(200 if ready else 503, [], b"")
 
     readiness.route("GET", READY, answer_ready)
+    metrics = Metrics()
+    entry.writer.on_stored = lambda s: metrics.add_latency("store", "append", s)
+    scrapes = make_scrapes(lambda: render_entry(entry, metrics, steady_clock()))
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            serve_until, scrapes, metrics_address(settings), stop.drained
+        )
         await nursery.start(serve_peers, settings.peers, entry.relaying.accept)
         nursery.start_soon(entry.run)
         nursery.start_soon(operator_reader.run)
@@ -136,6 +155,7 @@
 async def run_agent(settings: BatchSettings, stop: StopSignal) -> None:
     """Run an agent until it is asked to stop; runs go on under their lease."""
     from rattanwing.batch.agent import BatchAgent, drop_registration, keep_registered
+    from rattanwing.batch.metrics import render_agent
     from rattanwing.batch.ports import Stamp
     from rattanwing.batch.writer import RecordWriter
     from rattanwing.peer.grpc import serve_peers
@@ -156,7 +176,13 @@
     announcements = HttpServer()
     announcements.route("PUT", ANNOUNCEMENT, routes.announce)
     announcements.route("DELETE", ANNOUNCEMENT, routes.leave)
+    metrics = Metrics()
+    writer.on_stored = lambda s: metrics.add_latency("store", "append", s)
+    scrapes = make_scrapes(lambda: render_agent(agent, metrics, steady_clock()))
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            serve_until, scrapes, metrics_address(settings), stop.drained
+        )
         nursery.start_soon(
             serve_until, announcements, settings.announcements, stop.drained
         )
@@ -169,6 +195,23 @@
         nursery.cancel_scope.cancel()
 
 
+def make_scrapes(render: Callable[[], str]) -> HttpServer:
+    """Return the server of the metrics page."""
+    server = HttpServer()
+
+    async def answer(_request: object) -> Response:
+        return metrics_response(render())
+
+    server.route("GET", METRICS, answer)
+    return server
+
+
+def metrics_address(settings: BatchSettings) -> str:
+    """Return where metrics are served: beside the streams, on a port of their own."""
+    host, _port = split_address(settings.peers)
+    return f"{host}:{METRICS_PORT}"
+
+
 async def serve_until(server: HttpServer, address: str, stop: trio.Event) -> None:
     """Serve HTTP until ``stop`` is set, then finish what is in progress."""
     events.write(events.LISTENING, address=address)
@@ -191,7 +234,6 @@
 
 def main() -> int:
     """Run the role that the first argument names; return the exit code."""
-    events.configure(as_json=True, level="info", stream=sys.stdout)
     role = sys.argv[1] if len(sys.argv) > 1 else ""
     path = Path(os.environ.get(PATH_VARIABLE, ""))
     if role not in ROLES:
@@ -200,15 +242,16 @@
     try:
         settings = load_settings(path)
     except SettingsError as error:
+        configure_bounded(role, "info")
         for problem in error.problems:
             events.write(events.SETTINGS_REFUSED, problem=problem)
         return EXIT_SETTINGS
+    configure_bounded(settings.name, "info")
     events.write(
         events.PROCESS_STARTED,
-        process=settings.name,
         roles=role,
         cpu_s=round(time.process_time(), 3),
     )
     trio.run(run, role, path, settings)
-    events.write(events.PROCESS_STOPPED, process=settings.name)
+    events.write(events.PROCESS_STOPPED)
     return 0
--- a/rattanwing/standin/runs.py
+++ b/rattanwing/standin/runs.py
@@ -189,6 +189,11 @@
         self.news.set()
         self.news = trio.Event()
 
+    def percent(self, record: RunRecord) -> int:
+        """Return how much of a run's work is done."""
+        share = (trio.current_time() - record.began_at) / self.durations(record.task)
+        return min(99, int(100 * share))
+
     def take_fence(self, fence: int) -> bool:
         """Return whether an order's fence is high enough."""
         if fence < self.fence:
@@ -248,7 +253,10 @@
         if not self.ended and wait_s:
             with trio.move_on_after(wait_s):
                 await self.news.wait()
-        rows = [RunningRow(task, attempt, "", 50) for task, attempt in self.running]
+        rows = [
+            RunningRow(record.task, record.attempt, "", self.percent(record))
+            for record in self.running.values()
+        ]
         return HoldResult(self.clock_ms(), rows, list(self.ended))
 
 
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -332,6 +332,22 @@
 
         play(scenario)
 
+    def test_owner_that_reaches_no_agent_gives_way(self):
+        """It still reaches the store, so nobody else would claim."""
+
+        async def fault(world):
+            name = world.owner().settings.name
+            world.cut.add(name)
+            await trio.sleep(6)
+            self.assertNotEqual(world.owner().settings.name, name)
+            await world.submit(job("job-4", steps=(TASK,)))
+            done = await world.wait_for_state("job-4", JobState.COMPLETED, 6.0)
+            self.assertTrue(done)
+            world.cut.clear()
+
+        world = self.run_jobs_through(fault)
+        self.assertEqual(len(world.history), 20)
+
     def test_superseded_owner_drops_no_agent(self):
         """The agents left it for the new owner; they are not gone."""
 
