Say unknown where a peer may have stored a relayed job; bound records by bytes

Change: a peer that was asked and has not answered leaves the outcome unknown, unless another one's answer is definite. Test: test_peer_that_dies_with_the_job_leaves_the_outcome_unknown failed before. Cause 2, by reading: a record or group beyond the store's limits would be refused for ever and block the writer. Change: groups and records are bounded by bytes.

--- a/rattanwing/agent/connector.py
+++ b/rattanwing/agent/connector.py
@@ -157,7 +157,10 @@
                 await session.run()
                 nursery.cancel_scope.cancel()
         finally:
-            events.write(events.PEER_LOST, peer=entry)
+            planned = self.app.get("lifecycle").is_stopping()
+            events.write(
+                events.PEER_CLOSED if planned else events.PEER_LOST, peer=entry
+            )
             if self.sessions.get(entry) is session:
                 del self.sessions[entry]
                 self.acked.set()
--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -39,6 +39,10 @@
 PLAN_PAUSE_S = 0.01
 """Shortest time between two rounds, so that changes of one moment go together."""
 
+PAUSE_FACTOR = 2
+"""A round is followed by a pause of twice its time, so that decisions about a long
+queue leave a slow processor two thirds for callers and agents."""
+
 REDIAL_S = 0.25
 """Pause before an agent is dialled again; well under the lease."""
 
@@ -53,6 +57,10 @@
 """How often finished jobs are looked over."""
 
 
+SWEEP_RECORDS = 180
+"""Records dropped in one append: three for each of 60 jobs."""
+
+
 class OwnerLoop:
     """Runs the scheduler of one epoch.
 
@@ -204,8 +212,10 @@
             with trio.move_on_after(TICK_S):
                 await self.changed.wait()
             self.changed = trio.Event()
-            self.decide(self.clock(), self.wall_ms())
-            await trio.sleep(PLAN_PAUSE_S)
+            began_at = self.clock()
+            self.decide(began_at, self.wall_ms())
+            spent_s = self.clock() - began_at
+            await trio.sleep(max(PLAN_PAUSE_S, spent_s * PAUSE_FACTOR))
 
     def decide(self, now: float, now_ms: int) -> None:
         """Run one round of decisions and send what comes of it."""
@@ -293,8 +303,9 @@
                     dropped.append((records.JOB_PREFIX + job_id, None))
                     dropped.append((records.PROGRESS_PREFIX + job_id, None))
                     dropped.append((records.CANCEL_PREFIX + job_id, None))
-            if dropped:
-                await self.writer.store_records(dropped[:180], None)
+            for start in range(0, len(dropped), SWEEP_RECORDS):
+                part = dropped[start : start + SWEEP_RECORDS]
+                await self.writer.store_records(part, None)
 
     # Agents
 
--- a/rattanwing/batch/relay.py
+++ b/rattanwing/batch/relay.py
@@ -42,6 +42,10 @@
 """Longest wait for all of them: half of what callers usually wait."""
 
 
+DEFINITE = (Answer.ACCEPTED, Answer.NO_SUCH_JOB)
+"""Answers that hold whatever another entry may do with the same call."""
+
+
 class RelayingService:
     """The service that callers see: this entry's own, and others' behind it."""
 
@@ -117,20 +121,27 @@
         """Ask other entries, each once the one before has failed or is slow.
 
         :returns: the first answer of an entry that is able to answer, or any other
-            one; ``None`` where no entry was reached.
+            one; an unknown outcome where an entry was asked and did not answer;
+            ``None`` where no entry was reached.
         """
         addresses = [a for n, a in self.directory.entries.items() if n != self.node]
         self.random.shuffle(addresses)
         found: list[messages.RelayedAnswer] = []
+        unresolved: set[str] = set()
         with trio.move_on_after(min(wait_s, ASK_LIMIT_S)):
             async with trio.open_nursery() as nursery:
                 for address in addresses[:MOST_PEERS]:
                     ended = trio.Event()
                     nursery.start_soon(
-                        self.ask_one, address, call, found, ended, nursery
+                        self.ask_one, address, call, found, unresolved, ended, nursery
                     )
                     with trio.move_on_after(ASK_INTERVAL_S):
                         await ended.wait()
+        definite = [a for a in found if a.answer in DEFINITE]
+        if definite:
+            return definite[0]
+        if unresolved:
+            return messages.RelayedAnswer(Answer.UNKNOWN_OUTCOME)
         answer = next((a for a in found if a.answer is not Answer.NOT_READY), None)
         return answer or next(iter(found), None)
 
@@ -139,6 +150,7 @@
         address: records.EntryAddress,
         call: messages.Message,
         found: list[messages.RelayedAnswer],
+        unresolved: set[str],
         ended: trio.Event,
         nursery: trio.Nursery,
     ) -> None:
@@ -146,6 +158,7 @@
         taken: list[messages.RelayedAnswer] = []
 
         async def exchange(stream: ByteMessageStream) -> None:
+            unresolved.add(address.node)
             try:
                 await stream.send(messages.encode(call))
                 answer = messages.decode(await stream.receive())
@@ -154,6 +167,7 @@
                 return
             if isinstance(answer, messages.RelayedAnswer):
                 taken.append(answer)
+                unresolved.discard(address.node)
 
         try:
             await self.dial(address.address, exchange)
--- a/rattanwing/batch/writer.py
+++ b/rattanwing/batch/writer.py
@@ -30,6 +30,13 @@
 MAX_GROUP_RECORDS = 200
 """Records of one append; keeps it well under the store's limit of a call."""
 
+MAX_GROUP_BYTES = 1_000_000
+"""Bytes of one append; half of what the store takes in a call."""
+
+MAX_RECORD_BYTES = 200_000
+"""A larger record is refused before it is sent; the store takes 262,144 bytes with
+the key."""
+
 MAX_WAITING = 2_000
 """Appends that wait at most; more are refused at once."""
 
@@ -110,7 +117,11 @@
     def submit(self, records: Records, expires_at: float | None) -> PendingAppend:
         """Queue records and return their pending append."""
         pending = PendingAppend(records, expires_at)
-        if self.fenced or len(self.waiting) >= MAX_WAITING:
+        largest = max(len(value or b"") for _key, value in records)
+        if largest > MAX_RECORD_BYTES:
+            events.write(events.RECORD_TOO_LARGE, key=records[0][0], size=largest)
+        full = self.fenced or len(self.waiting) >= MAX_WAITING
+        if full or largest > MAX_RECORD_BYTES:
             pending.finish(Verdict.NOT_RUN)
             return pending
         self.waiting.append(pending)
@@ -145,10 +156,14 @@
     def take_group(self) -> list[PendingAppend]:
         """Return the appends that go together next."""
         group: list[PendingAppend] = []
-        size = 0
-        while self.waiting and size < MAX_GROUP_RECORDS:
+        count = size = 0
+        while self.waiting:
+            head = self.waiting[0]
+            count += len(head.records)
+            size += sum(len(value or b"") for _key, value in head.records)
+            if group and (count > MAX_GROUP_RECORDS or size > MAX_GROUP_BYTES):
+                break
             group.append(self.waiting.pop(0))
-            size += len(group[-1].records)
         if not self.waiting:
             self.wake = trio.Event()
         return group
--- a/rattanwing/cmd/cli.py
+++ b/rattanwing/cmd/cli.py
@@ -58,8 +58,28 @@
     return application
 
 
+def command_list() -> str:
+    """Return one line for each command."""
+    width = max(len(command.name) for command in COMMANDS)
+    lines = [
+        f"  {command.name:<{width}}  {command.description}" for command in COMMANDS
+    ]
+    return "\n".join(
+        [
+            "usage: rattanwing COMMAND [options]",
+            "",
+            *lines,
+            "",
+            "rattanwing COMMAND --help shows a command's options and an example.",
+        ]
+    )
+
+
 def main() -> int:
     """Run the tool and return its exit code."""
+    if sys.argv[1:] in ([], ["--help"], ["-h"]):
+        print(command_list())
+        return 0
     return make_application().run()
 
 
--- a/rattanwing/cmd/embedded.py
+++ b/rattanwing/cmd/embedded.py
@@ -21,6 +21,7 @@
     StandinWorkerSettings,
     WorkerSettings,
 )
+from rattanwing.util.address import split_address
 from rattanwing.util.http_client import HttpCallError, HttpClient
 
 if TYPE_CHECKING:
@@ -29,6 +30,10 @@
 LOOPBACK = "127.0.0.1"
 POLL_S = 0.1
 SHOWING_TIMEOUT_S = 30.0
+PLATFORM_ROLES = ("standin_log", "standin_executor", "standin_worker")
+"""Started first and stopped last, so that nothing finds them missing."""
+
+SYSTEM_ROLES = ("entry", "agent")
 
 
 def free_address() -> str:
@@ -105,13 +110,34 @@
 async def run_embedded(http: str | None, once: bool) -> None:
     """Run every role in this process and show one booking and one job."""
     settings = embedded_settings(http)
-    applications = [make_application(settings, role) for role in settings.roles()]
+    platform = [make_application(settings, role) for role in PLATFORM_ROLES]
+    system = [make_application(settings, role) for role in SYSTEM_ROLES]
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(show_and_stop, settings.entry.http, once, applications)
-        await run_applications(applications)
+        for app in platform:
+            nursery.start_soon(app.get("lifecycle").run)
+        for role in PLATFORM_ROLES:
+            await wait_until_listening(getattr(settings, role).http)
+        nursery.start_soon(show_and_stop, settings.entry.http, once, system)
+        await run_applications(system)
+        for app in platform:
+            app.get("lifecycle").stop()
         nursery.cancel_scope.cancel()
 
 
+async def wait_until_listening(address: str) -> None:
+    """Wait until something accepts connections at an address."""
+    host, port = split_address(address)
+    with trio.fail_after(SHOWING_TIMEOUT_S):
+        while True:
+            try:
+                stream = await trio.open_tcp_stream(host, port)
+            except OSError:
+                await trio.sleep(POLL_S / 10)
+                continue
+            await stream.aclose()
+            return
+
+
 async def show_and_stop(
     address: str, once: bool, applications: list[Application]
 ) -> None:
--- a/rattanwing/entry/agents.py
+++ b/rattanwing/entry/agents.py
@@ -126,7 +126,10 @@
         if handle.session is not session:
             return
         handle.session = None
-        events.write(events.PEER_LOST, peer=handle.name)
+        planned = handle.heartbeat.leaving or self.app.get("lifecycle").is_stopping()
+        events.write(
+            events.PEER_CLOSED if planned else events.PEER_LOST, peer=handle.name
+        )
         self.app.emit("agent-lost", handle)
 
     def take(
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -40,6 +40,7 @@
 PEER_CONNECTED = Event(201, logbook.INFO, "A peer's stream is open.")
 PEER_LOST = Event(202, logbook.WARNING, "A peer's stream ended or fell silent.")
 PEER_MESSAGE_REFUSED = Event(203, logbook.WARNING, "A peer's message was refused.")
+PEER_CLOSED = Event(205, logbook.INFO, "A peer's stream was closed by plan.")
 AGENT_LEAVING = Event(204, logbook.INFO, "An agent announced that it leaves.")
 
 REQUEST_REFUSED = Event(301, logbook.INFO, "A request was refused; it did not run.")
@@ -69,6 +70,7 @@
 JOB_OVERDUE = Event(508, logbook.WARNING, "A job is overdue.")
 WORKER_QUARANTINED = Event(509, logbook.WARNING, "A failing worker gets no tasks.")
 
+RECORD_TOO_LARGE = Event(520, logbook.ERROR, "A record is too large to be stored.")
 OWNERSHIP_TAKEN = Event(521, logbook.INFO, "This entry schedules from now on.")
 OWNERSHIP_LOST = Event(522, logbook.WARNING, "This entry no longer schedules.")
 OWNER_SETTLED = Event(523, logbook.INFO, "All that earlier owners started is known.")
--- a/rattanwing/lifecycle.py
+++ b/rattanwing/lifecycle.py
@@ -35,6 +35,10 @@
         self.drains: list[Callable[[], Awaitable[None]]] = []
         self.flushes: list[Callable[[], Awaitable[None]]] = []
 
+    def is_stopping(self) -> bool:
+        """Return whether a graceful stop has begun."""
+        return self.stop_asked.is_set()
+
     def stop(self) -> None:
         """Begin a graceful stop."""
         if self.stop_asked.is_set():
--- a/rattanwing/platform/store.py
+++ b/rattanwing/platform/store.py
@@ -33,7 +33,7 @@
 
 LENGTH = struct.Struct(">I")
 OFFSETS = struct.Struct(">QQ")
-NOTHING_DONE = {429, 503, 507}
+NOTHING_DONE = {400, 403, 404, 413, 429, 503, 507}
 
 
 class AppendAnswer(msgspec.Struct):
--- /dev/null
+++ b/tests/batch/schedules.py
@@ -0,0 +1,302 @@
+"""Random schedules of faults against the whole batch engine, by seed.
+
+``python -m tests.batch.schedules FIRST LAST`` plays many seeds by hand.
+"""
+
+from __future__ import annotations
+
+import sys
+from random import Random
+
+import trio
+
+from rattanwing.batch.messages import Answer
+from rattanwing.batch.model import JobState, StepSpec
+from tests.batch.world import job, play
+
+STEPS = 25
+JOB_EVERY_S = 0.7
+HEAL_LIMIT_S = 60.0
+
+
+class Schedule:
+    """One seed's faults, jobs and what became of them."""
+
+    def __init__(self, world, seed):
+        self.world = world
+        self.random = Random(seed)
+        self.accepted = set()
+        self.cancelled = set()
+        self.faults = []
+        self.number = 0
+
+    def make_job(self):
+        """Return a random job."""
+        self.number += 1
+        steps = [
+            StepSpec(
+                self.random.randint(1, 5),
+                cpu=self.random.choice((200, 700, 1500)),
+                memory_mb=self.random.choice((50, 900)),
+                checkpoint=self.random.random() < 0.5,
+                spread_limit=self.random.choice((0, 0, 1)),
+                fills=self.random.random() < 0.2,
+                gang=self.random.random() < 0.15,
+                after=(number - 1,) if number else (),
+            )
+            for number in range(self.random.randint(1, 3))
+        ]
+        steps = [
+            step if not (step.spread_limit and step.gang) else step_without(step)
+            for step in steps
+        ]
+        return job(f"job-{self.number}", steps=steps)
+
+    async def hand_in(self):
+        """Hand jobs in at random entries, sometimes twice, and cancel some."""
+        while True:
+            await trio.sleep(JOB_EVERY_S * self.random.random() * 2)
+            if not self.world.entries:
+                continue
+            spec = self.make_job()
+            for _ in range(self.random.choice((1, 1, 2))):
+                name = self.random.choice(list(self.world.entries))
+                entry = self.world.entries[name]
+                with trio.move_on_after(3):
+                    answer = await entry.relaying.submit(spec, 2.0)
+                    if answer is Answer.ACCEPTED:
+                        self.accepted.add(spec.job_id)
+            if self.random.random() < 0.15:
+                self.world.nursery.start_soon(self.cancel, spec.job_id)
+
+    async def cancel(self, job_id):
+        """Cancel a job a little later."""
+        await trio.sleep(self.random.random())
+        if not self.world.entries:
+            return
+        entry = self.random.choice(list(self.world.entries.values()))
+        self.cancelled.add(job_id)
+        with trio.move_on_after(3):
+            await entry.relaying.cancel(job_id, "queue-1", 2.0)
+
+    async def fault(self):
+        """Bring one fault about; most heal by themselves after a while."""
+        kind = self.random.choice(FAULTS)
+        self.faults.append((round(trio.current_time(), 2), kind))
+        await getattr(self, kind)()
+
+    def duration(self):
+        return self.random.choice((0.5, 2.0, 4.0, 8.0, 12.0))
+
+    async def kill_entry(self):
+        alive = list(self.world.entries)
+        if not alive:
+            return
+        name = self.random.choice(alive)
+        self.world.kill(name)
+        await trio.sleep(self.random.choice((0.5, 3.0)))
+        await self.world.start_entry(name)
+
+    async def kill_owner(self):
+        owner = self.world.owner()
+        if owner is None or owner.settings.name not in self.world.scopes:
+            return
+        self.world.kill(owner.settings.name)
+        await trio.sleep(self.random.choice((0.5, 5.0)))
+        await self.world.start_entry(owner.settings.name)
+
+    async def kill_agent(self):
+        index = self.random.randrange(len(self.world.executors))
+        if f"agent-{index}" not in self.world.scopes:
+            return
+        self.world.kill(f"agent-{index}")
+        await trio.sleep(self.random.choice((0.3, 2.0, 11.0)))
+        await self.world.start_agent(index)
+
+    async def kill_all(self):
+        for name in list(self.world.scopes):
+            self.world.kill(name)
+        await trio.sleep(self.random.choice((0.5, 3.0)))
+        for index in range(len(self.world.executors)):
+            await self.world.start_agent(index)
+        for name in self.world.entry_names:
+            await self.world.start_entry(name)
+
+    async def crash_executor(self):
+        executor = self.random.choice(self.world.executors)
+        if not executor.up:
+            return
+        executor.crash()
+        await trio.sleep(self.random.choice((0.2, 3.0, 10.0)))
+        executor.begin_life()
+
+    async def cut_host(self):
+        name = f"agent-{self.random.randrange(len(self.world.executors))}"
+        self.world.cut.add(name)
+        await trio.sleep(self.duration())
+        self.world.cut.discard(name)
+
+    async def cut_entry(self):
+        name = self.random.choice(self.world.entry_names)
+        self.world.cut.add(name)
+        await trio.sleep(self.duration())
+        self.world.cut.discard(name)
+
+    async def silence_executor(self):
+        executor = self.random.choice(self.world.executors)
+        executor.reachable = False
+        await trio.sleep(self.duration())
+        executor.reachable = True
+
+    async def store_away_for_one(self):
+        name = self.random.choice(self.world.entry_names)
+        self.world.store.away.add(name)
+        await trio.sleep(self.duration())
+        self.world.store.away.discard(name)
+
+    async def store_away_for_owner(self):
+        owner = self.world.owner()
+        if owner is None:
+            return
+        self.world.store.away.add(owner.settings.name)
+        await trio.sleep(self.duration())
+        self.world.store.away.discard(owner.settings.name)
+
+    async def store_away(self):
+        names = {*self.world.entry_names, *self.world.agents}
+        self.world.store.away |= names
+        await trio.sleep(self.duration())
+        self.world.store.away -= names
+
+    async def lose_answers(self):
+        self.world.store.lose_answers += self.random.randint(1, 5)
+        self.world.store.late_s = self.random.choice((0.0, 2.0, 5.0))
+
+    async def forget_history(self):
+        for topic in self.world.store.topics.values():
+            topic.forget_history()
+
+    async def late_orders(self):
+        executor = self.random.choice(self.world.executors)
+        executor.late.count += self.random.randint(1, 4)
+        executor.late.delay_s = self.random.choice((1.0, 4.0, 8.0))
+
+    async def drain(self):
+        executor = self.random.choice(self.world.executors)
+        executor.draining = True
+        await trio.sleep(self.duration())
+        executor.draining = False
+
+    async def run(self):
+        """Play the faults, heal, and wait for every accepted job."""
+        world = self.world
+        world.durations = lambda task: 0.3 + (hash_of(task) % 40) / 10
+        await trio.sleep(2)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.hand_in)
+            async with trio.open_nursery() as faults:
+                for _ in range(STEPS):
+                    faults.start_soon(self.fault)
+                    await trio.sleep(self.random.choice((0.1, 0.5, 2.0)))
+            nursery.cancel_scope.cancel()
+        world.store.lose_answers = 0
+        for executor in world.executors:
+            executor.late.count = 0
+        unfinished = self.accepted - self.cancelled
+        with trio.move_on_after(HEAL_LIMIT_S):
+            while unfinished:
+                await trio.sleep(0.2)
+                unfinished = {j for j in unfinished if not self.is_done(j)}
+        self.unfinished = unfinished
+        await trio.sleep(3)
+
+    def is_done(self, job_id):
+        views = [e.replica.jobs.get(job_id) for e in self.world.entries.values()]
+        return bool(views) and all(
+            view is not None and view.state is JobState.COMPLETED for view in views
+        )
+
+
+FAULTS = [
+    "kill_entry",
+    "kill_owner",
+    "kill_agent",
+    "kill_all",
+    "crash_executor",
+    "cut_host",
+    "cut_entry",
+    "silence_executor",
+    "store_away_for_one",
+    "store_away_for_owner",
+    "store_away",
+    "lose_answers",
+    "forget_history",
+    "late_orders",
+    "drain",
+]
+
+
+def step_without(step):
+    """Return a step without its limit of tasks on one host."""
+    return StepSpec(step.count, cpu=200, memory_mb=50, gang=True, after=step.after)
+
+
+def hash_of(text):
+    """Return a number that is the same in every process."""
+    return sum(ord(letter) * 31**place for place, letter in enumerate(text[-6:]))
+
+
+def overcommitted(world):
+    """Return the runs at whose start a host had more than its processors."""
+    found = []
+    for run in world.history:
+        beside = [
+            other
+            for other in world.history
+            if other.executor == run.executor
+            and other.began_at <= run.began_at
+            and (other.ended_at is None or other.ended_at > run.began_at)
+        ]
+        if sum(world.cpu_of(other.task) for other in beside) > 4000:
+            found.append(run.task)
+    return found
+
+
+def play_seed(seed):
+    """Return the faults that broke a promise, for one seed."""
+    held = []
+
+    async def scenario(world):
+        schedule = Schedule(world, seed)
+        held.append(schedule)
+        await schedule.run()
+
+    world = play(scenario, entries=3, hosts=5, seed=seed)
+    schedule = held[0]
+    broken = []
+    if world.overlaps():
+        broken.append(f"two runs at once: {world.overlaps()[:3]}")
+    if world.repeats():
+        broken.append(f"run again after its end: {world.repeats()[:3]}")
+    if schedule.unfinished:
+        broken.append(f"not finished: {sorted(schedule.unfinished)[:5]}")
+    if overcommitted(world):
+        broken.append(f"overcommitted: {overcommitted(world)[:3]}")
+    return broken, schedule
+
+
+def main():
+    first, last = int(sys.argv[1]), int(sys.argv[2])
+    failed = 0
+    for seed in range(first, last + 1):
+        broken, schedule = play_seed(seed)
+        print(seed, len(schedule.accepted), "jobs", broken or "ok", flush=True)
+        if broken:
+            failed += 1
+            print("   ", schedule.faults)
+    print(f"{last - first + 1 - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -427,6 +427,30 @@
 
         play(scenario)
 
+    def test_peer_that_dies_with_the_job_leaves_the_outcome_unknown(self):
+        """It may have stored the job, so a refusal would not be true."""
+
+        async def scenario(world):
+            await trio.sleep(2)
+            entry = self.cut_off_entry(world)
+            name = entry.settings.name
+            await trio.sleep(4)
+
+            def breaking(peer):
+                async def take_and_die(stream):
+                    await peer.service.submit(job(), 2.0)
+                    await stream.aclose()
+
+                return SimpleNamespace(accept=take_and_die)
+
+            for other in world.entries.values():
+                if other.settings.name != name:
+                    other.relaying = breaking(other)
+            answer = await world.submit(job(), entry)
+            self.assertIs(answer, Answer.UNKNOWN_OUTCOME)
+
+        play(scenario)
+
     def test_refusal_is_true_when_no_entry_reaches_the_store(self):
         async def scenario(world):
             await trio.sleep(2)
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -13,7 +13,7 @@
 from rattanwing.batch.agent import BatchAgent, keep_registered
 from rattanwing.batch.configuration import Configuration, Queue
 from rattanwing.batch.entry import BatchEntry
-from rattanwing.batch.model import JobSpec, QueueRules, StepSpec
+from rattanwing.batch.model import JobSpec, QueueRules, StepSpec, parse_task_id
 from rattanwing.batch.ports import RunEnding, Stamp
 from rattanwing.batch.settings import BatchSettings
 from rattanwing.batch.writer import RecordWriter
@@ -110,7 +110,7 @@
     async def announce(self, agent, executor):
         """Announce the executor to its agent at a fixed interval."""
         while True:
-            if executor.up and executor.reachable:
+            if executor.up:
                 agent.take_announcement(executor.view())
             await trio.sleep(1.0)
 
@@ -190,6 +190,16 @@
                 await trio.sleep(0.05)
         return False
 
+    def cpu_of(self, task):
+        """Return what a task takes of its host's processors."""
+        found = parse_task_id(task)
+        for entry in self.entries.values():
+            view = entry.replica.jobs.get(found.job_id)
+            if view is not None:
+                step = view.spec.steps[found.step]
+                return 0 if step.fills else step.cpu
+        return 0
+
     def overlaps(self):
         """Return the tasks of which two runs were there at the same time."""
         found = []
