End a lease that its executor did not hear of; count failures in any order

Change: the bound moves only with a deadline that is sent; a silent executor is looked at without one. Test: test_executor_is_gone_and_its_agent_lives failed before, once the stand-in's pending look ended with its life. Change: progress keeps the numbers of failed attempts. Test: test_failed_ends_count_in_whatever_order_agents_tell_them.

--- a/rattanwing/batch/jobs.py
+++ b/rattanwing/batch/jobs.py
@@ -16,8 +16,10 @@
     """One task of an unfinished job.
 
     :param attempt: highest attempt that was ever ordered or reported.
-    :param ended_attempt: highest attempt whose listed end was counted.
-    :param failures: attempts that ended through the task's or the executor's fault.
+    :param ended_attempt: highest attempt whose listed end was taken.
+    :param failed_attempts: attempts that ended through the task's or the executor's
+        fault; ends may be told twice and in any order.
+    :param saved: newest checkpoint; ``saved_attempt`` left it.
     :param runs: attempts that are, or may be, running.
     """
 
@@ -27,8 +29,9 @@
         "step",
         "attempt",
         "ended_attempt",
-        "failures",
+        "failed_attempts",
         "saved",
+        "saved_attempt",
         "done",
         "runs",
         "failed_on",
@@ -40,8 +43,9 @@
         self.step = step
         self.attempt = 0
         self.ended_attempt = 0
-        self.failures = 0
+        self.failed_attempts: set[int] = set()
         self.saved = ""
+        self.saved_attempt = 0
         self.done = False
         self.runs: list[Run] = []
         self.failed_on: set[str] = set()
@@ -51,6 +55,12 @@
         """Return the task's name inside its job's progress record."""
         return f"{self.id.occurrence}.{self.id.step}.{self.id.index}"
 
+    def save(self, saved: str, attempt: int) -> None:
+        """Keep a checkpoint unless a later attempt has left one."""
+        if saved and attempt >= self.saved_attempt:
+            self.saved = saved
+            self.saved_attempt = attempt
+
     def waits(self) -> bool:
         """Return whether the task needs a run."""
         return not self.done and not self.runs
@@ -148,10 +158,11 @@
         for steps in self.occurrences[occurrence]:
             steps.restore(progress.done.get(steps.key, b""))
             for task in steps.tasks:
-                task.failures = progress.failures.get(task.key, 0)
+                task.failed_attempts = set(progress.failures.get(task.key, ()))
                 task.ended_attempt = progress.attempts.get(task.key, 0)
                 task.attempt = task.ended_attempt
                 task.saved = progress.saved.get(task.key, "")
+                task.saved_attempt = task.ended_attempt
 
     def task(self, task_id: TaskId) -> Task | None:
         """Return a task, or ``None`` where the job has none of that name."""
@@ -217,8 +228,8 @@
                 for task in steps.tasks:
                     if task.done or self.state.final:
                         continue
-                    if task.failures:
-                        failures[task.key] = task.failures
+                    if task.failed_attempts:
+                        failures[task.key] = sorted(task.failed_attempts)
                     if task.ended_attempt:
                         attempts[task.key] = task.ended_attempt
                     if task.saved:
--- a/rattanwing/batch/ledger.py
+++ b/rattanwing/batch/ledger.py
@@ -90,8 +90,7 @@
             host=run.host.name,
             reason=reason,
         )
-        if run.saved and run.attempt == run.task.attempt:
-            run.task.saved = run.saved
+        run.task.save(run.saved, run.attempt)
         self.release(run, now)
 
     def release(self, run: Run, now: float) -> None:
--- a/rattanwing/batch/records.py
+++ b/rattanwing/batch/records.py
@@ -44,7 +44,7 @@
 
     :param epoch: of the owner that wrote it.
     :param done: by ``occurrence.step``, a bit map of the tasks that are done.
-    :param failures: failed attempts of unfinished tasks.
+    :param failures: numbers of the failed attempts of unfinished tasks.
     :param attempts: highest attempt that was seen to end, of unfinished tasks.
     :param saved: newest checkpoint of unfinished tasks.
     :param finished_at_ms: Unix time at which the state became final, else 0.
@@ -53,7 +53,7 @@
     epoch: int
     state: JobState = JobState.QUEUED
     done: dict[str, bytes] = {}
-    failures: dict[str, int] = {}
+    failures: dict[str, list[int]] = {}
     attempts: dict[str, int] = {}
     saved: dict[str, str] = {}
     finished_at_ms: int = 0
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -104,6 +104,7 @@
         "on_refused",
         "pacer",
         "look_scope",
+        "silent",
     )
 
     def __init__(
@@ -132,6 +133,7 @@
         self.on_refused = on_refused
         self.pacer = FillerPacer()
         self.look_scope = trio.CancelScope()
+        self.silent = False
 
     def raise_fence(self, fence: int) -> None:
         """Use a higher fence; whatever was sent under a lower one is void."""
@@ -139,9 +141,8 @@
         self.look_scope.cancel()
 
     def grant(self, until: float) -> None:
-        """Let runs go on until ``until``."""
+        """Let runs go on until ``until``, as far as the executor hears of it."""
         self.lease_until = max(self.lease_until, until)
-        self.lapse_bound = max(self.lapse_bound, until + LEASE_MARGIN_S)
 
     def is_certain(self, now: float) -> bool:
         """Return whether nothing runs here but what ``runs`` holds."""
@@ -154,10 +155,15 @@
         return self.gone or now - self.answered_at > MISSING_AFTER_S
 
     def deadline_ms(self) -> int | None:
-        """Return the lease's end on the executor's clock, surely not later."""
+        """Return the lease's end on the executor's clock, to be sent to it.
+
+        It is surely not later than the lease. A call that is not answered may yet
+        extend the lease.
+        """
         if self.clock_sample is None:
             return None
         clock_ms, at = self.clock_sample
+        self.lapse_bound = max(self.lapse_bound, self.lease_until + LEASE_MARGIN_S)
         return clock_ms + int((self.lease_until - at) * (1 - CLOCK_DRIFT) * 1000)
 
     def note_clock(self, clock_ms: int, now: float) -> None:
@@ -165,6 +171,7 @@
         if clock_ms > 0:
             self.clock_sample = (clock_ms, now)
         self.answered_at = now
+        self.silent = False
 
     def used(self) -> tuple[int, int]:
         """Return the thousandths of a core and the MiB that runs take up."""
@@ -204,12 +211,14 @@
         :returns: whether anything was new.
         """
         wait_s = HOLD_WAIT_S if self.clean_fence == fence else 0.0
+        deadline_ms = None if self.is_missing(sent_at) else self.deadline_ms()
         try:
             result = await self.port.hold(
-                fence, self.stored_number, self.deadline_ms(), wait_s
+                fence, self.stored_number, deadline_ms, wait_s
             )
         except HttpCallError as error:
-            if not self.is_missing(self.clock() - RETRY_PAUSE_S):
+            if not self.silent:
+                self.silent = True
                 events.write(
                     events.EXECUTOR_SILENT, executor=self.view.executor_id, error=error
                 )
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -312,12 +312,9 @@
         if task is None or job.state.final:
             return
         task.attempt = max(task.attempt, end.attempt)
-        if end.attempt <= task.ended_attempt:
-            return
-        task.ended_attempt = end.attempt
+        task.ended_attempt = max(task.ended_attempt, end.attempt)
+        task.save(end.saved, end.attempt)
         self.note_unstored(job)
-        if end.saved:
-            task.saved = end.saved
         if run is not None:
             failed = end.ending is RunEnding.FAILED
             host.health.note_end(failed, bool(task.failed_on - {host.name}), now)
@@ -325,7 +322,7 @@
             case RunEnding.DONE if not task.step.lasting:
                 self.take_done(job, task, now, now_ms)
             case RunEnding.FAILED:
-                self.take_failure(job, task, host, now, now_ms)
+                self.take_failure(job, task, end.attempt, host, now, now_ms)
 
     def take_done(self, job: OwnedJob, task: Task, now: float, now_ms: int) -> None:
         """Mark a task as done and stop its other runs."""
@@ -337,14 +334,21 @@
             self.finish(job, JobState.COMPLETED, now, now_ms)
 
     def take_failure(
-        self, job: OwnedJob, task: Task, host: Host, now: float, now_ms: int
+        self,
+        job: OwnedJob,
+        task: Task,
+        attempt: int,
+        host: Host,
+        now: float,
+        now_ms: int,
     ) -> None:
         """Count a failed attempt; the job fails when a task has had all of them."""
-        task.failures += 1
         task.failed_on.add(host.name)
-        if task.step.lasting or task.failures < job.spec.queue.max_attempts:
+        if task.step.lasting:
             return
-        self.finish(job, JobState.FAILED, now, now_ms)
+        task.failed_attempts.add(attempt)
+        if len(task.failed_attempts) >= job.spec.queue.max_attempts:
+            self.finish(job, JobState.FAILED, now, now_ms)
 
     def take_refused(
         self, host: Host, refused: messages.RunRefused, now: float
--- a/rattanwing/standin/runs.py
+++ b/rattanwing/standin/runs.py
@@ -327,4 +327,7 @@
         other = await self.reach()
         if other is not None:
             return other
-        return await self.executor.hold(fence, acknowledged, deadline_ms, wait_s)
+        result = await self.executor.hold(fence, acknowledged, deadline_ms, wait_s)
+        if not self.executor.up or self.life != self.executor.life:
+            raise HttpCallError(Verdict.MAY_HAVE_RUN, "the executor died")
+        return result
--- a/tests/batch/schedules.py
+++ b/tests/batch/schedules.py
@@ -60,6 +60,8 @@
                 continue
             spec = self.make_job()
             for _ in range(self.random.choice((1, 1, 2))):
+                if not self.world.entries:
+                    break
                 name = self.random.choice(list(self.world.entries))
                 entry = self.world.entries[name]
                 with trio.move_on_after(3):
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -189,6 +189,21 @@
 
         self.run_jobs_through(fault)
 
+    def test_executor_is_gone_and_its_agent_lives(self):
+        """The agent goes on hearing of the owner, but nothing extends the lease."""
+
+        async def fault(world):
+            executor = world.executors[0]
+            executor.reachable = False
+            executor.crash()
+            began = trio.current_time()
+            for number in range(4):
+                done = await world.wait_for_state(f"job-{number}", JobState.COMPLETED)
+                self.assertTrue(done)
+            self.assertLess(trio.current_time() - began, 16)
+
+        self.run_jobs_through(fault)
+
     def test_executor_is_born_again_under_its_name(self):
         async def fault(world):
             world.executors[0].crash()
--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -120,14 +120,33 @@
 
     def test_end_that_an_earlier_owner_stored_counts_once(self):
         host = self.host("agent-1")
-        stored = Progress(2, JobState.RUNNING, {}, {"0.0.0": 2}, {"0.0.0": 2})
+        stored = Progress(2, JobState.RUNNING, {}, {"0.0.0": [1, 2]}, {"0.0.0": 2})
         owned = self.take(job(steps=(SMALL,)), inherited=True, progress=stored)
         self.end(host, "job-1.0.0.0", 2, RunEnding.FAILED)
-        self.assertEqual(owned.tasks()[0].failures, 2)
+        self.assertEqual(owned.tasks()[0].failed_attempts, {1, 2})
         self.assertIs(owned.state, JobState.RUNNING)
         self.end(host, "job-1.0.0.0", 3, RunEnding.FAILED, number=2)
         self.assertIs(owned.state, JobState.FAILED)
 
+    def test_failed_ends_count_in_whatever_order_agents_tell_them(self):
+        """At a takeover, the newest end may be told first."""
+        first, second = self.host("agent-1"), self.host("agent-2")
+        owned = self.take(job(steps=(SMALL,)), inherited=True)
+        self.end(first, "job-1.0.0.0", 3, RunEnding.FAILED, number=1)
+        self.end(second, "job-1.0.0.0", 1, RunEnding.FAILED, number=1)
+        self.assertIs(owned.state, JobState.QUEUED)
+        self.end(second, "job-1.0.0.0", 2, RunEnding.FAILED, number=2)
+        self.assertIs(owned.state, JobState.FAILED)
+
+    def test_counted_failures_are_stored(self):
+        host = self.host("agent-1")
+        owned = self.take(job(steps=(SMALL,)))
+        self.end(host, "job-1.0.0.0", 2, RunEnding.FAILED, number=1)
+        self.end(host, "job-1.0.0.0", 4, RunEnding.STOPPED, number=2)
+        progress = owned.progress(3)
+        self.assertEqual(progress.failures, {"0.0.0": [2]})
+        self.assertEqual(progress.attempts, {"0.0.0": 4})
+
 
 class RunTests(SchedulerTestCase):
     def started(self, **more):
