--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING, Any
 
 import trio
@@ -224,6 +225,11 @@
             return
         if self.owner and (hello.epoch, hello.fence) <= self.owner.rank():
             events.write(events.OWNER_REFUSED, epoch=hello.epoch, fence=hello.fence)
+            with contextlib.suppress(PeerLostError):
+                await stream.send(
+                    messages.encode(messages.Superseded(self.owner.epoch))
+                )
+                await stream.receive()
             return
         previous = self.owner
         owner = self.owner = OwnerSession(hello.epoch, hello.fence)
--- a/rattanwing/batch/messages.py
+++ b/rattanwing/batch/messages.py
@@ -152,6 +152,12 @@
     rows: list[tuple[str, str, float]]
 
 
+class Superseded(Message, tag=15):
+    """An agent's answer to an owner whose epoch is not the highest it has seen."""
+
+    epoch: int
+
+
 class RelayedSubmit(Message, tag=11):
     """A job that an entry hands in for another one that is cut off."""
 
@@ -192,6 +198,7 @@
     | RunRefused
     | RunFacts
     | Pressures
+    | Superseded
     | RelayedSubmit
     | RelayedCancel
     | RelayedFind
--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -46,6 +46,10 @@
 REDIAL_S = 0.25
 """Pause before an agent is dialled again; well under the lease."""
 
+LONGEST_REDIAL_S = 1.0
+"""Longest such pause, while the agent does not report; agents of lost hosts are
+dropped after a lease."""
+
 FENCE_STREAMS = 1 << 20
 """Streams that one owner may open; an owner's fences all exceed an earlier one's."""
 
@@ -336,18 +340,23 @@
 
     async def keep_link(self, name: str) -> None:
         """Dial an agent again and again while it is linked."""
+        pause_s = REDIAL_S
         while name in self.linked:
             address = self.directory.agents.get(name)
             host = self.scheduler.ledger.hosts.get(name)
             if address is None or host is None:
                 self.linked.discard(name)
                 return
+            heard_at = host.heard_at
             try:
                 await self.dial(address.address, self.make_handler(host))
             except PeerLostError as error:
-                if host.connected:
+                if pause_s == REDIAL_S:
                     events.write(events.PEER_LOST, peer=name, reason=str(error))
-            await trio.sleep(REDIAL_S * (0.5 + self.random.random()))
+            pause_s = min(LONGEST_REDIAL_S, pause_s * 2)
+            if host.heard_at > heard_at:
+                pause_s = REDIAL_S
+            await trio.sleep(pause_s * (0.5 + self.random.random()))
 
     def make_handler(self, host: Host) -> Callable[[Any], Awaitable[None]]:
         """Return the function that serves one stream to a host's agent."""
@@ -386,10 +395,21 @@
                 self.answer_report(host, session, message, now)
             case messages.RunsEnded():
                 self.scheduler.take_ends(host, message, now, now_ms)
+            case messages.Superseded():
+                self.take_superseded(session, message.epoch)
             case messages.RunRefused():
                 self.scheduler.take_refused(host, message, now)
         self.note_change()
 
+    def take_superseded(self, session: PeerSession, epoch: int) -> None:
+        """End this epoch if an agent obeys a later one; the store may be cut off."""
+        session.close()
+        if epoch <= self.epoch:
+            return
+        events.write(events.OWNER_SUPERSEDED, epoch=self.epoch, by=epoch)
+        self.writer.fenced = True
+        self.writer.wake.set()
+
     def answer_report(
         self,
         host: Host,
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -78,6 +78,7 @@
 TOPIC_LOADED = Event(525, logbook.INFO, "A topic's newest records were read.")
 AGENT_GONE = Event(526, logbook.WARNING, "Nothing is left of a silent agent's host.")
 OWNER_GIVES_WAY = Event(527, logbook.WARNING, "The owner reaches too few agents.")
+OWNER_SUPERSEDED = Event(528, logbook.WARNING, "An agent obeys a later owner.")
 JOB_STORED = Event(530, logbook.INFO, "A job was stored and accepted.")
 JOB_REFUSED = Event(531, logbook.INFO, "A job was refused and will never run.")
 JOB_UNCERTAIN = Event(532, logbook.WARNING, "Whether a job was stored is not known.")
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -363,6 +363,18 @@
         world = self.run_jobs_through(fault)
         self.assertEqual(len(world.history), 20)
 
+    def test_superseded_owner_learns_of_it_from_the_agents(self):
+        """It can't read the later claim while the store turns it away."""
+
+        async def fault(world):
+            name = world.owner().settings.name
+            world.store.away.add(name)
+            await trio.sleep(5)
+            self.assertIsNone(world.entries[name].loop)
+            world.store.away.discard(name)
+
+        self.run_jobs_through(fault)
+
     def test_superseded_owner_drops_no_agent(self):
         """The agents left it for the new owner; they are not gone."""
 
