End a superseded owner's writer at once

Change: fencing a writer cancels what is in flight, which stays unresolved. Test: test_superseded_owner_learns_of_it_from_the_agents passes; 89 tests of tests/batch pass.

--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -407,8 +407,7 @@
         if epoch <= self.epoch:
             return
         events.write(events.OWNER_SUPERSEDED, epoch=self.epoch, by=epoch)
-        self.writer.fenced = True
-        self.writer.wake.set()
+        self.writer.fence()
 
     def answer_report(
         self,
--- a/rattanwing/batch/ownership.py
+++ b/rattanwing/batch/ownership.py
@@ -192,8 +192,7 @@
         self.refrains_until = self.clock() + REFRAIN_S
         await self.write_owner(self.writer, resigned=True)
         if self.writer is not None:
-            self.writer.fenced = True
-            self.writer.wake.set()
+            self.writer.fence()
 
     async def resign(self, limit_s: float) -> None:
         """Give the scheduling up before a planned stop."""
@@ -203,5 +202,4 @@
         with trio.move_on_after(limit_s):
             await self.write_owner(self.writer, resigned=True)
         if self.writer is not None:
-            self.writer.fenced = True
-            self.writer.wake.set()
+            self.writer.fence()
--- a/rattanwing/batch/writer.py
+++ b/rattanwing/batch/writer.py
@@ -63,7 +63,9 @@
         self.sent_at = 0.0
 
     def finish(self, verdict: Verdict) -> None:
-        """Tell the waiting task how it ended."""
+        """Tell the waiting task how it ended; the first verdict stands."""
+        if self.done.is_set():
+            return
         self.verdict = verdict
         self.done.set()
 
@@ -90,6 +92,8 @@
         "failing_since",
         "confirmed_at",
         "on_stored",
+        "in_flight",
+        "scope",
     )
 
     def __init__(
@@ -113,6 +117,8 @@
         self.failing_since: float | None = None
         self.confirmed_at = clock()
         self.on_stored: Callable[[float], None] | None = None
+        self.in_flight: list[PendingAppend] = []
+        self.scope = trio.CancelScope()
 
     def submit(self, records: Records, expires_at: float | None) -> PendingAppend:
         """Queue records and return their pending append."""
@@ -142,17 +148,23 @@
     async def run(self) -> None:
         """Write until cancelled or fenced."""
         try:
-            while not self.fenced:
-                await self.wake.wait()
-                group = self.take_group()
-                if group:
-                    await self.write_group(group)
+            with self.scope:
+                while not self.fenced:
+                    await self.wake.wait()
+                    self.in_flight = self.take_group()
+                    if self.in_flight:
+                        await self.write_group(self.in_flight)
         finally:
             self.fenced = True
-            for pending in self.waiting:
-                pending.finish(Verdict.NOT_RUN)
+            finish_all(self.in_flight, Verdict.MAY_HAVE_RUN)
+            finish_all(self.waiting, Verdict.NOT_RUN)
             self.waiting.clear()
 
+    def fence(self) -> None:
+        """Write nothing more; what is in flight stays unresolved."""
+        self.fenced = True
+        self.scope.cancel()
+
     def take_group(self) -> list[PendingAppend]:
         """Return the appends that go together next."""
         group: list[PendingAppend] = []
