--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -59,8 +59,8 @@
     :param granted_until: by then all that runs there has lapsed unless granted
         anew, on the owner's clock.
     :param settled: the agent has reported everything that runs there.
-    :param ends_taken: highest number of a listed end of this incarnation that
-        was taken note of.
+    :param ends_taken: highest number of a listed end that was taken note of, of the
+        executor's life ``ends_incarnation``; each life numbers from 1.
     """
 
     __slots__ = (
@@ -80,6 +80,7 @@
         "used_accelerators",
         "health",
         "ends_taken",
+        "ends_incarnation",
     )
 
     def __init__(self, name: str, granted_until: float) -> None:
@@ -99,6 +100,7 @@
         self.used_accelerators = 0
         self.health = HostHealth()
         self.ends_taken = 0
+        self.ends_incarnation = ""
 
     def add(self, run: Run) -> None:
         """Reserve the room of a run."""
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -181,7 +181,6 @@
         )
         if replaced:
             self.ledger.lose_all(host, "executor-gone", now)
-            host.ends_taken = 0
         if view is not None or report.certain:
             host.executor = view
         first = report.certain and not host.settled
@@ -281,8 +280,8 @@
         self, host: Host, told: messages.RunsEnded, now: float, now_ms: int
     ) -> None:
         """Fold in ends that an executor lists."""
-        view = host.executor
-        if view is None or view.incarnation != told.incarnation:
+        if told.incarnation != host.ends_incarnation:
+            host.ends_incarnation = told.incarnation
             host.ends_taken = 0
         for end in told.ends:
             if end.number <= host.ends_taken:
--- a/rattanwing/standin/runs.py
+++ b/rattanwing/standin/runs.py
@@ -33,9 +33,18 @@
     """One run in the history that tests judge.
 
     :param ended_at: ``None`` while it runs.
+    :param noted_at: when its end was acknowledged, else ``None``.
     """
 
-    __slots__ = ("task", "attempt", "executor", "began_at", "ended_at", "ending")
+    __slots__ = (
+        "task",
+        "attempt",
+        "executor",
+        "began_at",
+        "ended_at",
+        "ending",
+        "noted_at",
+    )
 
     def __init__(self, task: str, attempt: int, executor: str, now: float) -> None:
         self.task = task
@@ -44,6 +53,7 @@
         self.began_at = now
         self.ended_at: float | None = None
         self.ending: RunEnding | None = None
+        self.noted_at: float | None = None
 
 
 class LateOrders:
@@ -79,6 +89,7 @@
         "born_at",
         "running",
         "ended",
+        "unnoted",
         "stopped",
         "number",
         "acknowledged",
@@ -124,6 +135,7 @@
         self.deadline_ms = 0
         self.running: dict[tuple[str, int], RunRecord] = {}
         self.ended: list[EndedRow] = []
+        self.unnoted: dict[int, RunRecord] = {}
         self.stopped: dict[str, int] = {}
         self.number = 0
         self.acknowledged = 0
@@ -185,6 +197,7 @@
         record.ended_at = trio.current_time()
         record.ending = ending
         self.number += 1
+        self.unnoted[self.number] = record
         self.ended.append(EndedRow(self.number, key[0], key[1], ending, ""))
         self.news.set()
         self.news = trio.Event()
@@ -250,6 +263,8 @@
             self.deadline_ms = max(self.deadline_ms, min(deadline_ms, limit))
         self.acknowledged = max(self.acknowledged, acknowledged)
         self.ended = [row for row in self.ended if row.number > self.acknowledged]
+        for number in [n for n in self.unnoted if n <= self.acknowledged]:
+            self.unnoted.pop(number).noted_at = trio.current_time()
         if not self.ended and wait_s:
             with trio.move_on_after(wait_s):
                 await self.news.wait()
