--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -171,8 +171,9 @@
             with self.subTest(target=target):
                 answer = call(self.entry, method, target, body, headers)
                 self.assertEqual(answer[0], status, answer[2])
-        status, headers, _body = call(self.entry, "GET", "/services/collections/y")
-        self.assertEqual((status, headers["rattanwing-verdict"]), (200, "ran"))
+        status, headers, body = call(self.entry, "GET", "/services/collections/y")
+        verdict = headers["rattanwing-verdict"]
+        self.assertEqual((status, verdict), (200, "ran"), body)
         text = call(self.entry, "GET", "/metrics")[2].decode()
         self.assertIn('rattanwing_requests_total{kind="ran"}', text)
 
