--- a/rattanwing/batch/entry.py
+++ b/rattanwing/batch/entry.py
@@ -20,7 +20,7 @@
     from collections.abc import Callable
     from random import Random
 
-    from rattanwing.batch.owner import Dial
+    from rattanwing.batch.links import Dial
     from rattanwing.batch.ports import KeyedStore
     from rattanwing.batch.settings import BatchSettings
 
--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -1,4 +1,4 @@
-"""The owner's input and output: streams to agents, the store, the clock."""
+"""The owner's rounds: what agents say goes in, decisions go out and are stored."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 
 from rattanwing import events
 from rattanwing.batch import messages, records
+from rattanwing.batch.links import AgentLinks
 from rattanwing.batch.ownership import FIRST_SEQUENCE_LIMIT, PRODUCER
 from rattanwing.batch.placement import Constraints
 from rattanwing.batch.ports import Stamp
@@ -15,22 +16,18 @@
 from rattanwing.batch.scheduler import Scheduler
 from rattanwing.batch.timing import TASK_LEASE_S
 from rattanwing.batch.writer import RecordWriter
-from rattanwing.errors import LogError, PeerLostError
-from rattanwing.peer.session import PeerSession
+from rattanwing.errors import LogError
 from rattanwing.verdict import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Callable
     from random import Random
 
     from rattanwing.batch.configuration import CurrentConfiguration
     from rattanwing.batch.hosts import Host
+    from rattanwing.batch.links import Dial
     from rattanwing.batch.replica import Directory, WorkReplica
-    from rattanwing.peer.stream import ByteMessageStream
-
-    Dial = Callable[
-        [str, Callable[[ByteMessageStream], Awaitable[None]]], Awaitable[None]
-    ]
+    from rattanwing.peer.session import PeerSession
 
 TICK_S = 0.25
 """Longest time between two rounds of decisions; bounds how late a lapse, a due
@@ -43,16 +40,6 @@
 """A round is followed by a pause of twice its time, so that decisions about a long
 queue leave a slow processor two thirds for callers and agents."""
 
-REDIAL_S = 0.25
-"""Pause before an agent is dialled again; well under the lease."""
-
-LONGEST_REDIAL_S = 1.0
-"""Longest such pause, while the agent does not report; agents of lost hosts are
-dropped after a lease."""
-
-FENCE_STREAMS = 1 << 20
-"""Streams that one owner may open; an owner's fences all exceed an earlier one's."""
-
 UNREACHED_LIMIT_S = 2.0
 """An owner out of reach of most agents for so long gives way; streams fall silent
 3 s before, and a lease is 9 s."""
@@ -60,7 +47,6 @@
 SWEEP_INTERVAL_S = 5.0
 """How often finished jobs are looked over."""
 
-
 SWEEP_RECORDS = 180
 """Records dropped in one append: three for each of 60 jobs."""
 
@@ -73,7 +59,6 @@
     """
 
     __slots__ = (
-        "node",
         "epoch",
         "writer",
         "replica",
@@ -82,15 +67,10 @@
         "current",
         "clock",
         "wall_ms",
-        "random",
-        "dial",
         "retention_s",
         "scheduler",
-        "streams",
-        "sessions",
+        "links",
         "changed",
-        "linked",
-        "nursery",
         "stored",
         "reached_at",
         "give_way",
@@ -109,7 +89,6 @@
         dial: Dial,
         retention_s: float,
     ) -> None:
-        self.node = node
         self.epoch = writer.epoch
         self.writer = writer
         self.replica = replica
@@ -124,15 +103,20 @@
         self.current = current
         self.clock = clock
         self.wall_ms = wall_ms
-        self.random = random
-        self.dial = dial
         self.retention_s = retention_s
         self.scheduler = Scheduler(writer.epoch, writer.confirmed_at)
-        self.streams = 0
-        self.sessions: dict[str, PeerSession] = {}
+        self.links = AgentLinks(
+            node,
+            writer.epoch,
+            self.scheduler.ledger,
+            directory,
+            self.directory_writer,
+            clock,
+            random,
+            dial,
+            self.take,
+        )
         self.changed = trio.Event()
-        self.linked: set[str] = set()
-        self.nursery: trio.Nursery | None = None
         self.stored = trio.Event()
         self.reached_at = clock()
         self.give_way = trio.Event()
@@ -149,10 +133,10 @@
         self.replica.on_job = self.take_job
         try:
             async with trio.open_nursery() as nursery:
-                self.nursery = nursery
-                self.directory.on_agent = self.link
+                self.links.nursery = nursery
+                self.directory.on_agent = self.links.link
                 for name in list(self.directory.agents):
-                    self.link(name)
+                    self.links.link(name)
                 nursery.start_soon(self.await_directory)
                 nursery.start_soon(self.directory_writer.run)
                 nursery.start_soon(self.store_on)
@@ -226,7 +210,7 @@
         scheduler = self.scheduler
         scheduler.constraints = Constraints(self.current.closed_domains)
         for name in scheduler.check_lapses(now):
-            self.unlink(name)
+            self.links.unlink(name)
         scheduler.check_settled(now)
         scheduler.check_stalls(now)
         self.check_reach(now)
@@ -261,13 +245,7 @@
         ledger = self.scheduler.ledger
         outbox, ledger.outbox = ledger.outbox, []
         for host, message in outbox:
-            session = self.sessions.get(host.name)
-            if session is None:
-                continue
-            try:
-                session.send(message)
-            except PeerLostError:
-                session.close()
+            self.links.send(host.name, message)
 
     # The store
 
@@ -290,9 +268,7 @@
                 if verdict is not Verdict.RAN:
                     return
             for name, (incarnation, number) in acks.items():
-                session = self.sessions.get(name)
-                if session is not None and not session.lost:
-                    session.send(messages.EndsStored(incarnation, number))
+                self.links.send(name, messages.EndsStored(incarnation, number))
             self.scheduler.forget_finished(self.replica.jobs)
 
     async def sweep_on(self) -> None:
@@ -313,81 +289,8 @@
 
     # Agents
 
-    def link(self, name: str) -> None:
-        """Keep a stream to an agent."""
-        if name in self.linked or self.nursery is None:
-            return
-        self.linked.add(name)
-        self.scheduler.ledger.add_host(name, self.clock())
-        self.nursery.start_soon(self.keep_link, name)
-
-    def unlink(self, name: str) -> None:
-        """Stop dialling an agent of which nothing is left, and drop its record.
-
-        An agent that comes back writes its address again.
-        """
-        events.write(events.AGENT_GONE, peer=name)
-        self.linked.discard(name)
-        key = records.AGENT_PREFIX + name
-        self.directory.agents.pop(name, None)
-        if self.nursery is not None:
-            self.nursery.start_soon(self.drop_agent, key)
-
-    async def drop_agent(self, key: str) -> None:
-        """Drop an agent's record from the directory."""
-        expires_at = self.clock() + TASK_LEASE_S
-        await self.directory_writer.store_records([(key, None)], expires_at)
-
-    async def keep_link(self, name: str) -> None:
-        """Dial an agent again and again while it is linked."""
-        pause_s = REDIAL_S
-        while name in self.linked:
-            address = self.directory.agents.get(name)
-            host = self.scheduler.ledger.hosts.get(name)
-            if address is None or host is None:
-                self.linked.discard(name)
-                return
-            heard_at = host.heard_at
-            try:
-                await self.dial(address.address, self.make_handler(host))
-            except PeerLostError as error:
-                if pause_s == REDIAL_S:
-                    events.write(events.PEER_LOST, peer=name, reason=str(error))
-            pause_s = min(LONGEST_REDIAL_S, pause_s * 2)
-            if host.heard_at > heard_at:
-                pause_s = REDIAL_S
-            await trio.sleep(pause_s * (0.5 + self.random.random()))
-
-    def make_handler(self, host: Host) -> Callable[[Any], Awaitable[None]]:
-        """Return the function that serves one stream to a host's agent."""
-
-        async def serve(stream: ByteMessageStream) -> None:
-            session = PeerSession(
-                stream,
-                self.clock,
-                lambda message: self.take(host, session, message),
-                messages,
-            )
-            self.streams += 1
-            fence = self.epoch * FENCE_STREAMS + self.streams
-            session.send(messages.OwnerHello(self.epoch, fence, self.node))
-            self.sessions[host.name] = session
-            self.scheduler.ledger.host_connected(host)
-            events.write(events.PEER_CONNECTED, peer=host.name, fence=fence)
-            try:
-                await session.run()
-            finally:
-                if self.sessions.get(host.name) is session:
-                    del self.sessions[host.name]
-                    self.scheduler.ledger.host_lost(host)
-                    events.write(events.PEER_LOST, peer=host.name, fence=fence)
-
-        return serve
-
     def take(self, host: Host, session: PeerSession, message: Any) -> None:
         """Handle one message of an agent."""
-        if self.sessions.get(host.name) is not session:
-            return
         now, now_ms = self.clock(), self.wall_ms()
         match message:
             case messages.HostReport():
--- a/rattanwing/batch/relay.py
+++ b/rattanwing/batch/relay.py
@@ -21,8 +21,8 @@
     from random import Random
 
     from rattanwing.batch import records
+    from rattanwing.batch.links import Dial
     from rattanwing.batch.model import JobSpec, JobState
-    from rattanwing.batch.owner import Dial
     from rattanwing.batch.replica import Directory
     from rattanwing.batch.service import JobService
     from rattanwing.peer.stream import ByteMessageStream
--- a/rattanwing/messages.py
+++ b/rattanwing/messages.py
@@ -8,9 +8,7 @@
 
 import msgspec
 
-from rattanwing.errors import ProtocolError
-
-MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+from rattanwing.util.codec import MessageCodec
 
 
 class Message(msgspec.Struct, array_like=True, tag_field="kind"):
@@ -302,23 +300,6 @@
     | DeferReply
 )
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(AnyMessage)
-
-
-def encode(message: Message) -> bytes:
-    """Return the wire form of a message."""
-    return _encoder.encode(message)
-
-
-def decode(data: bytes) -> Message:
-    """Return the message that ``data`` stands for.
-
-    :raises ProtocolError: when it is oversized or no known message.
-    """
-    if len(data) > MAX_MESSAGE_BYTES:
-        raise ProtocolError(f"message of {len(data)} bytes is over the limit")
-    try:
-        return _decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise ProtocolError(f"message does not decode: {error}") from error
+_codec = MessageCodec(AnyMessage)
+encode = _codec.encode
+decode = _codec.decode
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -15,6 +15,7 @@
 from rattanwing.errors import ProtocolError, RecordError, SettingsError
 from rattanwing.jobs.shard import ShardState
 from rattanwing.settings import parse_settings
+from rattanwing.util.codec import MAX_MESSAGE_BYTES
 
 SETTINGS = settings(derandomize=True, max_examples=300, deadline=None, database=None)
 START = 1_796_000_000.0
@@ -147,7 +148,7 @@
 
     def test_oversized_message_is_refused(self):
         with self.assertRaises(ProtocolError):
-            messages.decode(b"\x00" * (messages.MAX_MESSAGE_BYTES + 1))
+            messages.decode(b"\x00" * (MAX_MESSAGE_BYTES + 1))
 
 
 class FoldProperties(unittest.TestCase):
