--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -54,7 +54,6 @@
         "constraints",
         "unstored",
         "unacked",
-        "expected_hosts",
         "settled",
         "directory_known",
         "pressures",
@@ -124,7 +123,7 @@
                 continue
             if view is not None and not view.progress.state.final:
                 continue
-            if not any(task.runs for task in job.tasks()):
+            if job.running == 0:
                 del self.jobs[job_id]
 
     # Hosts
--- a/rattanwing/batch/timing.py
+++ b/rattanwing/batch/timing.py
@@ -26,9 +26,6 @@
 OWNER_RENEWAL_S = 1.0
 """An owner that wrote nothing for so long writes a renewal."""
 
-CONTACT_INTERVAL_S = 0.5
-"""Between two contacts of the owner with an agent; a lease spans 18 of them."""
-
 
 def steady_clock() -> float:
     """Return monotonic seconds that also count while the machine is suspended."""
@@ -38,8 +35,3 @@
 def wall_clock_ms() -> int:
     """Return the Unix time in milliseconds."""
     return time.time_ns() // 1_000_000
-
-
-def lease_lapsed_by(granted_until: float) -> float:
-    """Return when a run that was granted until ``granted_until`` is surely gone."""
-    return granted_until + LEASE_MARGIN_S
