Refuse start orders that come while an agent is being stopped

Ruled out: an error of the executor's calls; the trace ends in BatchAgent.take_start. Change: BatchAgent.run forgets its nursery when it ends, so the order is refused as to a machine without an executor, and it surely never starts.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -144,11 +144,14 @@
 
     async def run(self) -> None:
         """Drive the executor and report, until cancelled."""
-        async with trio.open_nursery() as nursery:
-            self.nursery = nursery
-            if self.executor is not None:
-                nursery.start_soon(self.executor.look_on)
-            await self.report_on()
+        try:
+            async with trio.open_nursery() as nursery:
+                self.nursery = nursery
+                if self.executor is not None:
+                    nursery.start_soon(self.executor.look_on)
+                await self.report_on()
+        finally:
+            self.nursery = None
 
     async def report_on(self) -> None:
         """Report each change at once, and everything at a fixed interval."""
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import trio
+
 from rattanwing.batch import messages
 from rattanwing.batch.agent import BatchAgent, OwnerSession
 from rattanwing.standin.runs import StandinExecutor
@@ -63,3 +65,15 @@
         older = OwnerSession(0, 9)
         self.agent.take(older, start_order())
         self.assertEqual(self.report().runs, [])
+
+    def test_order_that_comes_during_a_stop_is_refused(self):
+        """The streams outlive the agent's tasks by some scheduler steps."""
+
+        async def start_and_stop():
+            with trio.move_on_after(0.1):
+                await self.agent.run()
+
+        trio.run(start_and_stop)
+        self.agent.take(self.owner, start_order())
+        self.assertEqual(self.owner.session.sent[-1].reason, "no-executor")
+        self.assertEqual(self.agent.executor.rows(), [])
--- a/tests/batch/test_schedules.py
+++ b/tests/batch/test_schedules.py
@@ -7,6 +7,7 @@
 SEEDS = (2, 4, 5)
 FAILED_ONCE = {
     37: "ends of an executor's next life were passed over by their number",
+    51: "a start order that came while the agent was being stopped raised",
 }
 
 
