Use hosts whose agents come long after the owner's claim

Cause: a host was added with the lease of the claim, which had lapsed by then; a round of decisions between the dial and the open stream took it for silent, dropped it from the ledger and the directory, and left the stream open, so that the agent believed to have an owner and did not write its address again. Ruled out: memory taken by fillers and sick hosts (the counts of refusals by reason name processors on all 7 hosts alone). Change: a host that is added has a whole lease to answer; a dropped link is closed. Test: test_host_that_comes_long_after_the_claim_is_used fails without the change (executor-3 gets nothing). Virtual time: the stand-in's connections now take 10 ms.

--- a/rattanwing/batch/ledger.py
+++ b/rattanwing/batch/ledger.py
@@ -34,11 +34,13 @@
     def add_host(self, name: str, now: float) -> Host:
         """Return the host of an agent, new or known.
 
-        An earlier owner may have granted a whole lease just before the claim.
+        An earlier owner may have granted a whole lease just before the claim; a host
+        that comes later is given as long to answer.
         """
         host = self.hosts.get(name)
         if host is None:
-            host = self.hosts[name] = Host(name, self.claimed_at + TASK_LEASE_S)
+            lapses_at = max(self.claimed_at, now) + TASK_LEASE_S
+            host = self.hosts[name] = Host(name, lapses_at)
             host.heard_at = now
         return host
 
--- a/rattanwing/batch/links.py
+++ b/rattanwing/batch/links.py
@@ -83,7 +83,7 @@
         self.on_message = on_message
         self.streams = 0
         self.sessions: dict[str, PeerSession] = {}
-        self.linked: set[str] = set()
+        self.linked: dict[str, trio.CancelScope] = {}
         self.nursery: trio.Nursery | None = None
 
     def send(self, name: str, message: messages.Message) -> None:
@@ -100,17 +100,20 @@
         """Keep a stream to an agent."""
         if name in self.linked or self.nursery is None:
             return
-        self.linked.add(name)
+        scope = self.linked[name] = trio.CancelScope()
         self.ledger.add_host(name, self.clock())
-        self.nursery.start_soon(self.keep_link, name)
+        self.nursery.start_soon(self.keep_link, name, scope)
 
     def unlink(self, name: str) -> None:
         """Stop dialling an agent of which nothing is left, and drop its record.
 
-        An agent that comes back writes its address again.
+        An agent that comes back writes its address again; a stream that opens at
+        this very moment is closed, else it would believe to have an owner.
         """
         events.write(events.AGENT_GONE, peer=name)
-        self.linked.discard(name)
+        scope = self.linked.pop(name, None)
+        if scope is not None:
+            scope.cancel()
         key = records.AGENT_PREFIX + name
         self.directory.agents.pop(name, None)
         if self.nursery is not None:
@@ -121,25 +124,26 @@
         expires_at = self.clock() + TASK_LEASE_S
         await self.directory_writer.store_records([(key, None)], expires_at)
 
-    async def keep_link(self, name: str) -> None:
+    async def keep_link(self, name: str, scope: trio.CancelScope) -> None:
         """Dial an agent again and again while it is linked."""
         pause_s = REDIAL_S
-        while name in self.linked:
-            address = self.directory.agents.get(name)
-            host = self.ledger.hosts.get(name)
-            if address is None or host is None:
-                self.linked.discard(name)
-                return
-            heard_at = host.heard_at
-            try:
-                await self.dial(address.address, self.make_handler(host))
-            except PeerLostError as error:
-                if pause_s == REDIAL_S:
-                    events.write(events.PEER_LOST, peer=name, reason=str(error))
-            pause_s = min(LONGEST_REDIAL_S, pause_s * 2)
-            if host.heard_at > heard_at:
-                pause_s = REDIAL_S
-            await trio.sleep(pause_s * (0.5 + self.random.random()))
+        with scope:
+            while True:
+                address = self.directory.agents.get(name)
+                host = self.ledger.hosts.get(name)
+                if address is None or host is None:
+                    self.linked.pop(name, None)
+                    return
+                heard_at = host.heard_at
+                try:
+                    await self.dial(address.address, self.make_handler(host))
+                except PeerLostError as error:
+                    if pause_s == REDIAL_S:
+                        events.write(events.PEER_LOST, peer=name, reason=str(error))
+                pause_s = min(LONGEST_REDIAL_S, pause_s * 2)
+                if host.heard_at > heard_at:
+                    pause_s = REDIAL_S
+                await trio.sleep(pause_s * (0.5 + self.random.random()))
 
     def make_handler(self, host: Host) -> Callable[[Any], Awaitable[None]]:
         """Return the function that serves one stream to a host's agent."""
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -96,6 +96,25 @@
         world = play(scenario)
         self.assertEqual(len(world.history), 3)
 
+    def test_host_that_comes_long_after_the_claim_is_used(self):
+        """Executors are replaced minutes after the owner's claim."""
+
+        async def scenario(world):
+            world.kill("agent-3")
+            world.executors[3].crash()
+            await trio.sleep(20)
+            world.dial_s = 0.4
+            world.executors[3].begin_life()
+            await world.start_agent(3)
+            await trio.sleep(3)
+            wide = StepSpec(16, cpu=900, memory_mb=100)
+            await world.submit(job(steps=(wide,)))
+            self.assertTrue(await world.wait_for_state("job-1", JobState.COMPLETED))
+
+        world = play(scenario)
+        used = {run.executor for run in world.history}
+        self.assertEqual(used, {e.name for e in world.executors})
+
     def test_hosts_are_never_overcommitted(self):
         async def scenario(world):
             await trio.sleep(2)
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -57,6 +57,7 @@
         self.scopes = {}
         self.cut = set()
         self.lives = 0
+        self.dial_s = 0.01
 
     def now(self):
         return trio.current_time()
@@ -137,6 +138,7 @@
         if agent is None or {caller, address} & self.cut:
             await trio.sleep(0.5)
             raise PeerLostError("no connection")
+        await trio.sleep(self.dial_s)
         near, far = memory_stream_pair()
         scope = self.scopes[address]
         async with trio.open_nursery() as nursery:
