Start nothing beside runs whose room is not known; log why a task finds no host

What is being stopped takes room. Change: the owner starts nothing on a host with runs of unknown jobs; an agent refuses starts beside runs whose size it was not told; every adopted run is described. Event 547 tells which hosts a waiting task can't have, by reason: the trace of the lost hosts needed it.

--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -61,6 +61,8 @@
     :param settled: the agent has reported everything that runs there.
     :param ends_taken: highest number of a listed end that was taken note of, of the
         executor's life ``ends_incarnation``; each life numbers from 1.
+    :param strangers: runs of jobs that are not known, which are being stopped; the
+        room that they take is not known.
     """
 
     __slots__ = (
@@ -81,6 +83,7 @@
         "health",
         "ends_taken",
         "ends_incarnation",
+        "strangers",
     )
 
     def __init__(self, name: str, granted_until: float) -> None:
@@ -101,6 +104,7 @@
         self.health = HostHealth()
         self.ends_taken = 0
         self.ends_incarnation = ""
+        self.strangers = 0
 
     def add(self, run: Run) -> None:
         """Reserve the room of a run."""
@@ -149,6 +153,7 @@
             and self.connected
             and self.settled
             and not self.missing
+            and not self.strangers
             and not self.executor.draining
             and now - self.heard_at <= QUIET_AFTER_S
         )
--- a/rattanwing/batch/jobs.py
+++ b/rattanwing/batch/jobs.py
@@ -67,9 +67,21 @@
 
 
 class StepTasks:
-    """The tasks of one step in one occurrence."""
+    """The tasks of one step in one occurrence.
 
-    __slots__ = ("spec", "occurrence", "number", "tasks", "left")
+    :param waits_since: since when a task of it has found no host, else ``None``.
+    :param wait_told_at: when the log was last told so.
+    """
+
+    __slots__ = (
+        "spec",
+        "occurrence",
+        "number",
+        "tasks",
+        "left",
+        "waits_since",
+        "wait_told_at",
+    )
 
     def __init__(
         self, job: OwnedJob, occurrence: int, number: int, spec: StepSpec
@@ -82,6 +94,8 @@
             for index in range(spec.count)
         ]
         self.left = spec.count
+        self.waits_since: float | None = None
+        self.wait_told_at = 0.0
 
     @property
     def key(self) -> str:
--- a/rattanwing/batch/ledger.py
+++ b/rattanwing/batch/ledger.py
@@ -70,13 +70,13 @@
         task.job.note_run(1, now)
         return run
 
-    def describe_runs(self, host: Host) -> None:
-        """Tell an agent the sizes of what it runs; it may have restarted."""
-        for run in host.runs.values():
+    def describe_runs(self, runs: list[Run]) -> None:
+        """Tell the agents the sizes of runs; an agent that restarted lacks them."""
+        for run in runs:
             facts = messages.RunFacts(
                 str(run.task.id), run.attempt, task_facts(run.task.step)
             )
-            self.send(host, facts)
+            self.send(run.host, facts)
 
     def lose_all(self, host: Host, reason: str, now: float) -> None:
         """Give up on every run of a host."""
--- a/rattanwing/batch/placement.py
+++ b/rattanwing/batch/placement.py
@@ -61,24 +61,47 @@
         self.closed_domains = closed_domains
 
 
-def fits(
+def obstacle(
     host: Host, job: OwnedJob, step: StepSpec, constraints: Constraints, now: float
-) -> bool:
-    """Return whether one more task of a step may run on a host at all."""
+) -> str:
+    """Return why no more task of a step may run on a host; empty if one may."""
     executor = host.executor
     if executor is None or not host.takes_starts(now):
-        return False
+        return "takes-no-starts"
     if executor.service != job.spec.queue.service:
-        return False
+        return "other-service"
     if executor.failure_domain in constraints.closed_domains:
-        return False
+        return "domain-closed"
     if step.label and step.label not in executor.labels:
-        return False
+        return "label"
     if host.used_memory_mb + step.memory_mb > executor.memory_mb:
-        return False
+        return "memory"
     if host.used_accelerators + step.accelerators > executor.accelerators:
-        return False
-    return step.fills or host.used_cpu + step.cpu <= executor.cpu
+        return "accelerators"
+    if not step.fills and host.used_cpu + step.cpu > executor.cpu:
+        return "cpu"
+    return ""
+
+
+def count_obstacles(
+    hosts: list[Host],
+    job: OwnedJob,
+    task: Task,
+    constraints: Constraints,
+    pressures: PressureModel,
+    now: float,
+) -> dict[str, int]:
+    """Return how many hosts a task can't have, by the first reason."""
+    counts: dict[str, int] = {}
+    for host in hosts:
+        reason = obstacle(host, job, task.step, constraints, now)
+        if not reason and 0 < task.step.spread_limit <= count_on(host, task):
+            reason = "spread"
+        if not reason and not suits(host, task.step, pressures, now):
+            reason = "does-not-suit"
+        if reason:
+            counts[reason] = counts.get(reason, 0) + 1
+    return counts
 
 
 def suits(host: Host, step: StepSpec, pressures: PressureModel, now: float) -> bool:
@@ -160,7 +183,7 @@
     A job of which nothing has run for ``STARVED_AFTER_S`` takes any host that has
     the room.
     """
-    fitting = [h for h in hosts if fits(h, job, task.step, constraints, now)]
+    fitting = [h for h in hosts if not obstacle(h, job, task.step, constraints, now)]
     limit = task.step.spread_limit
     if limit:
         fitting = [host for host in fitting if count_on(host, task) < limit]
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -341,6 +341,8 @@
             return "known"
         if self.clean_fence != self.fence:
             return "unclean"
+        if any(run.facts is None for run in self.runs.values()):
+            return "unknown-room"
         cpu, memory_mb = self.used()
         if not order.facts.fills and cpu + order.facts.cpu > self.view.cpu:
             return "no-cpu"
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -14,7 +14,7 @@
 from rattanwing.batch.ledger import RunLedger, task_facts
 from rattanwing.batch.model import JobState, parse_task_id
 from rattanwing.batch.order import by_urgency
-from rattanwing.batch.placement import Constraints, choose_host
+from rattanwing.batch.placement import Constraints, choose_host, count_obstacles
 from rattanwing.batch.ports import EndedRow, RunEnding, RunningRow
 from rattanwing.batch.pressure import PressureModel
 from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
@@ -36,6 +36,10 @@
 """A task whose percentage has not changed for so long stands still; the longest
 tasks change it several times a second, also when their host is slow."""
 
+TELL_WAIT_S = 2.0
+"""A step that finds no host for so long is logged, and again after as long; half a
+minute of a full queue is some hundred lines."""
+
 STOP_AGAIN_S = 2.0
 """A stop is ordered again when the run is still reported after this time."""
 
@@ -185,16 +189,19 @@
         first = report.certain and not host.settled
         host.settled = host.settled or report.certain
         listed = {(row.task, row.attempt): row for row in report.runs}
+        host.strangers = 0
         for key, row in listed.items():
             run = host.runs.get(key) or self.adopt(host, row, now)
             if run is not None:
                 self.refresh(run, row, now)
+            else:
+                host.strangers += 1
         if report.certain:
             for key, run in list(host.runs.items()):
                 if key not in listed and run.order_number <= report.orders_seen:
                     self.ledger.lose(run, "not-reported", now)
         if first:
-            self.ledger.describe_runs(host)
+            self.ledger.describe_runs(list(host.runs.values()))
         self.pressures.observe(list(host.runs.values()), now)
         if view is not None and view.draining:
             self.empty_draining(host, view.remaining_ms, now)
@@ -223,6 +230,7 @@
             self.ledger.order_stop(host, row.task, row.attempt)
             return None
         run = self.ledger.book(task, row.attempt, host, now)
+        self.ledger.describe_runs([run])
         task.attempt = max(task.attempt, row.attempt)
         if task.done or job.state.final or row.attempt < task.attempt:
             self.ledger.stop(run, "superseded", now)
@@ -381,8 +389,38 @@
                 continue
             host = choose_host(hosts, job, task, self.constraints, self.pressures, now)
             if host is None:
+                self.note_wait(job, steps, task, hosts, now)
                 return
             self.start(job, task, task.attempt + 1, host, now)
+        steps.waits_since = None
+
+    def note_wait(
+        self,
+        job: OwnedJob,
+        steps: StepTasks,
+        task: Task,
+        hosts: list[Host],
+        now: float,
+    ) -> None:
+        """Remember since when a step waits for room, and tell why now and then."""
+        if steps.waits_since is None:
+            steps.waits_since = now
+        waited_s = now - steps.waits_since
+        if min(waited_s, now - steps.wait_told_at) < TELL_WAIT_S:
+            return
+        steps.wait_told_at = now
+        obstacles = count_obstacles(
+            hosts, job, task, self.constraints, self.pressures, now
+        )
+        events.write(
+            events.TASK_WAITS,
+            task=str(task.id),
+            waited_s=round(waited_s, 1),
+            cpu=task.step.cpu,
+            memory_mb=task.step.memory_mb,
+            hosts=obstacles,
+            epoch=self.epoch,
+        )
 
     def place_gang(
         self, job: OwnedJob, steps: StepTasks, hosts: list[Host], now: float
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -90,6 +90,7 @@
 RUN_STOPPED = Event(543, logbook.INFO, "The stop of a run was ordered.")
 RUN_REFUSED = Event(544, logbook.INFO, "An agent did not start a run.")
 RUN_UNKNOWN = Event(545, logbook.WARNING, "A reported run belongs to no known job.")
+TASK_WAITS = Event(547, logbook.INFO, "A task finds no host; counts by reason.")
 RUN_PACED = Event(546, logbook.INFO, "A filling run was slowed or sped up.")
 
 EXECUTOR_KNOWN = Event(610, logbook.INFO, "An executor announced itself.")
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -6,6 +6,7 @@
 
 from rattanwing.batch import messages
 from rattanwing.batch.agent import BatchAgent, OwnerSession
+from rattanwing.batch.ports import HoldResult, RunningRow
 from rattanwing.standin.runs import StandinExecutor
 
 
@@ -61,6 +62,18 @@
         self.assertEqual(self.owner.session.sent[-1].reason, "no-cpu")
         self.assertEqual(self.report().runs, [])
 
+    def test_nothing_starts_beside_a_run_whose_room_is_not_known(self):
+        """The agent has restarted, and the run's job was cancelled meanwhile."""
+        row = RunningRow("job-0.0.0.0", 1, "", 10)
+        executor = self.agent.executor
+        executor.fold(HoldResult(1, [row], []), self.now, self.now)
+        self.agent.take(self.owner, start_order())
+        self.assertEqual(self.owner.session.sent[-1].reason, "unknown-room")
+        facts = messages.TaskFacts(3950, 10, 0, False, 0, "")
+        self.agent.take(self.owner, messages.RunFacts("job-0.0.0.0", 1, facts))
+        self.agent.take(self.owner, start_order(number=2))
+        self.assertEqual(self.owner.session.sent[-1].reason, "no-cpu")
+
     def test_messages_of_a_superseded_owner_change_nothing(self):
         older = OwnerSession(0, 9)
         self.agent.take(older, start_order())
--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -227,6 +227,15 @@
                 self.report_percent(host, 100 if "lasting" in more else 0, 1.5)
             self.assertIsNone(task.runs[0].stopping_since)
 
+    def test_nothing_starts_beside_a_run_of_an_unknown_job(self):
+        """What is being stopped takes room, and nobody knows how much."""
+        host = self.host("agent-1")
+        self.take(job(steps=(SMALL,)))
+        self.report(host, runs=[RunningRow("gone.0.0.0", 1, "", 10)])
+        self.assertEqual(self.plan(), [])
+        self.report(host)
+        self.assertEqual(len(self.plan()), 2)
+
     def test_run_of_an_unknown_job_is_stopped(self):
         host = self.host("agent-1")
         self.scheduler.ledger.outbox.clear()
