Pace fillers by the headroom that they take, learnt from changes

The target over the tail falls by the same amount for each core, whatever the load; compared with itself a second before, a task's own load drops out, and 2 to 3 pairs of each serving image stand out by ten times the others.

--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -10,6 +10,7 @@
     from rattanwing.batch.jobs import Task
     from rattanwing.batch.model import StepSpec
     from rattanwing.batch.ports import ExecutorView
+    from rattanwing.batch.pressure import Look
 
 QUIET_AFTER_S = 2.0
 """A host whose agent was not heard of for so long gets no new runs; reports come
@@ -23,6 +24,7 @@
     :param confirmed: the agent has reported it.
     :param progressed_at: when its percentage last changed.
     :param stopping_since: when a stop was ordered, else ``None``.
+    :param look: of a serving task, the latest headroom to compare with.
     """
 
     __slots__ = (
@@ -37,6 +39,7 @@
         "percent",
         "saved",
         "usage",
+        "look",
     )
 
     def __init__(self, task: Task, attempt: int, host: Host, now: float) -> None:
@@ -51,6 +54,7 @@
         self.percent = 0
         self.saved = ""
         self.usage = 0
+        self.look: Look | None = None
 
 
 class Host:
@@ -138,14 +142,6 @@
             return 0
         return self.executor.cpu - self.used_cpu - self.used_fill_cpu
 
-    def room_for_fillers(self, lasting_use_share: float) -> int:
-        """Return the thousandths of a core that fillers may yet declare.
-
-        :param lasting_use_share: what lasting tasks use of what they declare.
-        """
-        unused = int(self.used_lasting_cpu * (1 - lasting_use_share))
-        return self.free_cpu() + unused
-
     def takes_starts(self, now: float) -> bool:
         """Return whether new runs may be ordered here at all."""
         return (
--- a/rattanwing/batch/messages.py
+++ b/rattanwing/batch/messages.py
@@ -143,8 +143,9 @@
 class Pressures(Message, tag=10):
     """Which filling images press on which serving images.
 
-    :param rows: serving image, filling image, and the share of the target that
-        one core of the filler adds. Pairs that are not listed are not known yet.
+    :param rows: serving image, filling image, and the headroom (the target over the
+        tail) that one core of the filler takes. Pairs that are not listed are not
+        known yet.
     """
 
     rows: list[tuple[str, str, float]]
--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -44,6 +44,10 @@
 """An owner out of reach of most agents for so long gives way; streams fall silent
 3 s before, and a lease is 9 s."""
 
+PRESSURES_STORED_S = 5.0
+"""How often what was learnt of pairs of images is stored; it takes ten seconds and
+more to learn, and a record is under 2 KB."""
+
 SWEEP_INTERVAL_S = 5.0
 """How often finished jobs are looked over."""
 
@@ -130,6 +134,7 @@
         now, now_ms = self.clock(), self.wall_ms()
         for view in self.replica.jobs.values():
             self.scheduler.take_job(view, now, now_ms, inherited=True)
+        self.scheduler.pressures.restore(self.replica.pressures.rows)
         self.replica.on_job = self.take_job
         try:
             async with trio.open_nursery() as nursery:
@@ -141,6 +146,7 @@
                 nursery.start_soon(self.directory_writer.run)
                 nursery.start_soon(self.store_on)
                 nursery.start_soon(self.sweep_on)
+                nursery.start_soon(self.store_pressures_on)
                 await self.decide_on()
         finally:
             self.replica.on_job = lambda _job_id: None
@@ -271,6 +277,22 @@
                 self.links.send(name, messages.EndsStored(incarnation, number))
             self.scheduler.forget_finished(self.replica.jobs)
 
+    async def store_pressures_on(self) -> None:
+        """Store what was learnt of pairs of images, for the next owner."""
+        stored: list[tuple[str, str, float, float]] = []
+        while True:
+            await trio.sleep(PRESSURES_STORED_S)
+            rows = self.scheduler.pressures.evidence()
+            if rows == stored:
+                continue
+            value = records.encode(records.Pressures(self.epoch, rows))
+            verdict = await self.writer.store_records(
+                [(records.PRESSURES_KEY, value)], None
+            )
+            if verdict is not Verdict.RAN:
+                return
+            stored = rows
+
     async def sweep_on(self) -> None:
         """Drop the records of jobs whose state need no longer be readable."""
         while True:
--- a/rattanwing/batch/placement.py
+++ b/rattanwing/batch/placement.py
@@ -15,28 +15,38 @@
     from rattanwing.batch.model import StepSpec
     from rattanwing.batch.pressure import PressureModel
 
-LASTING_USE_SHARE = 0.6
+LASTING_USE_SHARE = 0.5
 """Share of what lasting tasks declare that they are taken to use, when the room
-that they leave to fillers is reckoned; their use is not reported."""
+that they leave to fillers is reckoned; their use is not reported. Their loads swing
+around half, not in step."""
 
-PRESSURE_WEIGHT = 20_000
-"""Thousandths of a core that a filler's pressure of a whole target weighs: a tenth
-of a target is worth two cores of free room."""
+PRESSURE_WEIGHT = 10_000
+"""Thousandths of a core that the headroom of a whole target weighs: a tenth of it
+is worth one core of free room."""
 
-PRESSURE_LIMIT = 0.15
-"""Share of a target that a filler may add beside a serving task; beyond it the
-filler would be slowed at once, and waits instead."""
+PRESSURE_LIMIT = 1.2
+"""Headroom that the fillers of a host may take from a serving task together. Beside
+tasks whose loads swing by themselves about as much is left on average; what is
+beyond it would mostly wait for its pace."""
 
-SAME_STEP_WEIGHT = 4_000
-"""Thousandths of a core that one more task of a lasting step on a host weighs,
-about the size of such a task: spreading comes before free room."""
+SAME_STEP_WEIGHT = 16_000
+"""Thousandths of a core that one more task of a lasting step on a host weighs, two
+large tasks: spreading comes before free room and before like images."""
 
 SAME_DOMAIN_WEIGHT = 1_000
 """The same for a task of the step in the host's failure domain."""
 
-SERVING_WEIGHT = 1_500
-"""Thousandths of a core that each serving task on a host weighs for another one:
-they disturb each other, too."""
+SAME_IMAGE_WEIGHT = 1.25
+"""What a serving task of the same image on a host is worth to another one, as a
+multiple of its declared size: a little more than the room that it takes, so that
+like images fill a host and what presses on them finds hosts without them."""
+
+OTHER_IMAGE_WEIGHT = 1.0
+"""What a serving task of another image weighs, in the same unit."""
+
+PACED_AFTER_S = 2.0
+"""From this age on a filler's use tells its pace: a start, half a second of the
+figure and its report."""
 
 FAR_WEIGHT = 8_000
 """The same for a host on another rack than the data, where work takes longer."""
@@ -107,15 +117,25 @@
 def suits(host: Host, step: StepSpec, pressures: PressureModel, now: float) -> bool:
     """Return whether one more task of a step should run on a host.
 
-    A filler should find unused room, and no serving task that it presses on.
+    A filler should find unused room, and serving tasks that bear it beside the
+    fillers that are there; one that presses too hard for any task goes where it is
+    the only one.
     """
     if host.health.is_sick(now):
         return False
     if not step.fills:
         return True
-    if step.cpu > host.room_for_fillers(LASTING_USE_SHARE):
+    if step.cpu > room_for_fillers(host, pressures, now):
         return False
-    return worst_pressure(host, step, pressures) <= PRESSURE_LIMIT
+    alone = max(
+        (
+            pressures.pressure(run.task.step.image, step.image, step.cpu)
+            for run in host.runs.values()
+            if run.task.step.target_ms > 0
+        ),
+        default=0.0,
+    )
+    return worst_pressure(host, step, pressures) <= max(PRESSURE_LIMIT, alone)
 
 
 def count_on(host: Host, task: Task) -> int:
@@ -129,37 +149,67 @@
 
 
 def worst_pressure(host: Host, step: StepSpec, pressures: PressureModel) -> float:
-    """Return the most that a task of a step would add to, or suffer from, a run.
+    """Return the most headroom that fillers would take from one serving task.
 
-    In shares of the serving task's target.
+    Of the tasks on which a filler presses, or of the serving task that is placed.
     """
+    fillers = [run.task.step for run in host.runs.values() if run.task.step.fills]
+    if step.target_ms > 0:
+        return taken_from(step, fillers, pressures)
+    if not step.fills:
+        return 0.0
     worst = 0.0
     for run in host.runs.values():
-        other = run.task.step
-        if step.fills and other.target_ms > 0:
-            added = pressures.pressure(other.image, step.image, step.cpu)
-        elif step.target_ms > 0 and other.fills:
-            added = pressures.pressure(step.image, other.image, other.cpu)
-        else:
-            continue
-        worst = max(worst, added)
+        serving = run.task.step
+        if serving.target_ms > 0 and taken_from(serving, [step], pressures) > 0:
+            worst = max(worst, taken_from(serving, [*fillers, step], pressures))
     return worst
 
 
+def taken_from(
+    serving: StepSpec, fillers: list[StepSpec], pressures: PressureModel
+) -> float:
+    """Return the headroom that fillers take from a serving task."""
+    return sum(
+        pressures.pressure(serving.image, filler.image, filler.cpu)
+        for filler in fillers
+    )
+
+
+def room_for_fillers(host: Host, pressures: PressureModel, now: float) -> int:
+    """Return the thousandths of a core that fillers may yet declare on a host.
+
+    What is paced down for its pressure leaves its room to others, once.
+    """
+    unused = int(host.used_lasting_cpu * (1 - LASTING_USE_SHARE))
+    left = host.free_cpu() + unused
+    paced = 0
+    for run in host.runs.values():
+        step = run.task.step
+        idle = step.cpu - run.usage
+        if not step.fills or now - run.placed_at < PACED_AFTER_S:
+            continue
+        if idle * 2 > step.cpu and worst_pressure(host, step, pressures) > 0:
+            paced += idle
+    return left + min(paced, left + host.used_fill_cpu)
+
+
 def cost(
-    host: Host, task: Task, by_domain: dict[str, int], pressures: PressureModel
+    host: Host,
+    task: Task,
+    by_domain: dict[str, int],
+    pressures: PressureModel,
+    now: float,
 ) -> int:
     """Return how little a host suits a task; the lowest suits best."""
     step = task.step
     executor = host.executor
     total = -host.free_cpu()
     if step.fills:
-        total = -host.room_for_fillers(LASTING_USE_SHARE)
+        total = -room_for_fillers(host, pressures, now)
     total += int(PRESSURE_WEIGHT * worst_pressure(host, step, pressures))
     if step.target_ms > 0:
-        total += SERVING_WEIGHT * sum(
-            run.task.step.target_ms > 0 for run in host.runs.values()
-        )
+        total += cost_of_images(host, task)
     if step.lasting:
         total += SAME_STEP_WEIGHT * count_on(host, task)
         total += SAME_DOMAIN_WEIGHT * by_domain.get(executor.failure_domain, 0)
@@ -170,6 +220,23 @@
     return total
 
 
+def cost_of_images(host: Host, task: Task) -> int:
+    """Return how little the serving tasks on a host go with one more.
+
+    Tasks of its own job do not draw it: a failure would take them together.
+    """
+    weight = 0.0
+    for run in host.runs.values():
+        other = run.task
+        if other.step.target_ms <= 0:
+            continue
+        if other.step.image != task.step.image:
+            weight += OTHER_IMAGE_WEIGHT
+        elif other.id.job_id != task.id.job_id:
+            weight -= SAME_IMAGE_WEIGHT
+    return int(weight * task.step.cpu)
+
+
 def choose_host(
     hosts: list[Host],
     job: OwnedJob,
@@ -198,4 +265,6 @@
             if host.executor is not None:
                 domain = host.executor.failure_domain
                 by_domain[domain] = by_domain.get(domain, 0) + count_on(host, task)
-    return min(candidates, key=lambda h: (cost(h, task, by_domain, pressures), h.name))
+    return min(
+        candidates, key=lambda h: (cost(h, task, by_domain, pressures, now), h.name)
+    )
--- a/rattanwing/batch/records.py
+++ b/rattanwing/batch/records.py
@@ -21,6 +21,7 @@
 AGENT_PREFIX = "agent/"
 ENTRY_PREFIX = "entry/"
 OWNER_KEY = "owner"
+PRESSURES_KEY = "pressures"
 
 
 class Owner(msgspec.Struct, array_like=True):
@@ -80,6 +81,18 @@
     address: str
 
 
+class Pressures(msgspec.Struct, array_like=True):
+    """What the owner has learnt of pairs of images, for the next owner.
+
+    :param epoch: of the owner that wrote it.
+    :param rows: serving image, filling image, the headroom that one core of the
+        filler takes, and the squared cores of change by which that was seen.
+    """
+
+    epoch: int
+    rows: list[tuple[str, str, float, float]]
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoders = {
     JOB_PREFIX: msgspec.msgpack.Decoder(JobSpec),
@@ -88,6 +101,7 @@
     AGENT_PREFIX: msgspec.msgpack.Decoder(AgentAddress),
     ENTRY_PREFIX: msgspec.msgpack.Decoder(EntryAddress),
     OWNER_KEY: msgspec.msgpack.Decoder(Owner),
+    PRESSURES_KEY: msgspec.msgpack.Decoder(Pressures),
 }
 
 
--- a/rattanwing/batch/replica.py
+++ b/rattanwing/batch/replica.py
@@ -175,15 +175,25 @@
 
     :param on_job: called with the id of each job that is new or has changed.
     :param owner_seen_at: when the owner's newest record was read.
+    :param pressures: what an owner has last stored of pairs of images.
     """
 
-    __slots__ = ("clock", "jobs", "owner", "owner_seen_at", "on_job", "on_owner")
+    __slots__ = (
+        "clock",
+        "jobs",
+        "owner",
+        "owner_seen_at",
+        "pressures",
+        "on_job",
+        "on_owner",
+    )
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self.clock = clock
         self.jobs: dict[str, JobView] = {}
         self.owner: records.Owner | None = None
         self.owner_seen_at = clock()
+        self.pressures = records.Pressures(0, [])
         self.on_job: Callable[[str], None] = ignore
         self.on_owner: Callable[[records.Owner], None] = ignore
 
@@ -215,6 +225,8 @@
                 self.take_cancel(job_id)
             case records.Owner():
                 self.take_owner(value)
+            case records.Pressures() if value.epoch >= self.pressures.epoch:
+                self.pressures = value
 
     def take_job(self, job_id: str, spec: JobSpec) -> None:
         """Add a job; a second record of the same job changes nothing."""
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -52,6 +52,8 @@
     :param fence: under which it was ordered.
     :param listed_after: looks sent before this time may not list it yet.
     :param sure: the executor has answered for it.
+    :param began_at: when the agent first knew of it.
+    :param is_paced: a pace was decided for it; of a filler.
     """
 
     __slots__ = (
@@ -63,6 +65,8 @@
         "pace",
         "listed_after",
         "sure",
+        "began_at",
+        "is_paced",
     )
 
     def __init__(
@@ -76,6 +80,8 @@
         self.pace = FULL_PERCENT
         self.listed_after = now
         self.sure = sure
+        self.began_at = now
+        self.is_paced = False
 
 
 class ExecutorRuns:
@@ -317,6 +323,8 @@
             if result.outcome is OrderOutcome.ACCEPTED:
                 run.listed_after = self.clock()
                 run.sure = True
+                if order.facts.fills:
+                    await self.pace_fillers()
                 return
             if self.took_effect_before(result, key, maybe_sent):
                 return
@@ -407,12 +415,22 @@
             for _key, run in known
             if run.facts.target_ms > 0
         ]
+        now = self.clock()
         fillers = {
-            key: Filler(run.facts.image, run.facts.cpu, run.pace)
+            key: Filler(
+                run.facts.image,
+                run.facts.cpu,
+                run.pace,
+                now - run.began_at,
+                is_new=not run.is_paced,
+            )
             for key, run in known
             if run.facts.fills
         }
-        for key, percent in self.pacer.decide(serving, fillers, self.clock()).items():
+        paces = self.pacer.decide(serving, fillers, now)
+        for key in fillers:
+            self.runs[key].is_paced = True
+        for key, percent in paces.items():
             await self.pace(key, percent, serving)
 
     async def pace(self, key: RunKey, percent: int, serving: list[ServingLoad]) -> None:
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -115,6 +115,23 @@
         used = {run.executor for run in world.history}
         self.assertEqual(used, {e.name for e in world.executors})
 
+    def test_the_next_owner_knows_what_was_learnt_of_pairs(self):
+        rows = [("watch", "heavy", 0.15, 900.0)]
+
+        async def scenario(world):
+            await trio.sleep(2)
+            world.owner().loop.scheduler.pressures.restore(rows)
+            await trio.sleep(6)
+            for name in list(world.scopes):
+                world.kill(name)
+            for name in world.entry_names:
+                await world.start_entry(name)
+            await trio.sleep(6)
+            model = world.owner().loop.scheduler.pressures
+            self.assertGreater(model.pressure("watch", "heavy", 4000), 0.4)
+
+        play(scenario)
+
     def test_hosts_are_never_overcommitted(self):
         async def scenario(world):
             await trio.sleep(2)
