--- a/rattanwing/batch/pacing.py
+++ b/rattanwing/batch/pacing.py
@@ -26,26 +26,19 @@
 
 FULL_PERCENT = 100
 
-LEAD_S = 1.0
-"""How far ahead a task's own load is looked: a pace is in force after 0.1 s, and the
-figures, averages of half a second, come every half second."""
+SLOW_BELOW = 1.5
+"""Headroom under which pressing fillers are slowed: a tail of two thirds of the
+target. Above 1, for a pace shows in the figures a second later, and a task's own load
+takes up to 0.4 of headroom meanwhile."""
 
-FASTEST_FALL = 1.0
-"""Headroom a second that a task's own load may take at most; figures of single
-requests swing by more."""
+KEEP_HEADROOM = 2.0
+"""Headroom that slowing aims at, and that a pressing filler's speeding up has to
+leave; the gap to ``SLOW_BELOW`` is a second of a task's own change."""
 
-SLOW_BELOW = 1.3
-"""Expected headroom under which pressing fillers are slowed: the figures are off by a
-tenth, and loads that swing fast outrun them."""
-
-KEEP_HEADROOM = 1.6
-"""Expected headroom that slowing aims at, and that a pressing filler's speeding up
-has to leave; the gap to ``SLOW_BELOW`` keeps the pace from swinging."""
-
-UNKNOWN_SLOW_BELOW = 1.3
+UNKNOWN_SLOW_BELOW = 1.4
 """Headroom under which fillers of which nothing is known are slowed."""
 
-UNKNOWN_KEEP_HEADROOM = 1.6
+UNKNOWN_KEEP_HEADROOM = 1.65
 """Headroom at which they are sped up: a task without fillers comes down to 1.7 at the
 peak of its load, so that they wait only beside tasks that something presses on."""
 
@@ -72,39 +65,17 @@
 
 
 class ServingLoad(msgspec.Struct):
-    """A serving task's newest tail latency and its bound, in ms.
-
-    :param falls: headroom that its own load is expected to take until a pace that
-        is decided now shows.
-    """
+    """A serving task's newest tail latency and its bound, in ms."""
 
     image: str
     tail_ms: int
     target_ms: int
-    task: str = ""
-    falls: float = 0.0
 
     @property
     def headroom(self) -> float:
         """Return the target over the tail; an idle task's tail is at least 1 ms."""
         return self.target_ms / max(1, self.tail_ms)
 
-    @property
-    def expected(self) -> float:
-        """Return the headroom when a pace that is decided now shows."""
-        return self.headroom - self.falls
-
-
-class OwnLoad(msgspec.Struct):
-    """How a serving task's headroom without its fillers changes.
-
-    :param fall: headroom a second that its own load takes.
-    """
-
-    at: float
-    headroom: float
-    fall: float = 0.0
-
 
 class Filler(msgspec.Struct):
     """A filling run.
@@ -128,16 +99,14 @@
     :param per_core: by serving and filling image, the headroom that one core
         takes; pairs that are missing are not known.
     :param over_since: since when some serving task has been over its target.
-    :param own_loads: by the name of the serving task.
     """
 
-    __slots__ = ("per_core", "stepped_at", "over_since", "own_loads")
+    __slots__ = ("per_core", "stepped_at", "over_since")
 
     def __init__(self) -> None:
         self.per_core: dict[tuple[str, str], float] = {}
         self.stepped_at = 0.0
         self.over_since: float | None = None
-        self.own_loads: dict[str, OwnLoad] = {}
 
     def take_pressures(self, rows: list[tuple[str, str, float]]) -> None:
         """Replace what is known of the pairs."""
@@ -170,7 +139,6 @@
             paces = self.plan(serving, fillers, new, slows=False) if new else {}
             return changed(fillers, paces)
         self.stepped_at = now
-        self.foresee(serving, fillers, now)
         over = any(load.headroom < 1 for load in serving)
         if not over:
             self.over_since = None
@@ -180,34 +148,6 @@
             return changed(fillers, dict.fromkeys(fillers, 0.0))
         return changed(fillers, self.plan(serving, fillers, set(fillers), slows=True))
 
-    def foresee(
-        self,
-        serving: list[ServingLoad],
-        fillers: dict[Hashable, Filler],
-        now: float,
-    ) -> None:
-        """Set how far each task's headroom will fall by its own load.
-
-        Follows the headroom that a task would have without the fillers that are
-        known to press, so that a change of their pace is not taken for its load.
-        """
-        seen: dict[str, OwnLoad] = {}
-        for load in serving:
-            taken = sum(
-                (self.pressure(load, filler) or 0.0) * filler.percent / FULL_PERCENT
-                for filler in fillers.values()
-                if not filler.is_new
-            )
-            own = seen[load.task] = OwnLoad(now, load.headroom + taken)
-            before = self.own_loads.get(load.task)
-            if before is None:
-                continue
-            fall = (before.headroom - own.headroom) / (now - before.at)
-            fall = max(-FASTEST_FALL, min(FASTEST_FALL, fall))
-            own.fall = (before.fall + fall) / 2
-            load.falls = max(0.0, own.fall * LEAD_S)
-        self.own_loads = seen
-
     def plan(
         self,
         serving: list[ServingLoad],
@@ -222,10 +162,10 @@
         paces = {k: 0.0 if f.is_new else float(f.percent) for k, f in fillers.items()}
         slowed: set[Hashable] = set()
         for load in serving if slows else ():
-            if load.expected < SLOW_BELOW:
+            if load.headroom < SLOW_BELOW:
                 slowed |= self.give_back(load, fillers, paces)
         left = {
-            number: load.expected - KEEP_HEADROOM - self.unseen(load, fillers)
+            number: load.headroom - KEEP_HEADROOM - self.unseen(load, fillers)
             for number, load in enumerate(serving)
         }
         order = sorted(
@@ -253,14 +193,14 @@
         """Slow fillers until a serving task has its headroom; return which."""
         taken = {key: self.pressure(load, filler) for key, filler in fillers.items()}
         pressing = [key for key in fillers if taken[key]]
-        missing = KEEP_HEADROOM - load.expected
+        missing = KEEP_HEADROOM - load.headroom
         for key in sorted(pressing, key=lambda key: -taken[key]):
             given = min(paces[key], missing / taken[key] * FULL_PERCENT)
             paces[key] -= given
             missing -= given * taken[key] / FULL_PERCENT
             if missing <= 0:
                 return set(pressing)
-        if load.expected >= UNKNOWN_SLOW_BELOW:
+        if load.headroom >= UNKNOWN_SLOW_BELOW:
             return set(pressing)
         unknown = [key for key in fillers if taken[key] is None]
         for key in unknown:
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -411,8 +411,8 @@
         """Slow fillers, or speed them up, by the tails of the serving tasks."""
         known = [(key, run) for key, run in self.runs.items() if run.facts and run.sure]
         serving = [
-            ServingLoad(run.facts.image, run.usage, run.facts.target_ms, key[0])
-            for key, run in known
+            ServingLoad(run.facts.image, run.usage, run.facts.target_ms)
+            for _key, run in known
             if run.facts.target_ms > 0
         ]
         now = self.clock()
