Take jobs again after an outage

Cause: an entry refuses jobs at once while its appends fail, and only a success ends that state; but refused appends are dropped and new ones refused before their try, so after an outage in which an entry had refused all its jobs nothing was left that could succeed. Ruled out: the store turning single machines away (reads succeeded from all of them). Change: a read that was sent after the newest failed append and succeeded shows the store back. Test: test_every_entry_takes_jobs_again_soon_after_an_outage failed before.

--- a/rattanwing/batch/service.py
+++ b/rattanwing/batch/service.py
@@ -67,8 +67,7 @@
             return Answer.NOT_READY
         pending = self.handing_in.get(job_id)
         if pending is None:
-            failing_since = self.writer.failing_since
-            if failing_since is not None and now - failing_since > OUTAGE_REFUSAL_S:
+            if self.store_is_away(now):
                 return self.note_refusal(job_id, "store-away")
             key = records.JOB_PREFIX + job_id
             value = records.encode(spec)
@@ -145,9 +144,18 @@
 
     def is_cut_off(self, now: float) -> bool:
         """Return whether this entry does not reach the store at the moment."""
+        return self.store_is_away(now) or not self.reader.is_fresh(now)
+
+    def store_is_away(self, now: float) -> bool:
+        """Return whether appends have failed for a while.
+
+        A read that was sent after the newest failure and succeeded shows the store
+        back. Nothing else may: after a refusal no append is left that is repeated.
+        """
         failing_since = self.writer.failing_since
-        failing = failing_since is not None and now - failing_since > OUTAGE_REFUSAL_S
-        return failing or not self.reader.is_fresh(now)
+        if failing_since is None or now - failing_since <= OUTAGE_REFUSAL_S:
+            return False
+        return self.reader.read_at <= self.writer.failed_at
 
     def pending(self, queue: str) -> int:
         """Return how many accepted jobs of a queue have no task started."""
--- a/rattanwing/batch/writer.py
+++ b/rattanwing/batch/writer.py
@@ -74,6 +74,9 @@
     """Writes one topic under one producer's name.
 
     :param epoch: of the producer; a fenced writer stays ``fenced``.
+    :param failing_since: when the first of the latest failures came; ``None`` after
+        a success.
+    :param failed_at: when the newest failure came.
     :param confirmed_at: when the newest successful append was sent.
     :param on_stored: called with the seconds that each append took.
     """
@@ -90,6 +93,7 @@
         "wake",
         "fenced",
         "failing_since",
+        "failed_at",
         "confirmed_at",
         "on_stored",
         "in_flight",
@@ -115,6 +119,7 @@
         self.wake = trio.Event()
         self.fenced = False
         self.failing_since: float | None = None
+        self.failed_at = clock()
         self.confirmed_at = clock()
         self.on_stored: Callable[[float], None] | None = None
         self.in_flight: list[PendingAppend] = []
@@ -222,6 +227,7 @@
 
     def note_failure(self, error: LogUnavailableError) -> None:
         """Remember since when appends fail."""
+        self.failed_at = self.clock()
         if self.failing_since is None:
             self.failing_since = self.clock()
             events.write(events.LOG_UNAVAILABLE, topic=self.topic, reason=str(error))
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -426,6 +426,25 @@
 
         self.run_jobs_through(fault)
 
+    def test_every_entry_takes_jobs_again_soon_after_an_outage(self):
+        """A refused job leaves nothing behind that could find the store back."""
+
+        async def scenario(world):
+            await trio.sleep(2)
+            world.store.away |= set(world.entry_names)
+            for number, entry in enumerate(world.entries.values()):
+                answer = await entry.service.submit(job(f"refused-{number}"), 2.0)
+                self.assertIs(answer, Answer.REFUSED)
+            await trio.sleep(3)
+            world.store.away.clear()
+            await trio.sleep(2)
+            for number, entry in enumerate(world.entries.values()):
+                self.assertFalse(entry.service.is_cut_off(world.now()))
+                answer = await entry.service.submit(job(f"later-{number}"), 2.0)
+                self.assertIs(answer, Answer.ACCEPTED)
+
+        play(scenario)
+
 
 class RelayTests(unittest.TestCase):
     """An entry that the store turns away lets another one answer."""
