Sum up what fillers take on a host once a round

Cause: found while reading the diff: the room and the pressure on a host were summed anew for each waiting step, fillers times serving tasks times fillers. Change: batch/sharing.py keeps the sums of a host until its runs change or a round begins. The rule for a filler that is too hard for any task is now applied to each task that it presses on, in place of the worst one alone.

--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -11,6 +11,7 @@
     from rattanwing.batch.model import StepSpec
     from rattanwing.batch.ports import ExecutorView
     from rattanwing.batch.pressure import Look
+    from rattanwing.batch.sharing import Sharing
 
 QUIET_AFTER_S = 2.0
 """A host whose agent was not heard of for so long gets no new runs; reports come
@@ -67,6 +68,7 @@
         executor's life ``ends_incarnation``; each life numbers from 1.
     :param strangers: runs of jobs that are not known, which are being stopped; the
         room that they take is not known.
+    :param sharing: what was summed up since the runs have last changed.
     """
 
     __slots__ = (
@@ -88,6 +90,7 @@
         "ends_taken",
         "ends_incarnation",
         "strangers",
+        "sharing",
     )
 
     def __init__(self, name: str, granted_until: float) -> None:
@@ -109,6 +112,7 @@
         self.ends_taken = 0
         self.ends_incarnation = ""
         self.strangers = 0
+        self.sharing: Sharing | None = None
 
     def add(self, run: Run) -> None:
         """Reserve the room of a run."""
@@ -128,6 +132,7 @@
 
     def reserve(self, step: StepSpec, sign: int) -> None:
         """Add or take off the room of one task."""
+        self.sharing = None
         if step.fills:
             self.used_fill_cpu += sign * step.cpu
         else:
--- a/rattanwing/batch/placement.py
+++ b/rattanwing/batch/placement.py
@@ -9,17 +9,14 @@
 
 from typing import TYPE_CHECKING
 
+from rattanwing.batch.sharing import sharing_of
+
 if TYPE_CHECKING:
     from rattanwing.batch.hosts import Host
     from rattanwing.batch.jobs import OwnedJob, Task
     from rattanwing.batch.model import StepSpec
     from rattanwing.batch.pressure import PressureModel
 
-LASTING_USE_SHARE = 0.5
-"""Share of what lasting tasks declare that they are taken to use, when the room
-that they leave to fillers is reckoned; their use is not reported. Their loads swing
-around half, not in step."""
-
 PRESSURE_WEIGHT = 10_000
 """Thousandths of a core that the headroom of a whole target weighs: a tenth of it
 is worth one core of free room."""
@@ -44,10 +41,6 @@
 OTHER_IMAGE_WEIGHT = 1.0
 """What a serving task of another image weighs, in the same unit."""
 
-PACED_AFTER_S = 2.0
-"""From this age on a filler's use tells its pace: a start, half a second of the
-figure and its report."""
-
 FAR_WEIGHT = 8_000
 """The same for a host on another rack than the data, where work takes longer."""
 
@@ -125,17 +118,11 @@
         return False
     if not step.fills:
         return True
-    if step.cpu > room_for_fillers(host, pressures, now):
-        return False
-    alone = max(
-        (
-            pressures.pressure(run.task.step.image, step.image, step.cpu)
-            for run in host.runs.values()
-            if run.task.step.target_ms > 0
-        ),
-        default=0.0,
+    sharing = sharing_of(host, pressures, now)
+    return step.cpu <= sharing.room and all(
+        together <= max(PRESSURE_LIMIT, own)
+        for own, together in sharing.pressed(step, pressures)
     )
-    return worst_pressure(host, step, pressures) <= max(PRESSURE_LIMIT, alone)
 
 
 def count_on(host: Host, task: Task) -> int:
@@ -148,52 +135,24 @@
     )
 
 
-def worst_pressure(host: Host, step: StepSpec, pressures: PressureModel) -> float:
+def worst_pressure(
+    host: Host, step: StepSpec, pressures: PressureModel, now: float
+) -> float:
     """Return the most headroom that fillers would take from one serving task.
 
     Of the tasks on which a filler presses, or of the serving task that is placed.
     """
-    fillers = [run.task.step for run in host.runs.values() if run.task.step.fills]
-    if step.target_ms > 0:
-        return taken_from(step, fillers, pressures)
-    if not step.fills:
+    if step.fills:
+        pressed = sharing_of(host, pressures, now).pressed(step, pressures)
+        return max((together for _own, together in pressed), default=0.0)
+    if step.target_ms <= 0:
         return 0.0
-    worst = 0.0
-    for run in host.runs.values():
-        serving = run.task.step
-        if serving.target_ms > 0 and taken_from(serving, [step], pressures) > 0:
-            worst = max(worst, taken_from(serving, [*fillers, step], pressures))
-    return worst
-
-
-def taken_from(
-    serving: StepSpec, fillers: list[StepSpec], pressures: PressureModel
-) -> float:
-    """Return the headroom that fillers take from a serving task."""
+    fillers = [run.task.step for run in host.runs.values() if run.task.step.fills]
     return sum(
-        pressures.pressure(serving.image, filler.image, filler.cpu)
-        for filler in fillers
+        pressures.pressure(step.image, filler.image, filler.cpu) for filler in fillers
     )
 
 
-def room_for_fillers(host: Host, pressures: PressureModel, now: float) -> int:
-    """Return the thousandths of a core that fillers may yet declare on a host.
-
-    What is paced down for its pressure leaves its room to others, once.
-    """
-    unused = int(host.used_lasting_cpu * (1 - LASTING_USE_SHARE))
-    left = host.free_cpu() + unused
-    paced = 0
-    for run in host.runs.values():
-        step = run.task.step
-        idle = step.cpu - run.usage
-        if not step.fills or now - run.placed_at < PACED_AFTER_S:
-            continue
-        if idle * 2 > step.cpu and worst_pressure(host, step, pressures) > 0:
-            paced += idle
-    return left + min(paced, left + host.used_fill_cpu)
-
-
 def cost(
     host: Host,
     task: Task,
@@ -206,8 +165,8 @@
     executor = host.executor
     total = -host.free_cpu()
     if step.fills:
-        total = -room_for_fillers(host, pressures, now)
-    total += int(PRESSURE_WEIGHT * worst_pressure(host, step, pressures))
+        total = -sharing_of(host, pressures, now).room
+    total += int(PRESSURE_WEIGHT * worst_pressure(host, step, pressures, now))
     if step.target_ms > 0:
         total += cost_of_images(host, task)
     if step.lasting:
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -369,6 +369,8 @@
     def plan(self, now: float, now_ms: int) -> None:
         """Place every waiting task that there is room for."""
         hosts = list(self.ledger.hosts.values())
+        for host in hosts:
+            host.sharing = None
         waiting = [job for job in self.jobs.values() if not job.state.final]
         for job in by_urgency(waiting, now_ms):
             job.begin_due(now_ms)
--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -227,6 +227,29 @@
                 self.report_percent(host, 100 if "lasting" in more else 0, 1.5)
             self.assertIsNone(task.runs[0].stopping_since)
 
+    def test_fillers_of_one_round_share_the_unused_room(self):
+        self.host("agent-1")
+        filler = StepSpec(3, cpu=1800, memory_mb=10, fills=True, image="match")
+        self.take(job(steps=(filler,)))
+        self.assertEqual(len(self.plan()), 2)
+
+    def test_a_filler_that_is_too_hard_beside_others_goes_where_it_is_alone(self):
+        """The first host has a watcher and a filler that press; the second a watcher."""
+        pairs = self.scheduler.pressures.per_core
+        pairs["watch", "match"] = pairs["watch", "sort"] = 0.5
+        serving = StepSpec(2, cpu=500, lasting=True, image="watch", target_ms=100)
+        self.host("agent-1")
+        self.host("agent-2")
+        self.take(job("job-1", steps=(serving,)))
+        self.assertEqual({host for host, _task in self.plan()}, {"agent-1", "agent-2"})
+        light = StepSpec(1, cpu=1500, fills=True, image="match")
+        self.take(job("job-2", steps=(light,)))
+        (first,) = self.plan()
+        hard = StepSpec(2, cpu=2000, fills=True, image="sort")
+        self.take(job("job-3", steps=(hard,)))
+        (second,) = self.plan()
+        self.assertNotEqual(second[0], first[0])
+
     def test_nothing_starts_beside_a_run_of_an_unknown_job(self):
         """What is being stopped takes room, and nobody knows how much."""
         host = self.host("agent-1")
