--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -234,7 +234,7 @@
         self.assertEqual(len(self.plan()), 2)
 
     def test_a_filler_that_is_too_hard_beside_others_goes_where_it_is_alone(self):
-        """The first host has a watcher and a filler that press; the second a watcher."""
+        """Both hosts have a watcher, the first one also a filler that presses on it."""
         pairs = self.scheduler.pressures.per_core
         pairs["watch", "match"] = pairs["watch", "sort"] = 0.5
         serving = StepSpec(2, cpu=500, lasting=True, image="watch", target_ms=100)
