--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -33,6 +33,18 @@
     return ExecutorView(**{**fields, **changes})
 
 
+class CountedPairs(dict):
+    """Learnt pairs that note each question."""
+
+    def __init__(self, pairs, asked):
+        super().__init__(pairs)
+        self.asked = asked
+
+    def get(self, pair, default=None):
+        self.asked.append(pair)
+        return super().get(pair, default)
+
+
 class SchedulerTestCase(unittest.TestCase):
     def setUp(self):
         self.now = 100.0
@@ -233,6 +245,28 @@
         self.take(job(steps=(filler,)))
         self.assertEqual(len(self.plan()), 2)
 
+    def test_a_round_sums_up_each_host_once(self):
+        """Counted by questions to what was learnt; 20 steps wait beside full hosts."""
+        hosts, fillers, waiting = 4, 6, 20
+        for number in range(hosts):
+            self.host(f"agent-{number}", cpu=32000, memory_mb=128000)
+        serving = StepSpec(hosts, cpu=20000, lasting=True, image="watch", target_ms=100)
+        self.take(job("serving", steps=(serving,)))
+        filler = StepSpec(hosts * fillers, cpu=3500, fills=True, image="match")
+        self.take(job("fillers", steps=(filler,)))
+        self.plan()
+        self.now += 3
+        for host in self.scheduler.ledger.hosts.values():
+            host.heard_at = self.now
+        for number in range(waiting):
+            self.take(job(f"more-{number}", steps=(filler,)))
+        asked = []
+        learnt = self.scheduler.pressures.per_core
+        self.scheduler.pressures.per_core = CountedPairs(learnt, asked)
+        self.assertEqual(self.plan(), [])
+        sums = hosts * fillers
+        self.assertLessEqual(len(asked), sums + 2 * hosts * waiting)
+
     def test_a_filler_that_is_too_hard_beside_others_goes_where_it_is_alone(self):
         """Both hosts have a watcher, the first one also a filler that presses on it."""
         pairs = self.scheduler.pressures.per_core
--- a/tests/batch/test_sharing.py
+++ b/tests/batch/test_sharing.py
@@ -110,7 +110,7 @@
             use = {"light": 4.0 * (second % 2), "other": 4.0 * (second % 3 == 0)}
             look = model.compare("watch", look, Look(float(second), headroom, use))
             model.refit()
-        self.assertLess(model.pressure("watch", "light", 4000), 0.5)
+        self.assertLess(model.pressure("watch", "light", 4000), 0.2)
 
 
 class PacingTests(unittest.TestCase):
