--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -374,6 +374,14 @@
             if result.outcome is OrderOutcome.ACCEPTED:
                 run.may_be_unlisted_until = self.clock()
                 run.known_to_executor = True
+                events.write(
+                    events.EXECUTOR_STARTED_RUN,
+                    task=order.task,
+                    attempt=order.attempt,
+                    incarnation=self.view.incarnation,
+                    order_number=order.number,
+                    fence=fence,
+                )
                 if order.properties.best_effort:
                     await self.pace_best_effort_runs()
                 return
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -581,6 +581,7 @@
             task=str(task.id),
             attempt=attempt,
             host=host.name,
+            incarnation=host.executor.incarnation,
             heard_s=round(now - host.last_heard_at, 3),
             epoch=self.epoch,
         )
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -244,6 +244,7 @@
 ANNOUNCEMENT_MALFORMED = Event(
     617, logbook.WARNING, "An executor's announcement was malformed and was refused."
 )
+EXECUTOR_STARTED_RUN = Event(618, logbook.INFO, "An executor has started a run.")
 
 TASK_STARTED = Event(601, logbook.INFO, "A task has started on this worker.")
 TASK_REFUSED = Event(602, logbook.INFO, "The start of a task was refused.")
