Start a run only on the executor incarnation that it was placed on

Cause: a start order did not say for which executor it was meant. An executor that is back within 1.5 s never counts as unreachable, so the owner goes on placing runs on the crashed one. An order that arrived after the new executor had announced itself was carried out there, while the owner, on the report of the new executor, counted the run as ended with the old one and ordered the next attempt. Class of fault: an order without the state that it was decided for.

Ruled out: two owners (no 615 or 521 near the fault), a listing that drops a run being started (a run whose start has not been answered is kept).

Change: StartRun carries the incarnation; the agent refuses an order for another one (reason other-executor), and the owner places the task again. A third test covers that.

Looked at for the same cause: EndsStored names the incarnation already; StopRun and RunProperties name the attempt, which grows with each start; LeaseRenewal is for the agent whatever runs there. A call from the agent to an executor that came back under its old id is looked at on its own.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -317,6 +317,10 @@
         if self.executor is None or self.nursery is None:
             self.send_refusal(order.task, order.attempt, "no-executor")
             return
+        # The owner counts this run as lost once it hears of the new executor.
+        if order.incarnation != self.executor.view.incarnation:
+            self.executor.refuse(order, "other-executor")
+            return
         if self.clock() >= order.start_before:
             self.executor.refuse(order, "expired")
             return
--- a/rattanwing/batch/messages.py
+++ b/rattanwing/batch/messages.py
@@ -79,6 +79,8 @@
     """Order to start a run.
 
     :param number: sequence number of the order on this stream.
+    :param incarnation: incarnation of the executor that the run was placed on; no other
+        one may start it.
     :param text: the job's payload, which is passed unchanged to each of its tasks.
     :param checkpoint: checkpoint to resume from; empty for none.
     :param start_before: time on the agent's clock from which it must not start the
@@ -91,6 +93,7 @@
     number: int
     task: str
     attempt: int
+    incarnation: str
     text: str
     checkpoint: str
     properties: TaskProperties
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -570,6 +570,7 @@
             run.order_number,
             str(task.id),
             attempt,
+            host.executor.incarnation,
             job.spec.text,
             task.checkpoint,
             task_properties(task.step),
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -33,7 +33,14 @@
 def start_order(number=1, cpu=100, start_before=12.0):
     properties = messages.TaskProperties(cpu, 10, 0, False, 0, "")
     return messages.StartRun(
-        number, "job-1.0.0.0", 1, "text", "", properties, start_before
+        number,
+        "job-1.0.0.0",
+        1,
+        "executor-0@1",
+        "text",
+        "",
+        properties,
+        start_before,
     )
 
 
--- a/tests/batch/test_crossed_messages.py
+++ b/tests/batch/test_crossed_messages.py
@@ -100,3 +100,12 @@
         self.replace_executor()
         self.deliver_orders(crossing)
         self.assertEqual(self.executor.history, [])
+
+    def test_refused_order_for_the_previous_executor_is_placed_again(self):
+        self.scheduler.update_job(JobView(job(steps=(ONE_TASK,))), self.now, 0)
+        crossing = self.place()
+        self.replace_executor()
+        self.deliver_orders(crossing)
+        self.deliver_reports()
+        self.deliver_orders(self.place())
+        self.assertEqual([run.attempt for run in self.executor.history], [2])
