Simulate latency, and executors that restart under their id

Cause: simulated streams delivered at once, so orders and reports never crossed, and the stand-in refused every call for an earlier life, also under the same id. Change: with the option latency, messages keep their order and take milliseconds, some up to a second, calls and answers likewise, each side notices a cut stream at its own time, and announcements come at a start and then at an interval, some late or lost. With the option same-id, executors restart under the id that they had, with a clock of their own, and accept the calls for the earlier life; answers to polls name the incarnation. Both families of seeds replace executors while tasks are being placed. An executor that ends during a stop now answers nothing.

Ruled out: nothing.

--- a/rattanwing/batch/ports.py
+++ b/rattanwing/batch/ports.py
@@ -142,11 +142,13 @@
     """An executor's answer to a poll: all running runs and all unacknowledged ends.
 
     :param clock_ms: the executor's clock when it answered, in milliseconds.
+    :param incarnation: the incarnation that answered; empty if it is not known.
     """
 
     clock_ms: int
     running: list[RunningRow]
     ended: list[EndedRow]
+    incarnation: str = ""
 
 
 class OrderOutcome(Enum):
--- a/rattanwing/standin/runs.py
+++ b/rattanwing/standin/runs.py
@@ -1,11 +1,12 @@
 """In-memory stand-in for an executor that runs batch tasks under leases and fences.
 
-It can crash and restart, carry out starts late and without an answer, fail tasks,
-become unreachable, and drain.
+It can crash and restart under the same or another id, carry out starts late and without
+an answer, fail tasks, become unreachable, and drain.
 """
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
@@ -23,7 +24,7 @@
 from rattanwing.verdict import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
 MAX_LEASE_MS = 10_000
 """Longest lease in milliseconds; a deadline further in the future is brought
@@ -32,6 +33,9 @@
 KILL_GRACE_S = 0.2
 """Time that a stopped run takes to end."""
 
+CALL_DURATION_S = 0.001
+"""Time that a call takes to reach the executor."""
+
 
 class RunRecord:
     """A run in the history that tests check; times are in seconds of trio's clock.
@@ -82,6 +86,11 @@
     :param history: all runs of all executors of the deployment.
     :param durations: returns how many seconds a run of a task takes.
     :param incarnation: number of the current incarnation, from 1.
+    :param first_incarnation: number of the first incarnation under the current id; a
+        call for this one or a later one is accepted by the current one.
+    :param life_began: set, and replaced by a new event, when an incarnation starts.
+    :param call_delays: returns how many seconds a call takes to reach the executor,
+        and its answer to reach the caller.
     :param up: whether its process runs.
     :param reachable: whether calls get through to it.
     :param fence: highest fence of an order so far.
@@ -109,6 +118,9 @@
         "durations",
         "history",
         "incarnation",
+        "first_incarnation",
+        "life_began",
+        "call_delays",
         "up",
         "fence",
         "deadline_ms",
@@ -143,6 +155,9 @@
         self.durations = durations
         self.history = history
         self.incarnation = 0
+        self.first_incarnation = 1
+        self.life_began = trio.Event()
+        self.call_delays = lambda: (CALL_DURATION_S, 0.0)
         self.up = False
         self.reachable = True
         self.late_starts = LateStarts()
@@ -152,12 +167,18 @@
         self.lapse_times: list[float] = []
         self.restart()
 
-    def restart(self) -> None:
-        """Start a new incarnation, without runs and with empty state."""
+    def restart(self, same_id: bool = False) -> None:
+        """Start a new incarnation, without runs and with empty state.
+
+        :param same_id: whether it has the id of the previous one, and so accepts the
+            calls that are meant for that one. Its clock then starts anew.
+        """
         self.incarnation += 1
+        if not same_id:
+            self.first_incarnation = self.incarnation
         self.up = True
         self.fence = 0
-        self.started_at = 0.0
+        self.started_at = trio.current_time() if same_id else 0.0
         self.deadline_ms = 0
         self.running: dict[tuple[str, int], RunRecord] = {}
         self.ended: list[EndedRow] = []
@@ -166,6 +187,8 @@
         self.last_end_number = 0
         self.acknowledged = 0
         self.end_added = trio.Event()
+        self.life_began.set()
+        self.life_began = trio.Event()
 
     def crash(self) -> None:
         """Stop the process at once; its runs end without being reported."""
@@ -175,10 +198,18 @@
         self.running = {}
         self.up = False
 
+    def incarnation_name(self) -> str:
+        """Return the name of the current incarnation."""
+        return f"{self.name}@{self.incarnation}"
+
+    def accepts_calls_for(self, incarnation: int) -> bool:
+        """Return whether the executor accepts a call for one of its incarnations."""
+        return self.first_incarnation <= incarnation <= self.incarnation
+
     def view(self) -> ExecutorView:
         """Return the description that the executor announces."""
         return ExecutorView(
-            f"{self.name}@{self.incarnation}",
+            self.incarnation_name(),
             self.name,
             self.service,
             "127.0.0.1:1",
@@ -306,13 +337,16 @@
             RunningRow(record.task, record.attempt, "", self.percent(record))
             for record in self.running.values()
         ]
-        return PollResult(self.clock_ms(), rows, list(self.ended))
+        return PollResult(
+            self.clock_ms(), rows, list(self.ended), self.incarnation_name()
+        )
 
 
 class StandinExecutorPort:
     """An agent's calls to one incarnation of an executor.
 
-    Implements :class:`rattanwing.batch.ports.ExecutorPort`.
+    Implements :class:`rattanwing.batch.ports.ExecutorPort`. Like the platform, an
+    executor refuses the calls for an incarnation that had another id.
     """
 
     __slots__ = ("executor", "incarnation")
@@ -321,19 +355,30 @@
         self.executor = executor
         self.incarnation = incarnation
 
-    async def simulate_call(self) -> OrderResult | None:
-        """Wait for the duration of a call.
+    async def call(
+        self, carry_out: Callable[[], Awaitable[OrderResult | PollResult]]
+    ) -> OrderResult | PollResult:
+        """Wait for the duration of a call, and carry it out unless it is refused.
 
-        Returns the refusal if another incarnation answers, else ``None``.
-
-        :raises HttpCallError: when the executor is down or unreachable.
+        :raises HttpCallError: when the executor is down or unreachable, or ends before
+            its answer has arrived.
         """
-        await trio.sleep(0.001)
-        if not self.executor.up or not self.executor.reachable:
+        executor = self.executor
+        request_s, answer_s = executor.call_delays()
+        await trio.sleep(request_s)
+        if not executor.up or not executor.reachable:
             raise HttpCallError(Verdict.NOT_RUN, "no connection")
-        if self.incarnation != self.executor.incarnation:
+        answering = executor.incarnation
+        if not executor.accepts_calls_for(self.incarnation):
             return OrderResult(OrderOutcome.OTHER_INCARNATION)
-        return None
+        result = await carry_out()
+        if answer_s:
+            await trio.sleep(answer_s)
+        if not executor.up or executor.incarnation != answering:
+            raise HttpCallError(
+                Verdict.MAY_HAVE_RUN, "the executor ended during the call"
+            )
+        return result
 
     async def start(
         self,
@@ -346,51 +391,51 @@
         fence: int,
     ) -> OrderResult:
         """Start a run; simulate a late start if that fault is set."""
-        refusal = await self.simulate_call()
-        if refusal is not None:
-            return refusal
-        late_starts = self.executor.late_starts
-        if late_starts.count > 0:
-            late_starts.count -= 1
-            trio.lowlevel.spawn_system_task(
-                self.start_late, late_starts.delay_s, task, attempt, deadline_ms, fence
-            )
-            await trio.sleep(0.8)
-            raise HttpCallError(Verdict.MAY_HAVE_RUN, "no answer in time")
-        return self.executor.start(task, attempt, deadline_ms, fence)
+
+        async def start() -> OrderResult:
+            late_starts = self.executor.late_starts
+            if late_starts.count > 0:
+                late_starts.count -= 1
+                trio.lowlevel.spawn_system_task(
+                    self.start_late,
+                    late_starts.delay_s,
+                    task,
+                    attempt,
+                    deadline_ms,
+                    fence,
+                )
+                await trio.sleep(0.8)
+                raise HttpCallError(Verdict.MAY_HAVE_RUN, "no answer in time")
+            return self.executor.start(task, attempt, deadline_ms, fence)
+
+        return await self.call(start)
 
     async def start_late(
         self, delay_s: float, task: str, attempt: int, deadline_ms: int, fence: int
     ) -> None:
         """Start a run after a delay; the caller's call has already timed out."""
         await trio.sleep(delay_s)
-        if self.executor.up and self.incarnation == self.executor.incarnation:
+        if self.executor.up and self.executor.accepts_calls_for(self.incarnation):
             self.executor.start(task, attempt, deadline_ms, fence)
 
     async def stop(self, task: str, attempt: int, fence: int) -> OrderResult:
         """Stop a run; see :class:`rattanwing.batch.ports.ExecutorPort`."""
-        return await self.simulate_call() or await self.executor.stop(
-            task, attempt, fence
-        )
+        return await self.call(partial(self.executor.stop, task, attempt, fence))
 
     async def set_pace(
         self, task: str, attempt: int, pace_percent: int, fence: int
     ) -> OrderResult:
         """Accept any pace; the simulation ignores it."""
-        return await self.simulate_call() or self.executor.make_result(
-            OrderOutcome.ACCEPTED
-        )
+
+        async def accept() -> OrderResult:
+            return self.executor.make_result(OrderOutcome.ACCEPTED)
+
+        return await self.call(accept)
 
     async def poll(
         self, fence: int, acknowledged: int, deadline_ms: int | None, wait_s: float
     ) -> PollResult | OrderResult:
         """Extend the lease, acknowledge ends and list all runs."""
-        refusal = await self.simulate_call()
-        if refusal is not None:
-            return refusal
-        result = await self.executor.poll(fence, acknowledged, deadline_ms, wait_s)
-        if not self.executor.up or self.incarnation != self.executor.incarnation:
-            raise HttpCallError(
-                Verdict.MAY_HAVE_RUN, "the executor ended during the call"
-            )
-        return result
+        return await self.call(
+            partial(self.executor.poll, fence, acknowledged, deadline_ms, wait_s)
+        )
--- a/tests/batch/schedules.py
+++ b/tests/batch/schedules.py
@@ -1,6 +1,8 @@
 """Random faults against the whole batch engine, reproducible by seed.
 
-``python -m tests.batch.schedules FIRST LAST`` plays a range of seeds.
+``python -m tests.batch.schedules FIRST LAST`` plays a range of seeds; with the option
+``latency`` messages take time and cross, and with ``same-id`` some executors restart
+under the id that they had. Each combination of options has schedules of its own.
 """
 
 from __future__ import annotations
@@ -23,10 +25,14 @@
     """The random faults and jobs of one seed, and the jobs' outcomes.
 
     :param faults: time in seconds and name of each fault that was injected.
+    :param kinds: names of the faults to choose from.
+    :param same_id: whether executors may restart under the id that they had.
     """
 
-    def __init__(self, world, seed):
+    def __init__(self, world, seed, kinds, same_id):
         self.world = world
+        self.kinds = kinds
+        self.same_id = same_id
         self.random = Random(seed)
         self.accepted = set()
         self.cancelled = set()
@@ -65,17 +71,21 @@
                 continue
             spec = self.make_job()
             for _ in range(self.random.choice((1, 1, 2))):
-                if not self.world.entries:
-                    break
-                name = self.random.choice(list(self.world.entries))
-                entry = self.world.entries[name]
-                with trio.move_on_after(3):
-                    answer = await entry.relaying_service.submit(spec, 2.0)
-                    if answer is Answer.ACCEPTED:
-                        self.accepted.add(spec.job_id)
+                await self.submit(spec)
             if self.random.random() < 0.15:
                 self.world.nursery.start_soon(self.cancel, spec.job_id)
 
+    async def submit(self, spec):
+        """Submit a job to a random entry."""
+        if not self.world.entries:
+            return
+        name = self.random.choice(list(self.world.entries))
+        entry = self.world.entries[name]
+        with trio.move_on_after(3):
+            answer = await entry.relaying_service.submit(spec, 2.0)
+            if answer is Answer.ACCEPTED:
+                self.accepted.add(spec.job_id)
+
     async def cancel(self, job_id):
         """Cancel a job after a random delay."""
         await trio.sleep(self.random.random())
@@ -88,7 +98,7 @@
 
     async def inject_fault(self):
         """Inject one random fault; most end after a random time."""
-        kind = self.random.choice(FAULTS)
+        kind = self.random.choice(self.kinds)
         self.faults.append((round(trio.current_time(), 2), kind))
         await getattr(self, kind)()
 
@@ -135,7 +145,29 @@
             return
         executor.crash()
         await trio.sleep(self.random.choice((0.2, 3.0, 10.0)))
-        executor.restart()
+        self.restart(executor)
+
+    async def replace_executor(self):
+        """Crash an executor, and start it again almost at once."""
+        executor = self.random.choice(self.world.executors)
+        if not executor.up:
+            return
+        executor.crash()
+        await trio.sleep(self.random.choice((0.0, 0.02, 0.1, 0.4, 1.0)))
+        self.restart(executor)
+
+    async def replace_executor_under_load(self):
+        """Replace an executor while the tasks of a wide job are being placed."""
+        self.number += 1
+        wide = StepSpec(10, cpu=200, memory_mb=50)
+        spec = job(f"job-{self.number}", steps=[wide])
+        self.world.nursery.start_soon(self.submit, spec)
+        await trio.sleep(self.random.uniform(0, 0.08))
+        await self.replace_executor()
+
+    def restart(self, executor):
+        """Start an executor, under the same id only if the schedule has that."""
+        executor.restart(self.same_id and self.random.random() < 0.7)
 
     async def disconnect_agent(self):
         name = f"agent-{self.random.randrange(len(self.world.executors))}"
@@ -244,6 +276,12 @@
     "delay_starts",
     "drain",
 ]
+REPLACING_FAULTS = [
+    *FAULTS,
+    *["replace_executor"] * 3,
+    *["replace_executor_under_load"] * 8,
+    *["delay_starts"] * 2,
+]
 
 
 def without_spread_limit(step):
@@ -272,16 +310,21 @@
     return found
 
 
-def play_seed(seed):
-    """Play one seed; return the violated guarantees and the scenario."""
+def play_seed(seed, latency=False, same_id=False):
+    """Play one seed; return the violated guarantees and the scenario.
+
+    :param latency: whether messages take time, and cross.
+    :param same_id: whether executors may restart under the id that they had.
+    """
     fault_scenarios = []
+    kinds = REPLACING_FAULTS if latency or same_id else FAULTS
 
     async def scenario(world):
-        fault_scenario = FaultScenario(world, seed)
+        fault_scenario = FaultScenario(world, seed, kinds, same_id)
         fault_scenarios.append(fault_scenario)
         await fault_scenario.run()
 
-    world = play(scenario, entries=3, hosts=5, seed=seed)
+    world = play(scenario, entries=3, hosts=5, seed=seed, latency=latency)
     fault_scenario = fault_scenarios[0]
     violations = []
     if world.overlaps():
@@ -297,9 +340,12 @@
 
 def main():
     first, last = int(sys.argv[1]), int(sys.argv[2])
+    options = sys.argv[3:]
     failed = 0
     for seed in range(first, last + 1):
-        violations, fault_scenario = play_seed(seed)
+        violations, fault_scenario = play_seed(
+            seed, latency="latency" in options, same_id="same-id" in options
+        )
         print(
             seed, len(fault_scenario.accepted), "jobs", violations or "ok", flush=True
         )
--- a/tests/batch/test_schedules.py
+++ b/tests/batch/test_schedules.py
@@ -5,6 +5,7 @@
 from tests.batch.schedules import play_seed
 
 SEEDS = (2, 4, 5)
+LATENCY_SEEDS = (4, 10, 15)
 REGRESSION_SEEDS = {
     37: "ends of a restarted executor were skipped, as their numbers restart at 1",
     236: "an owner started a job whose record followed a later claim in the same read",
@@ -24,3 +25,21 @@
                 violations, fault_scenario = play_seed(seed)
                 self.assertEqual(violations, [], fault_scenario.faults)
                 self.assertGreater(len(fault_scenario.accepted), 10)
+
+
+class LatencyScheduleTests(unittest.TestCase):
+    """Plays seeds in which messages take time and cross."""
+
+    def check(self, seed, **options):
+        violations, fault_scenario = play_seed(seed, latency=True, **options)
+        self.assertEqual(violations, [], fault_scenario.faults)
+        self.assertGreater(len(fault_scenario.accepted), 10)
+
+    def test_no_guarantee_is_violated(self):
+        for seed in LATENCY_SEEDS:
+            with self.subTest(seed=seed):
+                self.check(seed)
+
+    def test_order_that_crosses_the_report_of_a_new_executor(self):
+        """The agent started the run on the new executor, for which it was not meant."""
+        self.check(7)
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -21,6 +21,12 @@
 from rattanwing.peer.stream import memory_stream_pair
 from rattanwing.standin.keyed_store import StandinStore
 from rattanwing.standin.runs import StandinBatchExecutor
+from tests.batch.latency import (
+    MAX_NOTICE_S,
+    Announcements,
+    Delays,
+    delayed_stream_pair,
+)
 
 RULES = QueueRules("queue-1", "service-1", 0, 3, 2.0, 1000)
 DOMAINS = ("domain-a", "domain-b", "domain-c")
@@ -43,10 +49,19 @@
     :param disconnected: names of processes whose streams are interrupted.
     :param dial_delay_s: how long it takes to open a stream.
     :param entry_cpu: thousandths of a core of an entry's host, by name.
+    :param latency: whether messages, calls and announcements take time, so that they
+        cross, and announcements may be lost.
+    :param announced: rank of the newest announcement that each agent has received.
+    :param served: cancel scopes of the streams that each process has accepted, by
+        name; used with latency.
     """
 
-    def __init__(self, entries=3, hosts=4, seed=1):
+    def __init__(self, entries=3, hosts=4, seed=1, latency=False):
         self.random = Random(seed)
+        self.latency = latency
+        self.latency_random = Random(f"latency-{seed}")
+        self.served = {}
+        self.announced = {}
         self.store = StandinStore()
         self.history = []
         self.durations = lambda _task: 1.0
@@ -107,6 +122,7 @@
         executor = self.executors[index]
         agent = BatchAgent(self.now, executor.port)
         self.agents[name] = agent
+        self.announced[name] = (0, 0)
         self.agent_starts += 1
         incarnation = f"{name}-{self.agent_starts}"
         writer = RecordWriter(
@@ -117,13 +133,14 @@
             Random(self.random.random()),
         )
         address = records.AgentAddress(name, name, incarnation)
-        self.start_process(
-            name,
+        tasks = [
             agent.run,
             writer.run,
             partial(keep_registered, agent, writer, address, self.random),
-            partial(self.announce, agent, executor),
-        )
+        ]
+        if not self.latency:
+            tasks.append(partial(self.announce, agent, executor))
+        self.start_process(name, *tasks)
 
     async def announce(self, agent, executor):
         """Announce the executor to its agent at a fixed interval."""
@@ -132,6 +149,25 @@
                 agent.handle_announcement(executor.view())
             await trio.sleep(1.0)
 
+    def deliver_announcement(self, name, view, rank):
+        """Pass an announcement to an agent unless it has received a newer one."""
+        agent = self.agents.get(name)
+        if agent is not None and rank > self.announced[name]:
+            self.announced[name] = rank
+            agent.handle_announcement(view)
+
+    def start_latency(self):
+        """Delay calls, and announce the executors with delays and losses."""
+        for index, executor in enumerate(self.executors):
+            delays = Delays(self.latency_random, means_s=(0.0005, 0.002))
+            executor.call_delays = partial(draw_twice, delays)
+            announcements = Announcements(
+                executor,
+                self.latency_random,
+                partial(self.deliver_announcement, f"agent-{index}"),
+            )
+            self.nursery.start_soon(announcements.run, self.nursery)
+
     def start_process(self, name, *tasks):
         """Run the tasks of one process; killing it cancels all of them."""
         scope = self.scopes[name] = trio.CancelScope()
@@ -146,6 +182,8 @@
     def kill(self, name):
         """Kill a process."""
         self.scopes.pop(name).cancel()
+        for scope in self.served.pop(name, ()):
+            scope.cancel()
         self.entries.pop(name, None)
         self.agents.pop(name, None)
 
@@ -159,6 +197,9 @@
         scope = self.scopes.get(address)
         if scope is None:
             raise PeerLostError("the process was killed while it was dialled")
+        if self.latency:
+            await self.open_delayed_stream(caller, address, agent, handler)
+            return
         near_side, far_side = memory_stream_pair()
         async with trio.open_nursery() as nursery:
             accept = getattr(agent, "relaying_service", agent).accept
@@ -182,6 +223,42 @@
             if {caller, address} & self.disconnected:
                 nursery.cancel_scope.cancel()
 
+    async def open_delayed_stream(self, caller, address, agent, handler):
+        """Open a stream with delays; each side notices its end at its own time."""
+        near_side, far_side, link = delayed_stream_pair(self.latency_random)
+        scope = trio.CancelScope()
+        self.served.setdefault(address, set()).add(scope)
+        accept = getattr(agent, "relaying_service", agent).accept
+        self.nursery.start_soon(self.serve_delayed, address, scope, accept, far_side)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                self.cut_when_disconnected,
+                {caller, address},
+                link,
+                (scope, nursery.cancel_scope),
+            )
+            try:
+                await handler(near_side)
+            finally:
+                await near_side.aclose()
+            nursery.cancel_scope.cancel()
+
+    async def serve_delayed(self, address, scope, accept, stream):
+        """Serve the accepting side of a stream, which outlives the dialling side."""
+        with scope:
+            await accept(stream)
+        self.served.get(address, set()).discard(scope)
+        await stream.aclose()
+
+    async def cut_when_disconnected(self, names, link, scopes):
+        """Cut a stream when a side is disconnected, and end each side later."""
+        while not names & self.disconnected:
+            await trio.sleep(0.01)
+        link.cut = True
+        for scope in scopes:
+            delay_s = self.latency_random.uniform(0, MAX_NOTICE_S)
+            self.nursery.start_soon(cancel_after, delay_s, scope)
+
     @asynccontextmanager
     async def running(self):
         """Run all processes while the body of the context runs."""
@@ -189,6 +266,8 @@
             self.nursery = nursery
             for executor in self.executors:
                 nursery.start_soon(executor.run)
+            if self.latency:
+                self.start_latency()
             for index in range(len(self.executors)):
                 await self.start_agent(index)
             for name in self.entry_names:
@@ -254,6 +333,17 @@
         ]
 
 
+def draw_twice(delays):
+    """Return the delays of a call and of its answer, in seconds."""
+    return delays.draw(), delays.draw()
+
+
+async def cancel_after(delay_s, scope):
+    """Cancel a scope after a delay."""
+    await trio.sleep(delay_s)
+    scope.cancel()
+
+
 def play(scenario, **options):
     """Run a scenario on virtual time and return its world.
 
