Give an executor that restarts under a new id that id in its announcements

What callers saw: nothing; the stand-in announced the same id after every restart, so an agent could not tell the two kinds of restart apart. Change: the announced id changes with a restart under another id. Ruled out: nothing.

--- a/rattanwing/standin/runs.py
+++ b/rattanwing/standin/runs.py
@@ -198,9 +198,15 @@
         self.running = {}
         self.up = False
 
+    def executor_id(self) -> str:
+        """Return the current id."""
+        if self.first_incarnation == 1:
+            return self.name
+        return f"{self.name}-{self.first_incarnation}"
+
     def incarnation_name(self) -> str:
         """Return the name of the current incarnation."""
-        return f"{self.name}@{self.incarnation}"
+        return f"{self.executor_id()}@{self.incarnation}"
 
     def accepts_calls_for(self, incarnation: int) -> bool:
         """Return whether the executor accepts a call for one of its incarnations."""
@@ -210,7 +216,7 @@
         """Return the description that the executor announces."""
         return ExecutorView(
             self.incarnation_name(),
-            self.name,
+            self.executor_id(),
             self.service,
             "127.0.0.1:1",
             self.failure_domain,
--- a/tests/batch/test_standin.py
+++ b/tests/batch/test_standin.py
@@ -19,6 +19,7 @@
             await trio.sleep(5)
             executor.crash()
             executor.restart(**options)
+            self.executor_id = executor.view().executor_id
             return await port.poll(1, 0, None, 0.0)
 
         return trio.run(poll, clock=trio.testing.MockClock(autojump_threshold=0))
@@ -26,9 +27,11 @@
     def test_calls_for_an_earlier_life_under_the_same_id_are_accepted(self):
         answer = self.poll_earlier_life(same_id=True)
         self.assertIsInstance(answer, PollResult)
+        self.assertEqual(self.executor_id, "executor-0")
         self.assertEqual(answer.incarnation, "executor-0@2")
         self.assertLess(answer.clock_ms, 100)
 
     def test_calls_for_an_earlier_life_under_another_id_are_refused(self):
         answer = self.poll_earlier_life()
+        self.assertNotEqual(self.executor_id, "executor-0")
         self.assertIs(answer.outcome, OrderOutcome.OTHER_INCARNATION)
