Tests that fail: executors that start again under their id

What callers saw: nothing yet; found by schedules with same-id. PROTOCOL.md lets an executor start again under its id, and the header that names the intended executor holds the id alone, so the new life accepts the calls for the earlier one.

Cause, one test each: (1) a start that the agent sends before it hears of the new life is carried out there, while the owner takes the first report of the new life as proof that the run is lost, and starts the next attempt; (2) a start without an answer is carried out seconds later by the new life, under a fence that is still valid; (3) the agent acknowledges the ends of the new life by the numbers of the earlier one, unseen, so that the task is run again; (4) the agent sends deadlines on the earlier clock, so a lease of 2 s becomes one of 10 s.

Ruled out: the incarnation in start orders, which does not name the executor in the agent's own calls. Conclusion: not fixed here.

--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -3,10 +3,12 @@
 import unittest
 
 import trio
+import trio.testing
 
 from rattanwing.batch import messages
 from rattanwing.batch.agent import BatchAgent, OwnerSession
 from rattanwing.batch.ports import PollResult, RunningRow
+from rattanwing.batch.runs import ExecutorRuns
 from rattanwing.standin.runs import StandinBatchExecutor
 
 
@@ -103,3 +105,35 @@
         self.agent.handle_message(self.owner, start_order())
         self.assertEqual(self.owner.session.sent[-1].reason, "no-executor")
         self.assertEqual(self.agent.executor.running_rows(), [])
+
+
+class RebirthTests(unittest.TestCase):
+    def test_lease_on_the_clock_of_the_earlier_life(self):
+        """The clock starts anew, so the deadline was far beyond the owner's lease."""
+
+        async def poll_across_rebirth():
+            executor = StandinBatchExecutor("executor-0", "domain-a", [], lambda _: 9.0)
+            await trio.sleep(30)
+            view = executor.view()
+            runs = ExecutorRuns(
+                view,
+                executor.port(view),
+                trio.current_time,
+                0.0,
+                lambda: None,
+                lambda *_refusal: None,
+            )
+            runs.set_fence(1)
+            runs.extend_lease(trio.current_time() + 2)
+            await runs.poll(trio.current_time(), 1)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(runs.poll, trio.current_time(), 1)
+                await trio.sleep(0.1)
+                executor.crash()
+            executor.restart(same_id=True)
+            await runs.poll(trio.current_time(), 1)
+            return executor.deadline_ms - executor.clock_ms()
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        remaining_ms = trio.run(poll_across_rebirth, clock=clock)
+        self.assertLessEqual(remaining_ms, 2000)
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -461,6 +461,75 @@
         play(scenario, entries=1)
 
 
+class RebirthTests(unittest.TestCase):
+    """Executors that start again under the id that they had.
+
+    Such an executor accepts the calls that are meant for its earlier life.
+    """
+
+    def restart(self, executor):
+        """Restart an executor; its agent hears of it at the next full second."""
+        executor.crash()
+        executor.restart(same_id=True)
+
+    def check(self, scenario):
+        world = play(scenario)
+        self.assertEqual(world.overlaps(), [])
+        self.assertEqual(world.reruns(), [])
+
+    def test_start_for_the_earlier_life_is_carried_out_by_the_new_one(self):
+        """The owner marked the run as lost, and started the next one beside it."""
+
+        async def scenario(world):
+            await trio.sleep(2.2)
+            world.durations = lambda _task: 3.0
+            self.restart(world.executors[0])
+            world.executors[0].draining = True
+            await world.submit(job(steps=(TASK,)))
+            done = await world.wait_for_state("job-1", JobState.COMPLETED)
+            self.assertTrue(done)
+
+        self.check(scenario)
+
+    def test_late_start_for_the_earlier_life_reaches_the_new_one(self):
+        """The fence of the agent's stream, unchanged, did not keep it out."""
+
+        async def scenario(world):
+            await trio.sleep(2.5)
+            world.durations = lambda _task: 6.0
+            executor = world.executors[0]
+            executor.late_starts.count = 1
+            executor.late_starts.delay_s = 2.0
+            await world.submit(job(steps=(TASK,)))
+            await trio.sleep(0.1)
+            self.assertEqual(executor.late_starts.count, 0)
+            self.restart(executor)
+            executor.draining = True
+            done = await world.wait_for_state("job-1", JobState.COMPLETED)
+            self.assertTrue(done)
+
+        self.check(scenario)
+
+    def test_ends_of_the_new_life_are_acknowledged_unseen(self):
+        """The agent acknowledged them by the numbers of the earlier life's ends."""
+
+        async def scenario(world):
+            await trio.sleep(2)
+            world.durations = lambda _task: 0.1
+            wide = StepSpec(12, cpu=500, memory_mb=100)
+            await world.submit(job(steps=(wide,)))
+            done = await world.wait_for_state("job-1", JobState.COMPLETED)
+            self.assertTrue(done)
+            await trio.sleep(3.05 - trio.current_time() % 1.0)
+            for executor in world.executors:
+                self.restart(executor)
+            await world.submit(job("job-2", steps=(TASK,)))
+            done = await world.wait_for_state("job-2", JobState.COMPLETED)
+            self.assertTrue(done)
+
+        self.check(scenario)
+
+
 class RelayTests(unittest.TestCase):
     """An entry that can't reach the store relays calls to another entry."""
 
--- a/tests/batch/test_schedules.py
+++ b/tests/batch/test_schedules.py
@@ -6,6 +6,11 @@
 
 SEEDS = (2, 4, 5)
 LATENCY_SEEDS = (4, 10, 15)
+SAME_ID_SEEDS = {
+    3: "late starts for the earlier life repeated finished tasks on the new one",
+    4: "ends of the new life were acknowledged unseen",
+    7: "a start for the earlier life was carried out by the new one",
+}
 REGRESSION_SEEDS = {
     37: "ends of a restarted executor were skipped, as their numbers restart at 1",
     236: "an owner started a job whose record followed a later claim in the same read",
@@ -43,3 +48,8 @@
     def test_order_that_crosses_the_report_of_a_new_executor(self):
         """The agent started the run on the new executor, for which it was not meant."""
         self.check(7)
+
+    def test_executors_that_restart_under_their_id(self):
+        for seed in SAME_ID_SEEDS:
+            with self.subTest(seed=seed):
+                self.check(seed, same_id=True)
