Test that fails: a late announcement of an earlier incarnation

What callers saw: nothing; found by reading. Cause: an agent's process that has just started, and hears first a late announcement of an executor that has been replaced, gets its call refused by the present one, counts the executor as gone, and reports a complete list without runs. Its earlier process may have started runs on the present executor, and the owner starts their next attempts beside them until the next announcement. PROTOCOL.md says that such announcements arrive. Ruled out: nothing.

--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -7,7 +7,7 @@
 
 from rattanwing.batch import messages
 from rattanwing.batch.agent import BatchAgent, OwnerSession
-from rattanwing.batch.ports import PollResult, RunningRow
+from rattanwing.batch.ports import OrderOutcome, OrderResult, PollResult, RunningRow
 from rattanwing.batch.runs import ExecutorRuns
 from rattanwing.standin.runs import StandinBatchExecutor
 
@@ -106,6 +106,14 @@
         self.assertEqual(self.owner.session.sent[-1].reason, "no-executor")
         self.assertEqual(self.agent.executor.running_rows(), [])
 
+    def test_refusal_by_another_incarnation_completes_no_report(self):
+        """A late announcement of an earlier incarnation reached a new process of the
+        agent; the runs that the earlier process had started were reported as gone.
+        """
+        refusal = OrderResult(OrderOutcome.OTHER_INCARNATION)
+        self.agent.executor.handle_poll_refusal(refusal)
+        self.assertFalse(self.report().complete)
+
 
 class RebirthTests(unittest.TestCase):
     def test_lease_on_the_clock_of_the_earlier_life(self):
