Test that fails: the refusal of an earlier owner's order of the same attempt

Cause: two owners in turn order the same attempt on one host, as the first has stored nothing; the first one's start call is still waiting when the second one's is accepted; when it is then refused as fenced, ExecutorRuns.start removes the second one's run by task and attempt, and the refusal goes to the second owner, which starts the next attempt.

--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -115,6 +115,63 @@
         self.assertFalse(self.report().complete)
 
 
+class SlowStartPort:
+    """Answers the first start call only when released, and then that it is fenced."""
+
+    def __init__(self, incarnation):
+        self.incarnation = incarnation
+        self.released = trio.Event()
+        self.calls = 0
+
+    async def poll(self, *_order):
+        return PollResult(1, [], [], self.incarnation)
+
+    async def start(self, *_order):
+        self.calls += 1
+        if self.calls > 1:
+            return OrderResult(OrderOutcome.ACCEPTED, 1)
+        await self.released.wait()
+        return OrderResult(OrderOutcome.FENCED, 1)
+
+
+class RepeatedOrderTests(unittest.TestCase):
+    def test_late_answer_to_an_earlier_owners_order_of_the_same_attempt(self):
+        """The run that the later owner had started was reported as refused, and the
+        owner started the next attempt on another host.
+        """
+        refused = []
+
+        async def start_for_two_owners():
+            executor = StandinBatchExecutor("executor-0", "domain-a", [], lambda _: 9.0)
+            view = executor.view()
+            port = SlowStartPort(view.incarnation)
+            runs = ExecutorRuns(
+                view,
+                port,
+                trio.current_time,
+                0.0,
+                lambda: None,
+                lambda *refusal: refused.append(refusal),
+            )
+            runs.extend_lease(trio.current_time() + 9)
+            order = start_order(start_before=trio.current_time() + 2)
+            async with trio.open_nursery() as nursery:
+                for fence in (1, 2):
+                    runs.set_fence(fence)
+                    await trio.sleep(0.1)
+                    await runs.poll(trio.current_time(), fence)
+                    run = runs.admit(order)
+                    nursery.start_soon(runs.start, order, run, order.start_before)
+                    await trio.sleep(0.1)
+                port.released.set()
+            return runs.running_rows()
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        rows = trio.run(start_for_two_owners, clock=clock)
+        self.assertEqual([row.task for row in rows], ["job-1.0.0.0"])
+        self.assertEqual(refused, [])
+
+
 class RebirthTests(unittest.TestCase):
     def test_lease_on_the_clock_of_the_earlier_life(self):
         """The clock starts anew, so the deadline was far beyond the owner's lease."""
