Test that fails: the late deletion of an agent's address

Cause: when a host's lease has lapsed, AgentConnections.remove_agent deletes the agent's address, and retries for TASK_LEASE_S while the store does not answer. The agent may meanwhile come back, register and be connected; the deletion then removes the new address. As an owner is connected, the agent does not register again, so the next owner neither waits for it nor adopts its runs, and starts their tasks on other hosts.

--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -383,6 +383,28 @@
 
         play(scenario)
 
+    def test_address_of_an_agent_that_came_back_is_deleted_late(self):
+        """The next owner knew nothing of the agent, and started its tasks again."""
+
+        async def scenario(world):
+            await trio.sleep(2)
+            world.durations = lambda _task: 8.0
+            world.kill("agent-0")
+            await trio.sleep(7)
+            names = {*world.entry_names, *world.agents}
+            world.store.disconnected_clients |= names
+            await trio.sleep(5)
+            world.store.disconnected_clients.clear()
+            await world.start_agent(0)
+            await trio.sleep(4)
+            await world.submit(job(steps=(TASK,)))
+            await trio.sleep(1)
+            world.kill(world.owner().settings.name)
+            done = await world.wait_for_state("job-1", JobState.COMPLETED)
+            self.assertTrue(done)
+
+        self.check_no_duplicate_runs(play(scenario))
+
     def test_owner_that_reaches_no_agent_steps_down(self):
         """The owner reaches the store, so no other entry claims unless it resigns."""
 
