Log why a best-effort run is paced down, and what an unsuitable host lacks

Event 546 did not tell whether a run was slowed for the headroom of a serving task, for the CPU of the host, or since a serving task had been over its target; it has the field cause now. Event 547 counted hosts that lack CPU for a best-effort task, hosts where the task would interfere, and failing hosts as does-not-suit; they are best-effort-cpu, interference and failing now. No decision changes; a test names the causes.

--- a/rattanwing/batch/pacing.py
+++ b/rattanwing/batch/pacing.py
@@ -140,14 +140,17 @@
         image; the interference of other pairs is unknown.
     :param over_since: time since which, at every adjustment, at least one serving task
         has exceeded its target; ``None`` if none does.
+    :param causes: what reduced a run's pace in the last decision: ``headroom``, ``cpu``
+        or ``over-target``.
     """
 
-    __slots__ = ("headroom_loss_per_core", "last_adjusted_at", "over_since")
+    __slots__ = ("headroom_loss_per_core", "last_adjusted_at", "over_since", "causes")
 
     def __init__(self) -> None:
         self.headroom_loss_per_core: dict[tuple[str, str], float] = {}
         self.last_adjusted_at = 0.0
         self.over_since: float | None = None
+        self.causes: dict[Hashable, str] = {}
 
     def set_interference(self, rows: list[tuple[str, str, float]]) -> None:
         """Replace the known pairs.
@@ -187,6 +190,7 @@
         together could otherwise use up the headroom of a serving task before the
         reported latencies show it.
         """
+        self.causes = {}
         new = {key for key, run in runs.items() if run.is_new}
         if now - self.last_adjusted_at < ADJUSTMENT_INTERVAL_S:
             if not new:
@@ -201,6 +205,7 @@
         elif self.over_since is None:
             self.over_since = now
         if over and now - self.over_since >= ZERO_ALL_AFTER_S:
+            self.causes = dict.fromkeys(runs, "over-target")
             return changed_paces(runs, dict.fromkeys(runs, 0.0))
         paces = self.compute_paces(serving, runs, set(runs), may_slow=True)
         self.limit_cpu(serving, runs, paces, cpu)
@@ -234,6 +239,8 @@
             reduction = min(paces[key], (used - cpu) / run_cpu * FULL_PERCENT)
             paces[key] -= reduction
             used -= run_cpu * reduction / FULL_PERCENT
+            if reduction > 0:
+                self.causes[key] = "cpu"
 
     def compute_paces(
         self,
@@ -264,6 +271,9 @@
         )
         for key in order:
             paces[key] += self.allot_increase(serving, runs[key], paces[key], spare)
+        for key in chosen:
+            if paces[key] < runs[key].pace_percent:
+                self.causes[key] = "headroom"
         return {key: paces[key] for key in chosen}
 
     def unmeasured_loss(
--- a/rattanwing/batch/placement.py
+++ b/rattanwing/batch/placement.py
@@ -168,17 +168,17 @@
         reason = rejection_reason(host, job, task.step, constraints, now)
         if not reason and 0 < task.step.spread_limit <= count_runs_on(host, task):
             reason = "spread"
-        if not reason and not is_suitable(host, task.step, interference, now):
-            reason = "does-not-suit"
+        if not reason:
+            reason = unsuitable_reason(host, task.step, interference, now)
         if reason:
             counts[reason] = counts.get(reason, 0) + 1
     return counts
 
 
-def is_suitable(
+def unsuitable_reason(
     host: Host, step: StepSpec, interference: InterferenceModel, now: float
-) -> bool:
-    """Return whether one more task of a step should run on a host.
+) -> str:
+    """Return why one more task of a step should not run on a host; empty if it should.
 
     A best-effort task needs enough unused CPU, and its interference must keep the
     loss of each serving task within ``INTERFERENCE_LIMIT``. A task that exceeds
@@ -186,14 +186,16 @@
     the same serving image.
     """
     if host.health.is_failing(now):
-        return False
+        return "failing"
     if not step.best_effort:
-        return True
+        return ""
     colocation = summarize_colocation(host, interference)
-    return step.cpu <= colocation.best_effort_cpu_available and all(
-        total <= max(INTERFERENCE_LIMIT, own)
-        for own, total in colocation.losses_with(step, interference)
-    )
+    if step.cpu > colocation.best_effort_cpu_available:
+        return "best-effort-cpu"
+    for own, total in colocation.losses_with(step, interference):
+        if total > max(INTERFERENCE_LIMIT, own):
+            return "interference"
+    return ""
 
 
 def count_runs_on(host: Host, task: Task) -> int:
@@ -300,7 +302,9 @@
     if limit:
         fitting = [host for host in fitting if count_runs_on(host, task) < limit]
     candidates = [
-        host for host in fitting if is_suitable(host, task.step, interference, now)
+        host
+        for host in fitting
+        if not unsuitable_reason(host, task.step, interference, now)
     ]
     if not candidates and job.is_starved(now, STARVED_AFTER_S):
         candidates = fitting
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -537,6 +537,7 @@
             attempt=attempt,
             before=run.pace,
             percent=pace_percent,
+            cause=self.pacer.causes.get(key, ""),
             tails=[(load.tail_ms, load.target_ms) for load in serving],
         )
         run.pace = pace_percent
--- a/tests/batch/test_sharing.py
+++ b/tests/batch/test_sharing.py
@@ -256,6 +256,16 @@
             self.now += ADJUSTMENT_INTERVAL_S + 0.01
             self.assertEqual(self.pacer.decide(serving, self.runs, self.now, cpu), {})
 
+    def test_the_cause_of_a_lower_pace_is_named(self):
+        self.adjust(SLOW_BELOW - 0.01)
+        self.assertEqual(self.pacer.causes, {"h": "headroom"})
+        self.pacer.set_interference([("watch", "light", 0.0)])
+        self.runs = {str(i): BestEffortRun("light", 4000, 100) for i in range(5)}
+        self.now += ADJUSTMENT_INTERVAL_S + 0.01
+        peak = ServingLatency("watch", 89, 150, cpu=6400)
+        paces = self.pacer.decide([peak] * 4, self.runs, self.now, cpu=32_000)
+        self.assertEqual(self.pacer.causes, dict.fromkeys(paces, "cpu"))
+
     def test_the_same_figures_cause_one_adjustment(self):
         before = self.adjust(1.01)
         self.now -= ADJUSTMENT_INTERVAL_S / 2
