Failing tests: CPU of throttled best-effort runs is promised to others

The first test replays the load with the real scheduler and pacers: eight hosts with serving tasks at half of their peak load, and wide best-effort jobs that ask for a quarter more than the room left. The second test shows the decision behind it: a host whose four best-effort runs stand still gets four more. The bound is four fifths of what the room allows, as jobs under way at the end count nothing.

--- /dev/null
+++ b/tests/batch/test_overload.py
@@ -0,0 +1,151 @@
+"""More best-effort work than the hosts can run, in wide jobs that arrive one by one."""
+
+from __future__ import annotations
+
+from random import Random
+
+from rattanwing.batch import messages
+from rattanwing.batch.model import JobState, QueueRules, StepSpec
+from rattanwing.batch.pacing import BestEffortPacer, BestEffortRun, ServingLatency
+from rattanwing.batch.ports import EndedRow, EndReason, RunningRow
+from tests.batch.test_scheduler import SchedulerTestCase, executor_view
+from tests.batch.world import job
+
+HOSTS = 8
+HOST_CPU = 32_000
+STEP_S = 0.1
+REPORT_EVERY = 5
+SERVING = StepSpec(
+    2 * HOSTS,
+    cpu=10_000,
+    memory_mb=100,
+    long_running=True,
+    target_ms=150,
+    image="serve",
+    spread_limit=2,
+)
+BATCH_CPU = 4000
+BATCH_RUN_S = 3.0
+BATCH_TASKS = 20
+BATCH_RULES = QueueRules("batch", "service-1", 2, 3, 2.0, 1000)
+HEADROOM = 3.0
+BATCH_ROOM = 20_000
+"""Thousandths of a core that the serving tasks of a host leave to others."""
+
+
+class OverloadTests(SchedulerTestCase):
+    """Eight hosts, each with two serving tasks at half of their peak load.
+
+    The hosts have 20 cores each left for best-effort tasks, and the jobs ask for a
+    quarter more than that. A job that has all its tasks at full pace takes 3 s.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.hosts = [self.host(f"agent-{i}", cpu=HOST_CPU) for i in range(HOSTS)]
+        self.pacers = {host.name: BestEffortPacer() for host in self.hosts}
+        for pacer in self.pacers.values():
+            rows = [("serve", f"image-{i}", 0.01 * (i % 3)) for i in range(6)]
+            pacer.set_interference(rows)
+        self.scheduler.interference.headroom_loss_per_core = {
+            ("serve", f"image-{i}"): 0.01 * (i % 3) for i in range(6)
+        }
+        self.add_job(job("serving", [SERVING]))
+        self.place()
+        self.paces = {}
+        self.work_s = {}
+        self.end_numbers = dict.fromkeys(self.hosts, 0)
+        self.finished_after_s = {}
+
+    def play(self, seconds, interval_s):
+        """Submit a job at each interval, and record how long the finished ones took."""
+        random = Random(1)
+        began = self.now
+        submitted = {}
+        for step in range(int(seconds / STEP_S)):
+            self.now = began + step * STEP_S
+            if self.now - began >= len(submitted) * interval_s:
+                name = f"batch-{len(submitted):03}"
+                submitted[name] = self.now
+                self.submit(name, random)
+            if step % REPORT_EVERY == 0:
+                for host in self.hosts:
+                    self.adjust_paces(host)
+                    self.report_runs(host)
+            for host in self.hosts:
+                self.work(host)
+            self.place()
+            for name, at in submitted.items():
+                owned = self.scheduler.jobs[name]
+                if owned.state is JobState.COMPLETED:
+                    self.finished_after_s.setdefault(name, self.now - at)
+
+    def submit(self, name, random):
+        step = StepSpec(
+            BATCH_TASKS,
+            cpu=BATCH_CPU,
+            memory_mb=100,
+            estimate_ms=int(BATCH_RUN_S * 1000),
+            best_effort=True,
+            image=f"image-{random.randrange(6)}",
+        )
+        spec = messages.JobSpec(name, BATCH_RULES, "", (step,), self.now_ms())
+        self.add_job(spec)
+
+    def batch_runs(self, host):
+        return {k: r for k, r in host.runs.items() if r.task.step.best_effort}
+
+    def adjust_paces(self, host):
+        serving = [ServingLatency("serve", int(150 / HEADROOM), 150, SERVING.cpu)] * 2
+        runs = {
+            key: BestEffortRun(
+                run.task.step.image,
+                BATCH_CPU,
+                self.paces.get(key, 100),
+                self.now - run.placed_at,
+                is_new=key not in self.paces,
+            )
+            for key, run in self.batch_runs(host).items()
+        }
+        self.paces |= dict.fromkeys(runs, 100) | {
+            key: run.pace_percent for key, run in runs.items()
+        }
+        pacer = self.pacers[host.name]
+        self.paces |= pacer.decide(serving, runs, self.now, HOST_CPU)
+
+    def report_runs(self, host):
+        rows = [
+            RunningRow(
+                *key,
+                "",
+                int(100 * self.work_s.get(key, 0.0) / BATCH_RUN_S),
+                BATCH_CPU * self.paces[key] // 100 if key in self.paces else 50,
+            )
+            for key in host.runs
+        ]
+        report = messages.HostReport(
+            self.now,
+            host.next_order - 1,
+            executor_view(host.name, cpu=HOST_CPU),
+            rows,
+            True,
+        )
+        self.scheduler.handle_report(host, report, self.now, self.now_ms())
+
+    def work(self, host):
+        """Let the runs of a host work, and report those that are done."""
+        for key in self.batch_runs(host):
+            pace = self.paces.get(key, 100)
+            self.work_s[key] = self.work_s.get(key, 0.0) + STEP_S * pace / 100
+            if self.work_s[key] < BATCH_RUN_S:
+                continue
+            self.end_numbers[host] += 1
+            end = EndedRow(self.end_numbers[host], *key, EndReason.DONE, "")
+            ended = messages.RunsEnded(host.executor.incarnation, [end])
+            self.scheduler.handle_ends(host, ended, self.now, self.now_ms())
+
+    def test_hosts_finish_the_jobs_that_they_begin(self):
+        """Every job got hosts at once and a part of the pace, so that few were done."""
+        room_for = HOSTS * BATCH_ROOM / (BATCH_TASKS * BATCH_CPU * BATCH_RUN_S)
+        self.play(60.0, 1 / (1.25 * room_for))
+        self.assertGreaterEqual(len(self.finished_after_s), 0.8 * 60 * room_for)
--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -252,6 +252,18 @@
         self.add_job(job(steps=(best_effort,)))
         self.assertEqual(len(self.place()), 2)
 
+    def test_cpu_of_throttled_runs_is_not_promised_to_others(self):
+        """Tasks were placed on hosts where those before them stood still."""
+        host = self.host("agent-1")
+        step = StepSpec(4, cpu=1000, memory_mb=100, best_effort=True)
+        self.add_job(job("first", [step]))
+        self.assertEqual(len(self.place()), 4)
+        self.now += 1
+        rows = [RunningRow(*key, "", 10, 0) for key in host.runs]
+        self.report(host, rows)
+        self.add_job(job("second", [step]))
+        self.assertEqual(self.place(), [])
+
     def test_each_host_is_summarized_once_per_round(self):
         """Bounds the lookups of estimates while 20 steps wait for full hosts."""
         hosts, per_host, waiting = 4, 6, 20
