Treat very deeply nested content as malformed

Seen: a record, answer or message nested by 100,000 levels ends the process that reads it; an announcement or a job gets status 500 in place of 400. Cause: the decoders raise RecursionError, not DecodeError, also while they skip an unknown field; nobody caught it, and the nursery of the whole process ended. This was so for answers of the executor and of the store, stored records, operators' records, messages of peers, JSON answers, settings, and the records of the log. Change: one function of util/codec.py decodes all of these and raises MalformedError whatever the bytes are; the callers turn it into their own error as before.

--- a/rattanwing/batch/records.py
+++ b/rattanwing/batch/records.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from rattanwing.batch.model import JobSpec, JobState
-from rattanwing.errors import RecordError
+from rattanwing.errors import MalformedError, RecordError
+from rattanwing.util.codec import decode as decode_value
 
 WORK_TOPIC = "work"
 """Topic of jobs and their cancellations, which every entry writes, and of progress,
@@ -146,6 +147,6 @@
     if decoder is None:
         raise RecordError(f"unknown record type for key {key!r}")
     try:
-        return decoder.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_value(decoder, value)
+    except MalformedError as error:
         raise RecordError(f"cannot decode record {key!r}: {error}") from error
--- a/rattanwing/config/tree.py
+++ b/rattanwing/config/tree.py
@@ -14,8 +14,9 @@
     Team,
     parse_declaration,
 )
-from rattanwing.errors import RecordError, RejectedError
+from rattanwing.errors import MalformedError, RecordError, RejectedError
 from rattanwing.log.stream import Outcome
+from rattanwing.util.codec import decode
 
 MAX_AUDIT_ROWS = 500
 """Rows that the audit trail keeps; a further row drops the oldest one."""
@@ -326,6 +327,6 @@
     :raises RecordError: when the record does not parse.
     """
     try:
-        return _decoder.decode(record)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode(_decoder, record)
+    except MalformedError as error:
         raise RecordError(str(error)) from error
--- a/rattanwing/entry/keys.py
+++ b/rattanwing/entry/keys.py
@@ -16,9 +16,10 @@
 import trio
 
 from rattanwing.entry.dispatch import may_have_run_answer, not_run_answer
-from rattanwing.errors import LogUnavailableError, RecordError
+from rattanwing.errors import LogUnavailableError, MalformedError, RecordError
 from rattanwing.log.stream import LogStream, Outcome
 from rattanwing.messages import ServiceAnswer
+from rattanwing.util.codec import decode
 from rattanwing.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -262,8 +263,8 @@
     :raises RecordError: when it does not parse.
     """
     try:
-        return _decoder.decode(record)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode(_decoder, record)
+    except MalformedError as error:
         raise RecordError(str(error)) from error
 
 
--- a/rattanwing/entry/operators.py
+++ b/rattanwing/entry/operators.py
@@ -10,8 +10,9 @@
 from rattanwing import events
 from rattanwing.config.tree import ChangeRecord, Edit
 from rattanwing.entry import callers
-from rattanwing.errors import LogUnavailableError, RejectedError
+from rattanwing.errors import LogUnavailableError, MalformedError, RejectedError
 from rattanwing.jobs.records import JobSpec
+from rattanwing.util.codec import decode_json
 from rattanwing.util.http_server import (
     HttpServer,
     Request,
@@ -131,8 +132,8 @@
     async def change_config(self, request: Request) -> Response:
         """Append a change and answer once it has been read back and folded."""
         try:
-            body = msgspec.json.decode(request.body, type=ChangeBody)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            body = decode_json(request.body, ChangeBody)
+        except MalformedError as error:
             return error_response(400, "malformed-change", str(error))
         change = ChangeRecord(body.id, body.author, body.edits, body.settle)
         stream = self.app.get("config").stream
@@ -172,8 +173,8 @@
     async def submit_job(self, request: Request) -> Response:
         """Submit a job and answer once its record has been read back."""
         try:
-            value = msgspec.json.decode(request.body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            value = decode_json(request.body)
+        except MalformedError as error:
             return error_response(400, "malformed-job", str(error))
         spec, problems = convert(JobSpec, value)
         if problems:
--- a/rattanwing/errors.py
+++ b/rattanwing/errors.py
@@ -23,6 +23,10 @@
     """A service is missing from the registry or registered twice."""
 
 
+class MalformedError(RattanwingError):
+    """Bytes from elsewhere do not decode, or not to the expected type."""
+
+
 class ProtocolError(RattanwingError):
     """A peer sent a message that does not decode or is not expected here."""
 
--- a/rattanwing/jobs/shard.py
+++ b/rattanwing/jobs/shard.py
@@ -6,10 +6,11 @@
 
 import msgspec
 
-from rattanwing.errors import RecordError, RejectedError
+from rattanwing.errors import MalformedError, RecordError, RejectedError
 from rattanwing.jobs import records
 from rattanwing.jobs.records import Job
 from rattanwing.log.stream import Outcome
+from rattanwing.util.codec import decode
 
 MAX_KEPT_ENDED_JOBS = 2000
 """Ended jobs that a shard keeps; a further one drops the job that ended first."""
@@ -340,8 +341,8 @@
     :raises RecordError: when the record does not parse.
     """
     try:
-        return _decoder.decode(record)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode(_decoder, record)
+    except MalformedError as error:
         raise RecordError(str(error)) from error
 
 
--- a/rattanwing/platform/callers.py
+++ b/rattanwing/platform/callers.py
@@ -11,7 +11,8 @@
 from rattanwing.batch.messages import Answer
 from rattanwing.batch.model import JobSpec, JobState, StepSpec
 from rattanwing.batch.timing import wall_clock_ms
-from rattanwing.errors import RejectedError
+from rattanwing.errors import MalformedError, RejectedError
+from rattanwing.util.codec import decode_json
 from rattanwing.util.http_server import Response, error_response, json_response
 
 if TYPE_CHECKING:
@@ -168,10 +169,10 @@
     ) -> Response:
         """Decode a job and submit it; a malformed job is answered with 400."""
         try:
-            wire = msgspec.json.decode(request.body, type=WireJob)
+            wire = decode_json(request.body, WireJob)
             job = make_job(wire, queue, job_id)
             return self.to_response(await self.service.submit(job, wait_s))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except MalformedError as error:
             events.write(events.REQUEST_MALFORMED, job=job_id, error=error)
             return error_response(400, "malformed-job", str(error))
         except RejectedError as error:
--- a/rattanwing/platform/executor.py
+++ b/rattanwing/platform/executor.py
@@ -16,6 +16,8 @@
     PollResult,
     RunningRow,
 )
+from rattanwing.errors import MalformedError
+from rattanwing.util.codec import decode_json
 from rattanwing.util.http_client import HttpCallError, HttpClient
 from rattanwing.util.http_server import Response, error_response, json_response
 from rattanwing.verdict import Verdict
@@ -246,8 +248,8 @@
     :raises HttpCallError: when the body is malformed.
     """
     try:
-        return msgspec.json.decode(data, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(data, kind)
+    except MalformedError as error:
         raise HttpCallError(
             Verdict.MAY_HAVE_RUN, f"malformed answer: {error}"
         ) from error
@@ -269,8 +271,8 @@
         """Pass an announcement to the agent unless a newer one has arrived before."""
         executor_id = request.match["executor_id"]
         try:
-            announcement = msgspec.json.decode(request.body, type=Announcement)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            announcement = decode_json(request.body, Announcement)
+        except MalformedError as error:
             events.write(
                 events.ANNOUNCEMENT_MALFORMED, executor=executor_id, error=error
             )
--- a/rattanwing/platform/operator.py
+++ b/rattanwing/platform/operator.py
@@ -9,6 +9,8 @@
 from rattanwing import events
 from rattanwing.batch.configuration import Configuration, Queue
 from rattanwing.batch.model import QueueRules
+from rattanwing.errors import MalformedError
+from rattanwing.util.codec import decode
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -55,6 +57,9 @@
     routes: list[Route]
 
 
+_decoder = msgspec.json.Decoder(ConfigRecord, strict=False)
+
+
 class OperatorRecords:
     """Applies the records of the operators' topic to the current configuration.
 
@@ -83,8 +88,8 @@
         A malformed record is logged and changes nothing.
         """
         try:
-            found = msgspec.json.decode(record.value, type=ConfigRecord, strict=False)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            found = decode(_decoder, record.value)
+        except MalformedError as error:
             events.write(events.RECORD_MALFORMED, key=record.key, error=error)
             return
         queues = tuple(make_queue(route) for route in found.routes)
--- a/rattanwing/platform/settings.py
+++ b/rattanwing/platform/settings.py
@@ -96,7 +96,7 @@
     try:
         value = tomllib.loads(data.decode())
         found = msgspec.convert(value, SettingsFile, strict=False)
-    except (ValueError, msgspec.ValidationError) as error:
+    except (ValueError, RecursionError) as error:
         raise SettingsError([f".: {error}"]) from error
     return BatchSettings(
         found.node,
--- a/rattanwing/platform/store.py
+++ b/rattanwing/platform/store.py
@@ -14,8 +14,10 @@
     LogFencedError,
     LogSequenceError,
     LogUnavailableError,
+    MalformedError,
     RecordExpiredError,
 )
+from rattanwing.util.codec import decode_json
 from rattanwing.util.http_client import HttpCallError, HttpClient
 from rattanwing.verdict import Verdict
 
@@ -193,8 +195,8 @@
     :raises LogUnavailableError: when the body is malformed.
     """
     try:
-        return msgspec.json.decode(data, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(data, kind)
+    except MalformedError as error:
         raise LogUnavailableError(
             f"malformed answer from the store: {error}"
         ) from error
--- a/rattanwing/settings.py
+++ b/rattanwing/settings.py
@@ -6,8 +6,9 @@
 
 import msgspec
 
-from rattanwing.errors import SettingsError
+from rattanwing.errors import MalformedError, SettingsError
 from rattanwing.util.address import split_address
+from rattanwing.util.codec import decode_json
 from rattanwing.util.schema import convert
 
 if TYPE_CHECKING:
@@ -203,8 +204,8 @@
     :raises SettingsError: with every problem found.
     """
     try:
-        value = msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        value = decode_json(data)
+    except MalformedError as error:
         raise SettingsError([f".: not JSON: {error}"]) from error
     settings, problems = convert(Settings, value)
     if problems:
--- a/rattanwing/util/codec.py
+++ b/rattanwing/util/codec.py
@@ -1,4 +1,8 @@
-"""MessagePack codec for a fixed set of message classes."""
+"""Decoding of bytes that other writers sent or stored.
+
+Whatever the bytes are, decoding raises no other error than :class:`MalformedError` or,
+for messages, :class:`ProtocolError`.
+"""
 
 from __future__ import annotations
 
@@ -6,11 +10,32 @@
 
 import msgspec
 
-from rattanwing.errors import ProtocolError
+from rattanwing.errors import MalformedError, ProtocolError
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
 
+def decode(decoder: msgspec.json.Decoder | msgspec.msgpack.Decoder, data: bytes) -> Any:
+    """Return the decoded value.
+
+    :raises MalformedError: if ``data`` is malformed, nested too deeply or not of the
+        decoder's type.
+    """
+    try:
+        return decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise MalformedError(str(error)) from error
+
+
+def decode_json(data: bytes, kind: Any = Any) -> Any:
+    """Return the decoded JSON value.
+
+    :param kind: any type that msgspec decodes.
+    :raises MalformedError: if ``data`` is not JSON or not of that type.
+    """
+    return decode(msgspec.json.Decoder(kind), data)
+
+
 class MessageCodec:
     """Encodes and decodes the messages of one union of tagged structs."""
 
@@ -32,6 +57,6 @@
         if len(data) > MAX_MESSAGE_BYTES:
             raise ProtocolError(f"message of {len(data)} bytes is over the limit")
         try:
-            return self.decoder.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return decode(self.decoder, data)
+        except MalformedError as error:
             raise ProtocolError(f"message does not decode: {error}") from error
--- a/rattanwing/util/http_client.py
+++ b/rattanwing/util/http_client.py
@@ -14,8 +14,9 @@
 import msgspec
 import trio
 
-from rattanwing.errors import RattanwingError
+from rattanwing.errors import MalformedError, RattanwingError
 from rattanwing.util.address import split_address
+from rattanwing.util.codec import decode_json
 from rattanwing.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -262,8 +263,8 @@
         if not response.body:
             return response.status, None
         try:
-            return response.status, msgspec.json.decode(response.body)
-        except msgspec.DecodeError as error:
+            return response.status, decode_json(response.body)
+        except MalformedError as error:
             detail = f"answer is not JSON: {error}"
             raise HttpCallError(Verdict.MAY_HAVE_RUN, detail) from error
 
--- a/tests/batch/test_replica.py
+++ b/tests/batch/test_replica.py
@@ -142,6 +142,30 @@
         run_on_mock_clock(main)
 
 
+class OddRecordTests(unittest.TestCase):
+    def test_deeply_nested_record_is_skipped(self):
+        """The decoder raises RecursionError for it, which ended the process."""
+        store = StandinStore()
+        # Arrays of up to 15 items start with one byte that counts the items.
+        deep = bytes([JOB[0] + 1]) + JOB[1:] + b"\x91" * 100_000 + b"\x90"
+
+        async def main():
+            replica = WorkReplica(trio.current_time)
+            reader = TopicReader(
+                store.client("entry"), "work", trio.current_time, replica.apply
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(reader.run)
+                await trio.sleep(1)
+                write(store, ("job/odd", deep), ("job/job-1", JOB))
+                await trio.sleep(1)
+                nursery.cancel_scope.cancel()
+            return replica
+
+        replica = run_on_mock_clock(main)
+        self.assertEqual(set(replica.jobs), {"job-1"})
+
+
 class StampTests(unittest.TestCase):
     def test_store_does_not_treat_the_claims_of_two_candidates_as_repeats(self):
         store = StandinStore()
--- /dev/null
+++ b/tests/platform/test_odd_input.py
@@ -0,0 +1,166 @@
+"""Odd input from other writers is refused and does not stop the process."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+import msgspec
+import trio
+import trio.testing
+
+from rattanwing import events
+from rattanwing.batch import messages
+from rattanwing.batch.agent import BatchAgent, OwnerSession
+from rattanwing.batch.configuration import CurrentConfiguration
+from rattanwing.batch.ports import ExecutorView, StoredRecord
+from rattanwing.errors import LogUnavailableError, SettingsError
+from rattanwing.platform.callers import CallerRoutes
+from rattanwing.platform.executor import (
+    AnnouncementRoutes,
+    ExecutorClient,
+    parse_order_answer,
+)
+from rattanwing.platform.operator import OperatorRecords
+from rattanwing.platform.settings import parse_settings
+from rattanwing.util.http_client import HttpCallError, HttpClient
+from tests.platform.test_adapter import (
+    ANNOUNCEMENT,
+    CONFIG,
+    JOB_ID,
+    SETTINGS,
+    FakeHttp,
+    FakeService,
+    request,
+)
+from tests.platform.test_store import store_with
+
+DEEP = b"[" * 100_000 + b"]" * 100_000
+
+
+def with_deep_field(value):
+    """Return a JSON object with one more, very deeply nested field."""
+    return msgspec.json.encode(value)[:-1] + b',"odd":' + DEEP + b"}"
+
+
+def make_client(status, body):
+    """Return the client of an executor that gives a preset answer."""
+    view = ExecutorView("i-1@1", "i-1", "svc", "10.1.0.14:8165", "a", [], "", 1, 1, 0)
+    client = ExecutorClient(view)
+    client.client = FakeHttp(status, body)
+    return client
+
+
+class AnnouncementRun:
+    """Passes announcements to an agent and records the events."""
+
+    def __init__(self):
+        self.numbers = []
+        self.agent = BatchAgent(lambda: 0.0, lambda _view: None)
+        self.routes = AnnouncementRoutes(self.agent)
+
+    def send(self, body, executor_id="i-1"):
+        made = request("PUT", "/x", body, match={"executor_id": executor_id})
+        with mock.patch.object(
+            events, "write", lambda event, **_fields: self.numbers.append(event.number)
+        ):
+            return trio.run(self.routes.handle_announcement, made).status
+
+    def announce(self, executor_id="i-1", **changes):
+        body = msgspec.json.encode({**ANNOUNCEMENT, **changes})
+        return self.send(body, executor_id)
+
+
+class RecordingSession:
+    """Encodes the agent's messages, as a stream to the owner does."""
+
+    def send(self, message):
+        messages.encode(message)
+
+
+def run_agent(body, hold_answer, connect=None):
+    """Announce an executor and run its agent for some seconds of virtual time.
+
+    :param body: the announcement.
+    :param hold_answer: the executor's answer to each poll.
+    :raises BaseException: any error that would have ended the agent's process.
+    """
+
+    async def main():
+        agent = BatchAgent(
+            trio.current_time, connect or (lambda _view: make_client(200, hold_answer))
+        )
+        owner = agent.owner = OwnerSession(1, 1)
+        owner.session = RecordingSession()
+        made = request("PUT", "/x", body, match={"executor_id": "i-1"})
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(agent.run)
+            await trio.sleep(0.1)
+            await AnnouncementRoutes(agent).handle_announcement(made)
+            await trio.sleep(3)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class DeeplyNestedInputTests(unittest.TestCase):
+    """The decoders raise RecursionError for it, which ended the process."""
+
+    def test_announcement_is_refused_as_malformed(self):
+        run = AnnouncementRun()
+        self.assertEqual(run.send(with_deep_field(ANNOUNCEMENT)), 400)
+        self.assertEqual(run.numbers, [events.ANNOUNCEMENT_MALFORMED.number])
+        self.assertIsNone(run.agent.executor)
+
+    def test_answers_of_an_executor_raise_a_call_error(self):
+        hold = with_deep_field({"clock_ms": 1, "running": [], "ended": []})
+        in_row = b'{"clock_ms":1,"running":[["t",1,' + DEEP + b',1]],"ended":[]}'
+        for body in (hold, in_row):
+            with self.assertRaises(HttpCallError):
+                trio.run(make_client(200, body).poll, 7, 57, None, 0.0)
+        with self.assertRaises(HttpCallError):
+            parse_order_answer(409, with_deep_field({"reason": "old"}))
+
+    def test_agent_polls_on_after_such_an_answer(self):
+        hold = with_deep_field({"clock_ms": 1, "running": [], "ended": []})
+        run_agent(msgspec.json.encode(ANNOUNCEMENT), hold)
+
+    def test_answers_of_the_store_count_as_no_answer(self):
+        page = with_deep_field({"items": [], "end": 0})
+        with self.assertRaises(LogUnavailableError):
+            trio.run(store_with(200, page).list_newest, "work", "")
+        with self.assertRaises(LogUnavailableError):
+            trio.run(store_with(410, with_deep_field({"first": 1})).read, "w", 0, 0.0)
+
+    def test_configuration_changes_nothing(self):
+        configuration = CurrentConfiguration()
+        records = OperatorRecords(configuration, lambda: None)
+        records.apply(StoredRecord("config", with_deep_field(CONFIG), 1))
+        self.assertEqual(configuration.version, 0)
+
+    def test_job_is_refused_as_malformed(self):
+        configuration = CurrentConfiguration()
+        records = OperatorRecords(configuration, lambda: None)
+        records.apply(StoredRecord("config", msgspec.json.encode(CONFIG), 1))
+        routes = CallerRoutes(FakeService(), configuration)
+        made = request(
+            "POST",
+            f"/q/{JOB_ID}",
+            with_deep_field({"steps": [{}]}),
+            [(b"host", b"h.example")],
+        )
+        self.assertEqual(trio.run(routes.handle, made).status, 400)
+
+    def test_settings_are_refused(self):
+        odd = b"odd = " + b"[" * 10_000 + b"]" * 10_000
+        with self.assertRaises(SettingsError):
+            parse_settings(odd + SETTINGS)
+
+    def test_json_answer_raises_a_call_error(self):
+        client = HttpClient("127.0.0.1:1", 1)
+        fake = FakeHttp(200, DEEP)
+        with (
+            mock.patch.object(HttpClient, "call", fake.call),
+            self.assertRaises(HttpCallError),
+        ):
+            trio.run(client.call_json, "GET", "/", {}, 1.0)
--- a/tests/test_hostile_input.py
+++ b/tests/test_hostile_input.py
@@ -11,6 +11,8 @@
 from tests.history import find_violations
 from tests.world import run_world
 
+DEEP = b'{"odd":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+
 
 class HostileInputTests(unittest.TestCase):
     def run_with_events(self, scenario):
@@ -34,11 +36,15 @@
 
     def test_peer_with_malformed_or_unexpected_messages_is_disconnected(self):
         hello = messages.encode(messages.Hello("agent-9", "i", "fd-1", None, None))
+        # Arrays of up to 15 items start with one byte that counts the items.
+        deep = bytes([hello[0] + 1]) + hello[1:] + b"\x91" * 100_000 + b"\x90"
         cases = (
             [b"\xff\xff"],
             [b""],
+            [deep],
             [messages.encode(messages.Heartbeat(0.0))],
             [hello, b"\x00garbage"],
+            [hello, deep],
             [hello, messages.encode(messages.TaskReport(99, "j", 1, "running"))],
             [hello, messages.encode(messages.TaskList(0, 0, "i", []))],
         )
@@ -60,7 +66,8 @@
 
         written = self.run_with_events(scenario)
         refused = written.count(events.PEER_MESSAGE_REFUSED.number)
-        self.assertGreaterEqual(refused, 4)
+        self.assertGreaterEqual(refused, 6)
+        self.assertNotIn(events.PEER_HANDLING_FAILED.number, written)
 
     def test_malformed_records_are_skipped(self):
         async def scenario(world):
@@ -68,10 +75,10 @@
             world.start_agent("agent-1")
             await world.wait_ready(1)
             for stream in ("config", "shard-0", "shard-1", "keys-0", "keys-1"):
-                await world.log.append(stream, [b'{"kind":"nonsense"}', b"[1]"])
+                await world.log.append(stream, [b'{"kind":"nonsense"}', b"[1]", DEEP])
             await trio.sleep(2)
             await world.declare_organisation()
             await self.assert_work_continues(world)
 
         written = self.run_with_events(scenario)
-        self.assertEqual(written.count(events.RECORD_MALFORMED.number), 10)
+        self.assertEqual(written.count(events.RECORD_MALFORMED.number), 15)
