Refuse announcements with an address that can't be called

Seen: an announcement whose address has port 70000, no port or a host name is accepted and displaces the executor in use; the first poll of it ends the agent. Cause: the address was a string until HttpClient.connect split it; the ValueError is no HttpCallError and ended the agent's nursery. Change: the announcement checks its address while it is decoded, so that an odd one is malformed (event 617, status 400) and the executor in use stays; HttpClient turns an invalid address into a call that has not run; digits other than 0 to 9 are no port. Addresses that the client can never reach are refused too: port 0, IPv6, multicast, unspecified.

--- a/rattanwing/platform/executor.py
+++ b/rattanwing/platform/executor.py
@@ -17,6 +17,7 @@
     RunningRow,
 )
 from rattanwing.errors import MalformedError
+from rattanwing.util.address import check_callable
 from rattanwing.util.codec import decode_json
 from rattanwing.util.http_client import HttpCallError, HttpClient
 from rattanwing.util.http_server import Response, error_response, json_response
@@ -90,6 +91,10 @@
     remaining_ms: float = 0
     cold_left_ms: float = 0
 
+    def __post_init__(self) -> None:
+        """Check the address; a decoder reports the error as its own."""
+        check_callable(self.addr)
+
 
 class OrderAnswer(msgspec.Struct):
     """Answer to an order.
--- a/rattanwing/util/http_client.py
+++ b/rattanwing/util/http_client.py
@@ -234,9 +234,13 @@
     async def connect(self) -> trio.SocketStream:
         """Open a connection.
 
-        :raises HttpCallError: when there is none within ``CONNECT_TIMEOUT_S``.
+        :raises HttpCallError: when there is none within ``CONNECT_TIMEOUT_S``, or the
+            address is invalid.
         """
-        host, port = split_address(self.address)
+        try:
+            host, port = split_address(self.address)
+        except ValueError as error:
+            raise HttpCallError(Verdict.NOT_RUN, f"no connection: {error}") from error
         sock = trio.socket.socket()
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -164,3 +164,49 @@
             self.assertRaises(HttpCallError),
         ):
             trio.run(client.call_json, "GET", "/", {}, 1.0)
+
+
+class UnusableAddressTests(unittest.TestCase):
+    """The client raised ValueError when it connected, which ended the agent."""
+
+    ADDRESSES = (
+        "",
+        ":8165",
+        "10.1.0.14",
+        "10.1.0.14:",
+        "10.1.0.14:0",
+        "10.1.0.14:-1",
+        "10.1.0.14:70000",
+        "10.1.0.14:" + "9" * 5000,
+        "10.1.0.14:8165\r\nx: y",
+        "10.1.0.14:\u0663\u0663",
+        "10.1.0.14:\u00b2",
+        "10.1.0.300:8165",
+        "010.1.0.14:8165",
+        "0.0.0.0:8165",
+        "224.0.0.1:8165",
+        "[::1]:8165",
+        "executor-1.example:8165",
+        "\u00e4:8165",
+    )
+
+    def test_announcement_is_refused_as_malformed(self):
+        for address in self.ADDRESSES:
+            run = AnnouncementRun()
+            with self.subTest(address=address[:40]):
+                self.assertEqual(run.announce(addr=address), 400)
+                self.assertEqual(run.numbers, [events.ANNOUNCEMENT_MALFORMED.number])
+                self.assertIsNone(run.agent.executor)
+
+    def test_announced_executor_stays_in_use(self):
+        run = AnnouncementRun()
+        run.announce()
+        run.announce("i-2", addr="10.1.0.14:70000", born=2000)
+        run.announce(addr="10.1.0.14:70000", seq=99)
+        self.assertEqual(run.agent.executor.view.incarnation, "i-1@1000")
+        self.assertEqual(run.announce(seq=5, state="draining"), 200)
+        self.assertTrue(run.agent.executor.view.draining)
+
+    def test_agent_survives_it(self):
+        body = msgspec.json.encode({**ANNOUNCEMENT, "addr": "10.1.0.14:70000"})
+        run_agent(body, b"", ExecutorClient)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -126,6 +126,16 @@
 
         self.assertIs(trio.run(main).verdict, Verdict.NOT_RUN)
 
+    def test_unusable_address_has_not_run(self):
+        for address in ("", "127.0.0.1", "127.0.0.1:70000", "h:1", "127.0.0.1:1\r\n"):
+            client = HttpClient(address, 1)
+            with (
+                self.subTest(address=address),
+                self.assertRaises(HttpCallError) as caught,
+            ):
+                trio.run(client.call, "GET", "/", [], b"", 1.0)
+            self.assertIs(caught.exception.verdict, Verdict.NOT_RUN)
+
 
 class PoolTests(unittest.TestCase):
     def serve(self, handler, test, connections=1):
