Take an invalid address of a peer as a peer that is not reached

Seen: an agent's record with port 70000 in the directory ends the entry that owns scheduling, and each that takes over in turn, with ValueError. Cause: dial_peer splits the address outside of its error handling, and the owner's dialling expects PeerLostError only. Change: both transports raise PeerLostError.

--- a/rattanwing/peer/frames.py
+++ b/rattanwing/peer/frames.py
@@ -151,10 +151,11 @@
 async def dial_peer(address: str, handler: Handler) -> None:
     """Open a stream to ``address`` and run ``handler`` on it.
 
-    :raises PeerLostError: when the stream can't be opened within ``DIAL_TIMEOUT_S``.
+    :raises PeerLostError: when the stream can't be opened within ``DIAL_TIMEOUT_S``, or
+        the address is invalid.
     """
-    host, port = split_address(address)
     try:
+        host, port = split_address(address)
         with trio.fail_after(DIAL_TIMEOUT_S):
             connection = await open_connection(host, port)
             stream = FrameStream(connection)
@@ -163,7 +164,7 @@
             except BaseException:
                 await stream.aclose()
                 raise
-    except (OSError, ProtocolError) as error:
+    except (OSError, ProtocolError, ValueError) as error:
         raise PeerLostError(f"cannot open a stream to {address}: {error}") from error
     except trio.TooSlowError as error:
         raise PeerLostError(f"opening a stream to {address} timed out") from error
--- a/rattanwing/peer/grpc.py
+++ b/rattanwing/peer/grpc.py
@@ -176,9 +176,13 @@
 ) -> None:
     """Open a stream to ``address`` and run ``handler`` on it.
 
-    :raises PeerLostError: when the stream can't be opened within ``DIAL_TIMEOUT_S``.
+    :raises PeerLostError: when the stream can't be opened within ``DIAL_TIMEOUT_S``, or
+        the address is invalid.
     """
-    host, port = split_address(address)
+    try:
+        host, port = split_address(address)
+    except ValueError as error:
+        raise PeerLostError(f"cannot open a stream to {address}: {error}") from error
     channel = Channel(host, port, codec=BytesCodec())
     try:
         method = StreamStreamMethod(channel, CONNECT_METHOD, bytes, bytes)
--- a/tests/peer/test_streams.py
+++ b/tests/peer/test_streams.py
@@ -102,6 +102,16 @@
 
         run(test)
 
+    def test_unusable_address_raises_a_lost_peer(self):
+        """Another error would end the owner, which dials the addresses it reads."""
+
+        async def test(_nursery):
+            for address in ("", "127.0.0.1", "127.0.0.1:70000", "host:1", "[::1]:0"):
+                with self.subTest(address=address), self.assertRaises(PeerLostError):
+                    await self.transport.dial_peer(address, echo)
+
+        run(test)
+
     def test_nobody_listening_raises_a_lost_peer(self):
         async def test(_nursery):
             with self.assertRaises(PeerLostError):
