Refuse announcements with numbers out of range

Seen: an announcement with a capacity of 10**30 is accepted; the agent's next report to its owner ends the agent. Cause: JSON numbers have no bound, MessagePack numbers have 64 bits, and the OverflowError came out of run_reports; a duration of 1e300 does the same. Change: the numbers of an announcement are bounded where it is decoded, as those of jobs are; negative capacities, seq and born are refused as well, and a duration that is over counts as 0.

--- a/rattanwing/batch/model.py
+++ b/rattanwing/batch/model.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from enum import IntEnum
+from typing import Annotated
 
 import msgspec
 
@@ -27,6 +28,9 @@
 MAX_NUMBER = 2**53
 """Bound of the numbers in a job; larger ones can't be stored."""
 
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+"""A number that every process can store and send."""
+
 
 class JobState(IntEnum):
     """The state of a job; the last three are final."""
--- a/rattanwing/platform/executor.py
+++ b/rattanwing/platform/executor.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, Any
 
 import msgspec
 
 from rattanwing import events
+from rattanwing.batch.model import MAX_NUMBER, Number
 from rattanwing.batch.ports import (
     EndedRow,
     EndReason,
@@ -51,6 +52,10 @@
 """Outcome of an order by the ``reason`` in the body of a 409 answer."""
 
 
+Duration = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+"""A duration that may be over, in milliseconds."""
+
+
 class Capacity(msgspec.Struct):
     """Capacity of an executor.
 
@@ -59,9 +64,9 @@
     :param gpu: number of accelerators.
     """
 
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: Number
+    mem_mb: Number
+    gpu: Number = 0
 
 
 class Announcement(msgspec.Struct):
@@ -85,11 +90,11 @@
     zone: str
     state: str
     capacity: Capacity
-    seq: int
-    born: int = 0
+    seq: Number
+    born: Number = 0
     labels: list[str] = []
-    remaining_ms: float = 0
-    cold_left_ms: float = 0
+    remaining_ms: Duration = 0
+    cold_left_ms: Duration = 0
 
     def __post_init__(self) -> None:
         """Check the address; a decoder reports the error as its own."""
@@ -312,6 +317,6 @@
         announcement.capacity.mem_mb,
         announcement.capacity.gpu,
         announcement.state == "draining",
-        int(announcement.remaining_ms),
-        int(announcement.cold_left_ms),
+        max(0, int(announcement.remaining_ms)),
+        max(0, int(announcement.cold_left_ms)),
     )
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -51,6 +51,13 @@
     return client
 
 
+def make_hold(**changes):
+    """Return the body of an executor's answer to a poll."""
+    return msgspec.json.encode(
+        {"clock_ms": 482113, "running": [], "ended": [], **changes}
+    )
+
+
 class AnnouncementRun:
     """Passes announcements to an agent and records the events."""
 
@@ -210,3 +217,44 @@
     def test_agent_survives_it(self):
         body = msgspec.json.encode({**ANNOUNCEMENT, "addr": "10.1.0.14:70000"})
         run_agent(body, b"", ExecutorClient)
+
+
+HUGE = 10**30
+
+
+class NumberTests(unittest.TestCase):
+    """Numbers of more than 64 bits could not be sent to the owner."""
+
+    def test_announcement_with_an_odd_number_is_refused_as_malformed(self):
+        capacity = ANNOUNCEMENT["capacity"]
+        for changes in (
+            {"capacity": {**capacity, "cpu": HUGE}},
+            {"capacity": {**capacity, "mem_mb": HUGE}},
+            {"capacity": {**capacity, "gpu": HUGE}},
+            {"capacity": {**capacity, "cpu": -1}},
+            {"capacity": {**capacity, "cpu": 16000.0}},
+            {"capacity": {**capacity, "cpu": True}},
+            {"remaining_ms": 1e300},
+            {"cold_left_ms": HUGE},
+            {"cold_left_ms": -1e300},
+            {"seq": HUGE},
+            {"seq": -1},
+            {"born": HUGE},
+            {"born": -1},
+            {"born": 1000.5},
+        ):
+            run = AnnouncementRun()
+            with self.subTest(changes=changes):
+                self.assertEqual(run.announce(**changes), 400)
+                self.assertEqual(run.numbers, [events.ANNOUNCEMENT_MALFORMED.number])
+
+    def test_numbers_that_are_no_json_are_refused(self):
+        text = msgspec.json.encode(ANNOUNCEMENT)
+        for number in (b"1e400", b"-1e400", b"NaN", b"Infinity", b"9" * 5000):
+            run = AnnouncementRun()
+            with self.subTest(number=number[:10]):
+                self.assertEqual(run.send(text.replace(b"16000", number)), 400)
+
+    def test_agent_survives_a_huge_capacity(self):
+        body = {**ANNOUNCEMENT, "capacity": {"cpu": HUGE, "mem_mb": 1, "gpu": 0}}
+        run_agent(msgspec.json.encode(body), make_hold())
