Check the rows of an executor's list of runs

Seen: an executor's list of runs with an odd field is accepted. With a task that is a list, or a number of more than 64 bits, the agent ends (TypeError, OverflowError); with a wrong type of another field the row goes on to the owner, which closes the stream, and again after each reconnection. A row with one more field than today's makes the whole list malformed. Cause: rows were built by position, which checks no types. Change: the rows are decoded into the types that they already have, with bounds. An odd row makes the answer malformed: runs can't be left out of the list one by one, since a run that is not listed counts as ended. Ruled out: a bound of 0 for the measurement; it is a rough figure.

--- a/rattanwing/batch/ports.py
+++ b/rattanwing/batch/ports.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import Protocol
+from typing import Annotated, Protocol
 
 import msgspec
 
+from rattanwing.batch.model import MAX_NUMBER, Number
+
 
 class StoredRecord(msgspec.Struct, frozen=True):
     """One record of a topic; ``value`` is ``None`` if the record deletes its key."""
@@ -115,10 +117,10 @@
     """
 
     task: str
-    attempt: int
+    attempt: Number
     checkpoint: str
-    progress_percent: int
-    measurement: int = 0
+    progress_percent: Number
+    measurement: Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)] = 0
 
 
 class EndedRow(msgspec.Struct, array_like=True):
@@ -131,9 +133,9 @@
     :param checkpoint: newest checkpoint; empty if there is none.
     """
 
-    number: int
+    number: Number
     task: str
-    attempt: int
+    attempt: Number
     reason: EndReason
     checkpoint: str
 
--- a/rattanwing/platform/executor.py
+++ b/rattanwing/platform/executor.py
@@ -10,7 +10,6 @@
 from rattanwing.batch.model import MAX_NUMBER, Number
 from rattanwing.batch.ports import (
     EndedRow,
-    EndReason,
     ExecutorView,
     OrderOutcome,
     OrderResult,
@@ -109,7 +108,7 @@
     :param reason: reason of a refusal with status 409; empty otherwise.
     """
 
-    clock_ms: int = 0
+    clock_ms: Number = 0
     reason: str = ""
 
 
@@ -117,16 +116,11 @@
     """All running runs and all unacknowledged ends; each row is a list of fields.
 
     :param clock_ms: the executor's clock when it answered, in milliseconds.
-    :param running: rows of task, attempt, checkpoint, progress in percent and,
-        optionally, usage: the fields of
-        :class:`rattanwing.batch.ports.RunningRow`.
-    :param ended: rows of number, task, attempt, reason of the end and checkpoint:
-        the fields of :class:`rattanwing.batch.ports.EndedRow`.
     """
 
-    clock_ms: int
-    running: list[list[Any]]
-    ended: list[list[Any]]
+    clock_ms: Number
+    running: list[RunningRow]
+    ended: list[EndedRow]
 
 
 class ExecutorClient:
@@ -202,17 +196,7 @@
         if status != 200:
             return parse_order_answer(status, data)
         answer = decode(HoldAnswer, data)
-        try:
-            running = [RunningRow(*row) for row in answer.running]
-            ended = [
-                EndedRow(number, task, attempt, EndReason(how), checkpoint)
-                for number, task, attempt, how, checkpoint in answer.ended
-            ]
-        except (TypeError, ValueError) as error:
-            raise HttpCallError(
-                Verdict.MAY_HAVE_RUN, f"malformed row in the list of runs: {error}"
-            ) from error
-        return PollResult(answer.clock_ms, running, ended)
+        return PollResult(answer.clock_ms, answer.running, answer.ended)
 
     async def send_order(self, target: str, body: dict[str, Any]) -> OrderResult:
         """Send an order and return its outcome."""
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -258,3 +258,38 @@
     def test_agent_survives_a_huge_capacity(self):
         body = {**ANNOUNCEMENT, "capacity": {"cpu": HUGE, "mem_mb": 1, "gpu": 0}}
         run_agent(msgspec.json.encode(body), make_hold())
+
+
+class RowTests(unittest.TestCase):
+    """Rows were built without a check of their fields; some ended the agent."""
+
+    def test_agent_survives_odd_rows(self):
+        row = ["j.0.1.2", 1, "", 0, 77]
+        end = [58, "j.0.1.9", 1, "done", ""]
+        odd = (
+            [{"running": [[*row[:n], v, *row[n + 1 :]]]} for n, v in odd_fields(row)]
+            + [{"ended": [[*end[:n], v, *end[n + 1 :]]]} for n, v in odd_fields(end)]
+            + [{"running": [row[:3]]}, {"ended": [end[:4]]}, {"running": [7]}]
+            + [{"clock_ms": HUGE}, {"clock_ms": -1}, {"running": {}}]
+        )
+        for changes in odd:
+            with self.subTest(changes=changes):
+                body = make_hold(**changes)
+                run_agent(msgspec.json.encode(ANNOUNCEMENT), body)
+                with self.assertRaises(HttpCallError):
+                    trio.run(make_client(200, body).poll, 7, 57, None, 0.0)
+
+    def test_fields_that_are_added_to_rows_are_ignored(self):
+        body = make_hold(running=[["j.0.1.2", 1, "", 0, 77, "new"]])
+        result = trio.run(make_client(200, body).poll, 7, 57, None, 0.0)
+        self.assertEqual(result.running[0].measurement, 77)
+
+
+def odd_fields(row):
+    """Return pairs of a field's number and a value that the field can't have."""
+    return [
+        (number, value)
+        for number, field in enumerate(row)
+        for value in ([HUGE, -HUGE, 0.5, None, "x"] if isinstance(field, int) else [])
+        + ([1, None, [1], {}] if isinstance(field, str) else [])
+    ]
