Refuse announcements that claim to be far ahead

Seen: one announcement with born or seq near 2**53 is accepted; the agent then ignores all later ones of its executor, so that it never learns that the executor drains. Cause: an announcement counts only if it is newer than the newest, and nothing bounded how new one may be. Change: a start more than an hour in the future, and a number higher than one announcement in each millisecond since the start, are malformed. Not changed: an odd number below that bound still can't be told from a real one.

--- a/rattanwing/platform/executor.py
+++ b/rattanwing/platform/executor.py
@@ -16,6 +16,7 @@
     PollResult,
     RunningRow,
 )
+from rattanwing.batch.timing import wall_clock_ms
 from rattanwing.errors import MalformedError
 from rattanwing.util.address import check_callable
 from rattanwing.util.codec import decode_json
@@ -24,6 +25,8 @@
 from rattanwing.verdict import Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from rattanwing.batch.agent import BatchAgent
     from rattanwing.util.http_server import Request
 
@@ -38,6 +41,9 @@
 """Time limit of a call, without the time that the executor is asked to wait. Calls
 stay on one host; the caller repeats one that takes longer."""
 
+MAX_CLOCK_AHEAD_MS = 3_600_000
+"""Most milliseconds by which an executor's wall clock may be ahead of the agent's."""
+
 MAX_CONNECTIONS = 24
 """Limit of concurrent calls; an executor accepts at most 64 connections."""
 
@@ -252,13 +258,17 @@
 class AnnouncementRoutes:
     """Handles the executor's announcements.
 
+    :param wall_ms: returns the Unix time in milliseconds.
     :param newest_announcement: ``born`` and ``seq`` of the newest announcement.
     """
 
-    __slots__ = ("agent", "newest_announcement")
+    __slots__ = ("agent", "wall_ms", "newest_announcement")
 
-    def __init__(self, agent: BatchAgent) -> None:
+    def __init__(
+        self, agent: BatchAgent, wall_ms: Callable[[], int] = wall_clock_ms
+    ) -> None:
         self.agent = agent
+        self.wall_ms = wall_ms
         self.newest_announcement = (0, 0)
 
     async def handle_announcement(self, request: Request) -> Response:
@@ -266,6 +276,7 @@
         executor_id = request.match["executor_id"]
         try:
             announcement = decode_json(request.body, Announcement)
+            check_order(announcement, self.wall_ms())
         except MalformedError as error:
             events.write(
                 events.ANNOUNCEMENT_MALFORMED, executor=executor_id, error=error
@@ -285,6 +296,22 @@
         return json_response(200, {})
 
 
+def check_order(announcement: Announcement, now_ms: int) -> None:
+    """Check the fields that order announcements.
+
+    One that claims to be far ahead would make all that follow look old.
+
+    :param now_ms: the Unix time in milliseconds.
+    :raises MalformedError: when the start is in the future, or more announcements have
+        been numbered than one in each millisecond since the start.
+    """
+    latest_ms = now_ms + MAX_CLOCK_AHEAD_MS
+    if announcement.born > latest_ms:
+        raise MalformedError(f"born {announcement.born} is in the future")
+    if announcement.seq > latest_ms - announcement.born:
+        raise MalformedError(f"seq {announcement.seq} is too high")
+
+
 def make_view(
     executor_id: str, incarnation: str, announcement: Announcement
 ) -> ExecutorView:
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -64,7 +64,7 @@
     def __init__(self):
         self.numbers = []
         self.agent = BatchAgent(lambda: 0.0, lambda _view: None)
-        self.routes = AnnouncementRoutes(self.agent)
+        self.routes = AnnouncementRoutes(self.agent, lambda: NOW_MS)
 
     def send(self, body, executor_id="i-1"):
         made = request("PUT", "/x", body, match={"executor_id": executor_id})
@@ -220,6 +220,7 @@
 
 
 HUGE = 10**30
+NOW_MS = 1_764_000_000_000
 
 
 class NumberTests(unittest.TestCase):
@@ -285,6 +286,37 @@
         self.assertEqual(result.running[0].measurement, 77)
 
 
+class AnnouncementOrderTests(unittest.TestCase):
+    """One odd entry made all later announcements look old."""
+
+    def check_executor_is_heard(self, **odd):
+        run = AnnouncementRun()
+        run.announce(born=NOW_MS - 60_000, seq=40)
+        self.assertEqual(run.announce(**{"born": NOW_MS - 60_000, **odd}), 400)
+        self.assertEqual(run.numbers[-1], events.ANNOUNCEMENT_MALFORMED.number)
+        run.announce(born=NOW_MS - 60_000, seq=41, state="draining")
+        self.assertEqual(run.agent.executor.view.incarnation, f"i-1@{NOW_MS - 60_000}")
+        self.assertTrue(run.agent.executor.view.draining)
+
+    def test_start_in_the_future_is_refused(self):
+        self.check_executor_is_heard(born=2**53)
+        self.check_executor_is_heard(born=NOW_MS + 24 * 3600 * 1000)
+
+    def test_more_calls_than_one_a_millisecond_are_refused(self):
+        self.check_executor_is_heard(seq=2**53)
+        self.check_executor_is_heard(seq=10**9)
+
+    def test_clocks_may_differ_a_little(self):
+        run = AnnouncementRun()
+        self.assertEqual(run.announce(born=NOW_MS + 5000, seq=1), 200)
+        self.assertEqual(run.announce(born=NOW_MS + 5000, seq=900), 200)
+
+    def test_start_may_be_absent(self):
+        run = AnnouncementRun()
+        body = {k: v for k, v in ANNOUNCEMENT.items() if k != "born"}
+        self.assertEqual(run.send(msgspec.json.encode(body)), 200)
+
+
 def odd_fields(row):
     """Return pairs of a field's number and a value that the field can't have."""
     return [
