Refuse announcements that lack a field or have an undefined state

Seen: an announcement of another writer with an undefined state, an empty service or zone, or without labels or version displaces the executor in use if its start is later. Cause: only the fields that the agent uses were declared, some of them with defaults, and the state was any string. Not covered: a service that the configuration doesn't name, as an agent doesn't read the configuration.

--- a/rattanwing/platform/executor.py
+++ b/rattanwing/platform/executor.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Annotated, Any
+from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import msgspec
 
@@ -61,6 +61,9 @@
 """A duration that may be over, in milliseconds."""
 
 
+Name = Annotated[str, msgspec.Meta(min_length=1)]
+
+
 class Capacity(msgspec.Struct):
     """Capacity of an executor.
 
@@ -80,26 +83,32 @@
     :param backend: the service whose queues it runs tasks for.
     :param addr: address for calls, as ``ip:port``.
     :param zone: its failure domain.
+    :param version: version of its software; not used.
+    :param slots: not used.
     :param state: ``draining`` if the executor is about to stop.
+    :param cold_left_ms: remaining time of its cold start, in milliseconds.
+    :param labels: its kind, then its rack.
     :param seq: sequence number; increases with each announcement of an incarnation.
     :param born: Unix time at which the executor's process started, in milliseconds;
         tells incarnations apart.
-    :param labels: its kind, then its rack.
+    :param clock_ms: its clock when it sent the announcement, in milliseconds; not used.
     :param remaining_ms: while draining, the least time until the executor stops, in
         milliseconds.
-    :param cold_left_ms: remaining time of its cold start, in milliseconds.
     """
 
-    backend: str
+    backend: Name
     addr: str
-    zone: str
-    state: str
+    zone: Name
+    version: str
+    slots: Number
+    state: Literal["ready", "draining"]
+    cold_left_ms: Duration
     capacity: Capacity
+    labels: list[str]
     seq: Number
     born: Number = 0
-    labels: list[str] = []
+    clock_ms: Number = 0
     remaining_ms: Duration = 0
-    cold_left_ms: Duration = 0
 
     def __post_init__(self) -> None:
         """Check the address; a decoder reports the error as its own."""
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -220,6 +220,7 @@
 
 
 HUGE = 10**30
+NUMBERS = ("seq", "born", "slots", "cold_left_ms", "clock_ms")
 NOW_MS = 1_764_000_000_000
 
 
@@ -317,6 +318,55 @@
         self.assertEqual(run.send(msgspec.json.encode(body)), 200)
 
 
+class IncompleteAnnouncementTests(unittest.TestCase):
+    """An entry of another writer displaced the executor in use."""
+
+    def check_executor_stays_in_use(self, body):
+        run = AnnouncementRun()
+        run.announce()
+        self.assertEqual(run.send(msgspec.json.encode(body), "i-2"), 400)
+        self.assertEqual(run.numbers[-1], events.ANNOUNCEMENT_MALFORMED.number)
+        self.assertEqual(run.agent.executor.view.incarnation, "i-1@1000")
+
+    def test_fields_that_are_missing_or_of_another_type(self):
+        later = {**ANNOUNCEMENT, "born": 2000}
+        for name in later:
+            if name not in ("born", "clock_ms"):
+                with self.subTest(missing=name):
+                    rest = {k: v for k, v in later.items() if k != name}
+                    self.check_executor_stays_in_use(rest)
+            for value in (None, {}, [None], "1" if name in NUMBERS else 1.5):
+                if not (name == "cold_left_ms" and value == 1.5):
+                    with self.subTest(name=name, value=value):
+                        self.check_executor_stays_in_use({**later, name: value})
+
+    def test_state_that_is_not_defined(self):
+        for state in ("", "Ready", "gone", "r\u00e9ady", "ready "):
+            with self.subTest(state=state):
+                later = {**ANNOUNCEMENT, "born": 2000, "state": state}
+                self.check_executor_stays_in_use(later)
+
+    def test_names_that_are_empty(self):
+        for name in ("backend", "zone"):
+            with self.subTest(name=name):
+                later = {**ANNOUNCEMENT, "born": 2000, name: ""}
+                self.check_executor_stays_in_use(later)
+
+    def test_bodies_that_are_no_announcement(self):
+        for body in (
+            b"",
+            b"null",
+            b"[]",
+            b"\xff",
+            b"{}",
+            b'{"seq":4',
+            b"\xef\xbb\xbf{}",
+        ):
+            run = AnnouncementRun()
+            with self.subTest(body=body):
+                self.assertEqual(run.send(body), 400)
+
+
 def odd_fields(row):
     """Return pairs of a field's number and a value that the field can't have."""
     return [
