Decode the values of a store page with the page

Seen: an item of a page whose value is not base64 ends the entry that reads it. Cause: the value was decoded after the page, and its error is no LogUnavailableError. Change: the value is decoded with the page, and offsets are bounded, so that an odd page counts as no answer, like the others.

--- a/rattanwing/platform/store.py
+++ b/rattanwing/platform/store.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import base64
 import struct
 from urllib.parse import quote
 
 import msgspec
 
+from rattanwing.batch.model import Number  # noqa: TC001
 from rattanwing.batch.ports import AppendStamp, NewestPage, ReadResult, StoredRecord
 from rattanwing.errors import (
     LogConditionError,
@@ -56,21 +56,21 @@
     :param expected: sequence number that the store expects.
     """
 
-    offset: int = 0
+    offset: Number = 0
     reason: str = ""
-    seq: int = 0
-    expected: int = 0
+    seq: Number = 0
+    expected: Number = 0
 
 
 class NewestItem(msgspec.Struct):
     """The newest record of a key.
 
-    :param value: base64 of the value.
+    :param value: the value, base64 in the answer.
     """
 
     key: str
-    value: str
-    offset: int
+    value: bytes
+    offset: Number
 
 
 class NewestAnswer(msgspec.Struct):
@@ -81,7 +81,7 @@
     """
 
     items: list[NewestItem]
-    end: int
+    end: Number
     has_more: bool = False
 
 
@@ -91,7 +91,7 @@
     :param first: oldest offset that the store still keeps.
     """
 
-    first: int = 0
+    first: Number = 0
 
 
 class PlatformStore:
@@ -168,7 +168,7 @@
             )
         answer = decode(NewestAnswer, data)
         records = [
-            StoredRecord(item.key, base64.b64decode(item.value) or None, item.offset)
+            StoredRecord(item.key, item.value or None, item.offset)
             for item in answer.items
         ]
         return NewestPage(records, answer.has_more, answer.end)
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -33,7 +33,7 @@
     FakeService,
     request,
 )
-from tests.platform.test_store import store_with
+from tests.platform.test_store import append, store_with
 
 DEEP = b"[" * 100_000 + b"]" * 100_000
 
@@ -375,3 +375,37 @@
         for value in ([HUGE, -HUGE, 0.5, None, "x"] if isinstance(field, int) else [])
         + ([1, None, [1], {}] if isinstance(field, str) else [])
     ]
+
+
+class StorePageTests(unittest.TestCase):
+    """An error other than LogUnavailableError ended the reader, and its process."""
+
+    def test_odd_items_of_a_page_count_as_no_answer(self):
+        item = {"key": "job/1", "value": "AAA=", "offset": 4}
+        odd = [
+            {"items": [{**item, name: value}]}
+            for name, values in {
+                "key": (None, 1),
+                "value": ("A", "A===", "\u00e4", "\u2028", None, 1),
+                "offset": (-1, HUGE, 0.5, "1", None),
+            }.items()
+            for value in values
+        ]
+        odd += [{"end": -1}, {"end": HUGE}, {"end": None}, {"has_more": 1}]
+        for changes in odd:
+            body = msgspec.json.encode({"items": [item], "end": 6, **changes})
+            with self.subTest(changes=changes), self.assertRaises(LogUnavailableError):
+                trio.run(store_with(200, body).list_newest, "work", "")
+
+    def test_odd_numbers_of_other_answers_count_as_no_answer(self):
+        for value in (-1, HUGE, 0.5, "1", None):
+            expired = msgspec.json.encode({"first": value})
+            refused = msgspec.json.encode({"reason": "seq", "expected": value})
+            stored = msgspec.json.encode({"offset": value})
+            with self.subTest(value=value):
+                with self.assertRaises(LogUnavailableError):
+                    trio.run(store_with(410, expired).read, "work", 0, 0.0)
+                with self.assertRaises(LogUnavailableError):
+                    append(store_with(409, refused))
+                with self.assertRaises(LogUnavailableError):
+                    append(store_with(200, stored))
