Skip stored records that are shorter than their key

Seen: a record of another writer whose length of the key exceeds the record is read as the deletion of the part of the key that is there; a job of that name leaves the entry's memory. Cause: a slice is cut short without an error, and no value means deletion. Result: a new test fails on the code before and passes.

--- a/rattanwing/platform/store.py
+++ b/rattanwing/platform/store.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from rattanwing import events
 from rattanwing.batch.model import Number  # noqa: TC001
 from rattanwing.batch.ports import AppendStamp, NewestPage, ReadResult, StoredRecord
 from rattanwing.errors import (
@@ -15,6 +16,7 @@
     LogSequenceError,
     LogUnavailableError,
     MalformedError,
+    RecordError,
     RecordExpiredError,
 )
 from rattanwing.util.codec import decode_json
@@ -214,7 +216,7 @@
 
 
 def decode_read(data: bytes, offset: int) -> ReadResult:
-    """Decode the answer to a read.
+    """Decode the answer to a read; a malformed record is logged and skipped.
 
     :param offset: offset of the first record.
     :raises LogUnavailableError: when the answer is truncated.
@@ -224,6 +226,7 @@
             "the answer to a read is truncated", may_have_applied=False
         )
     records = []
+    end_offset = offset
     position = READ_HEADER.size
     while position + RECORD_LENGTH.size <= len(data):
         (length,) = RECORD_LENGTH.unpack_from(data, position)
@@ -234,8 +237,12 @@
                 "the answer to a read is truncated", may_have_applied=False
             )
         position += length
-        records.append(decode_record(content, offset + len(records)))
-    return ReadResult(records, offset + len(records))
+        try:
+            records.append(decode_record(content, end_offset))
+        except RecordError as error:
+            events.write(events.RECORD_MALFORMED, offset=end_offset, error=error)
+        end_offset += 1
+    return ReadResult(records, end_offset)
 
 
 def decode_record(content: bytes, offset: int) -> StoredRecord:
@@ -243,7 +250,11 @@
 
     Bytes of the key that are not valid UTF-8 become escape sequences, so that the
     reader can log the key.
+
+    :raises RecordError: when the record is shorter than its key.
     """
     size = content[0] if content else 0
+    if len(content) <= size:
+        raise RecordError(f"the record of {len(content)} bytes is shorter than its key")
     key = content[1 : 1 + size].decode("utf-8", "backslashreplace")
     return StoredRecord(key, content[1 + size :] or None, offset)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -103,6 +103,17 @@
             with self.subTest(length=length), self.assertRaises(LogUnavailableError):
                 decode_read(data[:length], 0)
 
+    def test_record_shorter_than_its_key_is_skipped(self):
+        """It counted as the deletion of the part of the key that is there."""
+        data = struct.pack(">QQ", 43, 40) + encode_record("job/a", b"1")
+        for content in (b"\x09job/a", b"\xff", b""):
+            data += struct.pack(">I", len(content)) + content
+        data += encode_record("job/b", b"2")
+        result = decode_read(data, 40)
+        self.assertEqual(result.end_offset, 45)
+        found = [(record.key, record.offset) for record in result.records]
+        self.assertEqual(found, [("job/a", 40), ("job/b", 44)])
+
     def test_expired_offset_raises_with_the_oldest_kept_offset(self):
         store = store_with(410, b'{"first":17}')
         with self.assertRaises(RecordExpiredError) as caught:
