Skip stored records whose values no entry writes

Seen: a job record whose step waits for a step that does not exist ends each entry that owns scheduling and reads it (IndexError in Scheduler.update_job), and the next owner in turn. An owner's record with epoch 2**44 does the same: the next owner's fences have more than 64 bits, and its first stream ends it (OverflowError). Cause: records were checked for types only; the checks of a job are made where callers submit it. Change: the decoder of records checks jobs as at submission, that a job has the id of its key, and the range of epochs, attempts, times and interference estimates.

--- a/rattanwing/batch/model.py
+++ b/rattanwing/batch/model.py
@@ -31,6 +31,11 @@
 Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 """A number that every process can store and send."""
 
+Epoch = Annotated[int, msgspec.Meta(ge=0, le=2**33)]
+"""Epoch of an owner; the fences that are derived from it are within ``MAX_NUMBER``."""
+
+NonNegative = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
 
 class JobState(IntEnum):
     """The state of a job; the last three are final."""
--- a/rattanwing/batch/records.py
+++ b/rattanwing/batch/records.py
@@ -9,8 +9,15 @@
 
 import msgspec
 
-from rattanwing.batch.model import JobSpec, JobState
-from rattanwing.errors import MalformedError, RecordError
+from rattanwing.batch.model import (
+    Epoch,
+    JobSpec,
+    JobState,
+    NonNegative,
+    Number,
+    check_job,
+)
+from rattanwing.errors import MalformedError, RecordError, RejectedError
 from rattanwing.util.codec import decode as decode_value
 
 WORK_TOPIC = "work"
@@ -41,7 +48,7 @@
         without waiting for the owner's timeout.
     """
 
-    epoch: int
+    epoch: Epoch
     node: str
     incarnation: str
     resigned: bool = False
@@ -63,13 +70,13 @@
     :param finished_at_ms: Unix time in ms at which the job finished, else 0.
     """
 
-    epoch: int
+    epoch: Epoch
     state: JobState = JobState.QUEUED
     done: dict[str, bytes] = {}
-    failures: dict[str, list[int]] = {}
-    attempts: dict[str, int] = {}
+    failures: dict[str, list[Number]] = {}
+    attempts: dict[str, Number] = {}
     checkpoints: dict[str, str] = {}
-    finished_at_ms: int = 0
+    finished_at_ms: Number = 0
 
 
 class CancelRequest(msgspec.Struct, array_like=True):
@@ -103,7 +110,7 @@
 
     node: str
     address: str
-    cpu: int = 0
+    cpu: Number = 0
 
 
 class InterferenceEstimates(msgspec.Struct, array_like=True):
@@ -115,8 +122,8 @@
         changes, in cores, that it was derived from.
     """
 
-    epoch: int
-    rows: list[tuple[str, str, float, float]]
+    epoch: Epoch
+    rows: list[tuple[str, str, NonNegative, NonNegative]]
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -139,14 +146,19 @@
 def decode(key: str, value: bytes) -> msgspec.Struct:
     """Decode the value of a record by the type that its key implies.
 
-    :raises RecordError: when the key has no known prefix or the value is
-        malformed.
+    :raises RecordError: when the key has no known prefix, the value is malformed, or
+        a job can't be scheduled or has another id than the key.
     """
     prefix = key[: key.find("/") + 1] or key
     decoder = _decoders.get(prefix)
     if decoder is None:
         raise RecordError(f"unknown record type for key {key!r}")
     try:
-        return decode_value(decoder, value)
-    except MalformedError as error:
+        decoded = decode_value(decoder, value)
+        if isinstance(decoded, JobSpec):
+            check_job(decoded)
+    except (MalformedError, RejectedError) as error:
         raise RecordError(f"cannot decode record {key!r}: {error}") from error
+    if isinstance(decoded, JobSpec) and key != JOB_PREFIX + decoded.job_id:
+        raise RecordError(f"record {key!r} holds another job, {decoded.job_id!r}")
+    return decoded
