Refuse messages of peers with numbers or times out of range

Seen: a lease of infinite length ends the agent that receives it (OverflowError in ExecutorRuns.deadline_ms); numbers of 64 bits go on to executors and into fences. Cause: messages were checked for types only, and MessagePack has infinity and NaN. Change: the fields of messages have the ranges of records; a message out of range is refused (event 203) and ends its stream, as any malformed one.

--- a/rattanwing/batch/messages.py
+++ b/rattanwing/batch/messages.py
@@ -11,7 +11,14 @@
 
 import msgspec
 
-from rattanwing.batch.model import JobSpec, JobState  # noqa: TC001
+from rattanwing.batch.model import (  # noqa: TC001
+    Epoch,
+    JobSpec,
+    JobState,
+    NonNegative,
+    Number,
+    Time,
+)
 from rattanwing.batch.ports import EndedRow, ExecutorView, RunningRow  # noqa: TC001
 from rattanwing.util.codec import MessageCodec
 
@@ -43,9 +50,9 @@
     :param target_ms: target tail latency of a serving task; 0 for none.
     """
 
-    cpu: int
-    memory_mb: int
-    accelerators: int
+    cpu: Number
+    memory_mb: Number
+    accelerators: Number
     best_effort: bool
     target_ms: int
     image: str
@@ -59,8 +66,8 @@
     :param owner: name of the owning entry.
     """
 
-    epoch: int
-    fence: int
+    epoch: Epoch
+    fence: Number
     owner: str
 
 
@@ -71,8 +78,8 @@
     :param lease_s: how long runs may continue, counted from that stamp.
     """
 
-    report_stamp: float
-    lease_s: float
+    report_stamp: Time
+    lease_s: Time
 
 
 class StartRun(Message, tag=3):
@@ -88,22 +95,22 @@
         owner sends none.
     """
 
-    number: int
+    number: Number
     task: str
-    attempt: int
+    attempt: Number
     text: str
     checkpoint: str
     properties: TaskProperties
-    start_before: float
+    start_before: Time
     ticket: str = ""
 
 
 class StopRun(Message, tag=4):
     """Order to stop a run, or to prevent its start if it has not started."""
 
-    number: int
+    number: Number
     task: str
-    attempt: int
+    attempt: Number
 
 
 class EndsStored(Message, tag=5):
@@ -116,7 +123,7 @@
     """
 
     incarnation: str
-    number: int
+    number: Number
 
 
 class HostReport(Message, tag=6):
@@ -131,8 +138,8 @@
         agent.
     """
 
-    stamp: float
-    last_order: int
+    stamp: Time
+    last_order: Number
     executor: ExecutorView | None
     runs: list[RunningRow]
     complete: bool
@@ -150,7 +157,7 @@
     """The agent did not start a run and never will."""
 
     task: str
-    attempt: int
+    attempt: Number
     reason: str
 
 
@@ -161,7 +168,7 @@
     """
 
     task: str
-    attempt: int
+    attempt: Number
     properties: TaskProperties
 
 
@@ -173,7 +180,7 @@
         estimate yet for pairs that are not listed.
     """
 
-    rows: list[tuple[str, str, float]]
+    rows: list[tuple[str, str, NonNegative]]
 
 
 class Superseded(Message, tag=15):
@@ -182,7 +189,7 @@
     :param epoch: highest epoch that the agent has seen.
     """
 
-    epoch: int
+    epoch: Epoch
 
 
 # The class names of relayed calls appear in log lines, as values of the field "call".
@@ -195,7 +202,7 @@
     """
 
     spec: JobSpec
-    wait_s: float
+    wait_s: Time
 
 
 class RelayedCancel(Message, tag=12):
@@ -206,7 +213,7 @@
 
     job_id: str
     queue: str
-    wait_s: float
+    wait_s: Time
 
 
 class RelayedFind(Message, tag=13):
--- a/rattanwing/batch/model.py
+++ b/rattanwing/batch/model.py
@@ -34,6 +34,9 @@
 Epoch = Annotated[int, msgspec.Meta(ge=0, le=2**33)]
 """Epoch of an owner; the fences that are derived from it are within ``MAX_NUMBER``."""
 
+Time = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+"""A time or a duration; infinity and NaN are none."""
+
 NonNegative = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 
 
--- a/rattanwing/batch/ports.py
+++ b/rattanwing/batch/ports.py
@@ -249,9 +249,9 @@
     failure_domain: str
     labels: list[str]
     rack: str
-    cpu: int
-    memory_mb: int
-    accelerators: int
+    cpu: Number
+    memory_mb: Number
+    accelerators: Number
     draining: bool = False
-    remaining_ms: int = 0
-    warmup_remaining_ms: int = 0
+    remaining_ms: Number = 0
+    warmup_remaining_ms: Number = 0
--- a/rattanwing/platform/executor.py
+++ b/rattanwing/platform/executor.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from rattanwing import events
-from rattanwing.batch.model import MAX_NUMBER, Number
+from rattanwing.batch.model import Number, Time
 from rattanwing.batch.ports import (
     EndedRow,
     ExecutorView,
@@ -57,10 +57,6 @@
 """Outcome of an order by the ``reason`` in the body of a 409 answer."""
 
 
-Duration = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
-"""A duration that may be over, in milliseconds."""
-
-
 Name = Annotated[str, msgspec.Meta(min_length=1)]
 
 
@@ -102,13 +98,13 @@
     version: str
     slots: Number
     state: Literal["ready", "draining"]
-    cold_left_ms: Duration
+    cold_left_ms: Time
     capacity: Capacity
     labels: list[str]
     seq: Number
     born: Number = 0
     clock_ms: Number = 0
-    remaining_ms: Duration = 0
+    remaining_ms: Time = 0
 
     def __post_init__(self) -> None:
         """Check the address; a decoder reports the error as its own."""
