Answer jobs and deadlines that are out of range with a clear status

Seen: a job whose may_miss has more than 64 bits, and a request whose deadline header has 400 digits, get status 500 and a trace in the log. Cause: may_miss was missing from the bounds of a step; a number of that length is no float, and one of 5,000 digits no int. Change: the bound covers may_miss (400); a deadline of more than nine digits counts as none.

--- a/rattanwing/batch/model.py
+++ b/rattanwing/batch/model.py
@@ -204,7 +204,8 @@
         if min(step.cpu, step.memory_mb, step.accelerators, step.estimate_ms) < 0:
             raise RejectedError("bad-size", f"step {number}: a size is negative")
         sizes = (step.cpu, step.memory_mb, step.accelerators, step.estimate_ms)
-        if max(*sizes, abs(step.spread_limit), abs(step.target_ms)) > MAX_NUMBER:
+        signed = (step.spread_limit, step.target_ms, step.max_unavailable)
+        if max(*sizes, *map(abs, signed)) > MAX_NUMBER:
             raise RejectedError("bad-size", f"step {number}: a size is too large")
 
 
--- a/rattanwing/platform/callers.py
+++ b/rattanwing/platform/callers.py
@@ -24,8 +24,9 @@
 """Header with the time in milliseconds that the caller waits for an answer."""
 
 JOB_ID_PATTERN = re.compile(r"[0-9a-f]{16}")
+DEADLINE_PATTERN = re.compile(r"[0-9]{1,9}")
 DEFAULT_DEADLINE_MS = 3_000
-"""Deadline of requests whose deadline header is missing or not a number."""
+"""Deadline of requests whose deadline header is missing, not a number or too long."""
 
 ANSWER_MARGIN_MS = 300
 """An answer is sent this long before the caller's deadline, to leave time for a
@@ -209,7 +210,8 @@
     This is the time until the caller's deadline less the margin for the answer.
     """
     text = request.header(DEADLINE_HEADER) or ""
-    deadline_ms = int(text) if text.isdecimal() else DEFAULT_DEADLINE_MS
+    found = DEADLINE_PATTERN.fullmatch(text)
+    deadline_ms = int(text) if found else DEFAULT_DEADLINE_MS
     margin_ms = min(ANSWER_MARGIN_MS, deadline_ms * ANSWER_MARGIN_SHARE)
     return (deadline_ms - margin_ms) / 1000
 
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -13,9 +13,11 @@
 from rattanwing.batch import messages
 from rattanwing.batch.agent import BatchAgent, OwnerSession
 from rattanwing.batch.configuration import CurrentConfiguration
+from rattanwing.batch.model import check_job
 from rattanwing.batch.ports import ExecutorView, StoredRecord
+from rattanwing.batch.records import encode as encode_record
 from rattanwing.errors import LogUnavailableError, SettingsError
-from rattanwing.platform.callers import CallerRoutes
+from rattanwing.platform.callers import CallerRoutes, WireStep
 from rattanwing.platform.executor import (
     AnnouncementRoutes,
     ExecutorClient,
@@ -24,6 +26,7 @@
 from rattanwing.platform.operator import OperatorRecords
 from rattanwing.platform.settings import parse_settings
 from rattanwing.util.http_client import HttpCallError, HttpClient
+from rattanwing.util.http_server import call_handler
 from tests.platform.test_adapter import (
     ANNOUNCEMENT,
     CONFIG,
@@ -110,6 +113,27 @@
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+class EncodingService(FakeService):
+    """Encodes each job, as the store's client does."""
+
+    async def submit(self, spec, wait_s):
+        check_job(spec)
+        encode_record(spec)
+        with trio.move_on_after(wait_s):
+            return self.answer
+
+
+def submit(body, deadline_ms=b"2000", config=CONFIG):
+    """Submit a job and return the status."""
+    configuration = CurrentConfiguration()
+    records = OperatorRecords(configuration, lambda: None)
+    records.apply(StoredRecord("config", msgspec.json.encode(config), 1))
+    routes = CallerRoutes(EncodingService(), configuration)
+    headers = [(b"host", b"h.example"), (b"rattanwing-deadline-ms", deadline_ms)]
+    made = request("POST", f"/q/{JOB_ID}", body, headers)
+    return trio.run(call_handler, routes.handle, made).status
+
+
 class DeeplyNestedInputTests(unittest.TestCase):
     """The decoders raise RecursionError for it, which ended the process."""
 
@@ -146,17 +170,7 @@
         self.assertEqual(configuration.version, 0)
 
     def test_job_is_refused_as_malformed(self):
-        configuration = CurrentConfiguration()
-        records = OperatorRecords(configuration, lambda: None)
-        records.apply(StoredRecord("config", msgspec.json.encode(CONFIG), 1))
-        routes = CallerRoutes(FakeService(), configuration)
-        made = request(
-            "POST",
-            f"/q/{JOB_ID}",
-            with_deep_field({"steps": [{}]}),
-            [(b"host", b"h.example")],
-        )
-        self.assertEqual(trio.run(routes.handle, made).status, 400)
+        self.assertEqual(submit(with_deep_field({"steps": [{}]})), 400)
 
     def test_settings_are_refused(self):
         odd = b"odd = " + b"[" * 10_000 + b"]" * 10_000
@@ -409,3 +423,42 @@
                     append(store_with(409, refused))
                 with self.assertRaises(LogUnavailableError):
                     append(store_with(200, stored))
+
+
+class CallerTests(unittest.TestCase):
+    """Such requests were answered with status 500."""
+
+    def test_jobs_with_numbers_out_of_range_are_refused_as_malformed(self):
+        step = msgspec.to_builtins(WireStep())
+        numbers = [name for name, value in step.items() if type(value) is int]
+        for name in numbers:
+            for value in (HUGE, -HUGE, 2**64, 0.5, "1", None):
+                with self.subTest(name=name, value=value):
+                    body = msgspec.json.encode({"steps": [{name: value}]})
+                    self.assertEqual(submit(body), 400)
+        for name in ("start_at_ms", "period_ms", "times"):
+            for value in (HUGE, -HUGE, -1, 0.5, "1", None):
+                with self.subTest(name=name, value=value):
+                    body = msgspec.json.encode({"steps": [{}], name: value})
+                    self.assertEqual(submit(body), 400)
+        for value in (HUGE, 0.5, "1"):
+            body = msgspec.json.encode({"steps": [{}, {"after": [value]}]})
+            self.assertEqual(submit(body), 400)
+
+    def test_jobs_of_odd_texts_are_refused_as_malformed(self):
+        for body in (
+            b'{"steps":[{}],"spec":"\\ud800"}',
+            b'{"steps":[{}],"spec":"\xff"}',
+            '{"steps":[{}]}'.encode("utf-16"),
+            b"null",
+            b"9" * 5000,
+            b'{"steps":[' + b",".join([b"{}"] * 65) + b"]}",
+        ):
+            with self.subTest(body=body[:30]):
+                self.assertEqual(submit(body), 400)
+
+    def test_odd_deadlines_are_accepted(self):
+        job = msgspec.json.encode({"steps": [{}]})
+        for deadline in (b"0", b"-1", b"1e9", b"\xb2", b"9" * 400, b"9" * 5000, b""):
+            with self.subTest(deadline=deadline[:10]):
+                self.assertEqual(submit(job, deadline), 200)
