Put no configuration in force whose numbers are out of range

Seen: a configuration with a priority of 10**30 is put in force, and every job of that queue gets status 500, as its record can't be encoded. Cause: the numbers of routes had no bounds. The store accepts only valid configurations, so this guards against a fault there. Change: they are bounded as the numbers of jobs; such a record is logged (event 404) and the current configuration stays. The type for times is called Finite, as it also serves for stretch. Result: a test fails on the code before in nine cases and passes; a second one, of other odd records, passed before.

--- a/rattanwing/batch/messages.py
+++ b/rattanwing/batch/messages.py
@@ -13,11 +13,11 @@
 
 from rattanwing.batch.model import (  # noqa: TC001
     Epoch,
+    Finite,
     JobSpec,
     JobState,
     NonNegative,
     Number,
-    Time,
 )
 from rattanwing.batch.ports import EndedRow, ExecutorView, RunningRow  # noqa: TC001
 from rattanwing.util.codec import MessageCodec
@@ -78,8 +78,8 @@
     :param lease_s: how long runs may continue, counted from that stamp.
     """
 
-    report_stamp: Time
-    lease_s: Time
+    report_stamp: Finite
+    lease_s: Finite
 
 
 class StartRun(Message, tag=3):
@@ -101,7 +101,7 @@
     text: str
     checkpoint: str
     properties: TaskProperties
-    start_before: Time
+    start_before: Finite
     ticket: str = ""
 
 
@@ -138,7 +138,7 @@
         agent.
     """
 
-    stamp: Time
+    stamp: Finite
     last_order: Number
     executor: ExecutorView | None
     runs: list[RunningRow]
@@ -202,7 +202,7 @@
     """
 
     spec: JobSpec
-    wait_s: Time
+    wait_s: Finite
 
 
 class RelayedCancel(Message, tag=12):
@@ -213,7 +213,7 @@
 
     job_id: str
     queue: str
-    wait_s: Time
+    wait_s: Finite
 
 
 class RelayedFind(Message, tag=13):
--- a/rattanwing/batch/model.py
+++ b/rattanwing/batch/model.py
@@ -34,8 +34,8 @@
 Epoch = Annotated[int, msgspec.Meta(ge=0, le=2**33)]
 """Epoch of an owner; the fences that are derived from it are within ``MAX_NUMBER``."""
 
-Time = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
-"""A time or a duration; infinity and NaN are none."""
+Finite = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+"""A number with a fraction that is neither infinite nor NaN."""
 
 NonNegative = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 
--- a/rattanwing/platform/executor.py
+++ b/rattanwing/platform/executor.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from rattanwing import events
-from rattanwing.batch.model import Number, Time
+from rattanwing.batch.model import Finite, Number
 from rattanwing.batch.ports import (
     EndedRow,
     ExecutorView,
@@ -98,13 +98,13 @@
     version: str
     slots: Number
     state: Literal["ready", "draining"]
-    cold_left_ms: Time
+    cold_left_ms: Finite
     capacity: Capacity
     labels: list[str]
     seq: Number
     born: Number = 0
     clock_ms: Number = 0
-    remaining_ms: Time = 0
+    remaining_ms: Finite = 0
 
     def __post_init__(self) -> None:
         """Check the address; a decoder reports the error as its own."""
--- a/rattanwing/platform/operator.py
+++ b/rattanwing/platform/operator.py
@@ -8,7 +8,7 @@
 
 from rattanwing import events
 from rattanwing.batch.configuration import Configuration, Queue
-from rattanwing.batch.model import QueueRules
+from rattanwing.batch.model import Finite, Number, QueueRules
 from rattanwing.errors import MalformedError
 from rattanwing.util.codec import decode
 
@@ -41,10 +41,10 @@
     host: str
     path_prefix: str
     backend: str
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    target_latency_ms: float = 0
+    priority: Number = 0
+    max_attempts: Number = 1
+    stretch: Finite = 1.0
+    target_latency_ms: Finite = 0
 
 
 class ConfigRecord(msgspec.Struct):
@@ -53,7 +53,7 @@
     :param version: increases with each change.
     """
 
-    version: int
+    version: Number
     routes: list[Route]
 
 
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -462,3 +462,35 @@
         for deadline in (b"0", b"-1", b"1e9", b"\xb2", b"9" * 400, b"9" * 5000, b""):
             with self.subTest(deadline=deadline[:10]):
                 self.assertEqual(submit(job, deadline), 200)
+
+
+class ConfigurationTests(unittest.TestCase):
+    """A number that can't be stored with a job made every job fail."""
+
+    def test_configuration_with_a_number_out_of_range_changes_nothing(self):
+        route = CONFIG["routes"][0]
+        for name in ("priority", "max_attempts", "stretch", "target_latency_ms"):
+            for value in (HUGE, -HUGE):
+                with self.subTest(name=name, value=value):
+                    odd = {**CONFIG, "version": 8, "routes": [{**route, name: value}]}
+                    self.check_refused(odd)
+        self.check_refused({**CONFIG, "version": HUGE})
+
+    def check_refused(self, odd):
+        configuration = CurrentConfiguration()
+        records = OperatorRecords(configuration, lambda: None)
+        for offset, config in enumerate((CONFIG, odd)):
+            data = msgspec.json.encode(config)
+            records.apply(StoredRecord("config", data, offset))
+        self.assertEqual(configuration.version, CONFIG["version"])
+
+    def test_other_odd_records_change_nothing(self):
+        configuration = CurrentConfiguration()
+        records = OperatorRecords(configuration, lambda: None)
+        records.apply(StoredRecord("config", msgspec.json.encode(CONFIG), 1))
+        for key in ("", "config/", "wave/1", "wave/x", "configx", "\ufffd", "evacuate"):
+            for value in (b"", b"\xff", DEEP, None):
+                records.apply(StoredRecord(key, value, 2))
+        records.apply(StoredRecord("config", None, 3))
+        self.assertEqual(configuration.version, CONFIG["version"])
+        self.assertEqual(configuration.closed_domains, frozenset())
