Refuse announcements under an id that no call can carry

Seen: an announcement whose id has a line break, a space or a character outside of ASCII displaces the executor in use; every call to it fails before it is sent. Cause: the path of an announcement accepts any id. Result: a test fails on the code before in six cases and passes.

--- a/rattanwing/platform/executor.py
+++ b/rattanwing/platform/executor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import msgspec
@@ -37,6 +38,9 @@
 EXPECTED_INSTANCE_HEADER = b"rattanwing-expect-instance"
 ANNOUNCEMENT_PATH = r"/rattanwing/instances/(?P<executor_id>[^/]+)"
 
+EXECUTOR_ID = re.compile(r"[\x21-\x7e]{1,255}")
+"""An id that can be sent in a header."""
+
 CALL_TIMEOUT_S = 0.8
 """Time limit of a call, without the time that the executor is asked to wait. Calls
 stay on one host; the caller repeats one that takes longer."""
@@ -282,6 +286,8 @@
         try:
             announcement = decode_json(request.body, Announcement)
             check_order(announcement, self.wall_ms())
+            if EXECUTOR_ID.fullmatch(executor_id) is None:
+                raise MalformedError("no call can carry the id")
         except MalformedError as error:
             events.write(
                 events.ANNOUNCEMENT_MALFORMED, executor=executor_id, error=error
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -494,3 +494,16 @@
         records.apply(StoredRecord("config", None, 3))
         self.assertEqual(configuration.version, CONFIG["version"])
         self.assertEqual(configuration.closed_domains, frozenset())
+
+
+class ExecutorIdTests(unittest.TestCase):
+    """No call could carry such an id; it displaced the executor in use."""
+
+    def test_ids_that_no_call_can_carry_are_refused(self):
+        for executor_id in ("a\r\nx: y", "a\0", " i-1", "i 1", "\ufffd", "i" * 300):
+            run = AnnouncementRun()
+            run.announce()
+            with self.subTest(executor_id=executor_id[:9]):
+                self.assertEqual(run.announce(executor_id, born=2000), 400)
+                self.assertEqual(run.numbers[-1], events.ANNOUNCEMENT_MALFORMED.number)
+                self.assertEqual(run.agent.executor.view.executor_id, "i-1")
