Use the executor again whose place a false announcement took

Seen: an announcement under another id, well formed and with a later start than the executor in use, displaces it; calls are refused with 421, and the announcements of the real executor are ignored from then on, as they look older. Cause: the order of all announcements of a host outlived the executor that set it. Change: when calls have shown that the newest one has exited, the order starts anew and that incarnation is ignored. Late announcements of earlier executors are still ignored. Not changed: a false announcement still displaces the executor until its first call is refused, and for good if its address does not answer at all. Result: a test fails on the code before and passes; a second one, of a late announcement, passed before.

--- a/rattanwing/platform/executor.py
+++ b/rattanwing/platform/executor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections import deque
 from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import msgspec
@@ -48,6 +49,9 @@
 MAX_CLOCK_AHEAD_MS = 3_600_000
 """Most milliseconds by which an executor's wall clock may be ahead of the agent's."""
 
+MAX_EXITED = 16
+"""Number of exited incarnations that are remembered."""
+
 MAX_CONNECTIONS = 24
 """Limit of concurrent calls; an executor accepts at most 64 connections."""
 
@@ -269,9 +273,11 @@
 
     :param wall_ms: returns the Unix time in milliseconds.
     :param newest_announcement: ``born`` and ``seq`` of the newest announcement.
+    :param exited: the last incarnations that calls have shown to have exited; their
+        announcements are ignored.
     """
 
-    __slots__ = ("agent", "wall_ms", "newest_announcement")
+    __slots__ = ("agent", "wall_ms", "newest_announcement", "exited")
 
     def __init__(
         self, agent: BatchAgent, wall_ms: Callable[[], int] = wall_clock_ms
@@ -279,6 +285,7 @@
         self.agent = agent
         self.wall_ms = wall_ms
         self.newest_announcement = (0, 0)
+        self.exited: deque[str] = deque(maxlen=MAX_EXITED)
 
     async def handle_announcement(self, request: Request) -> Response:
         """Pass an announcement to the agent unless a newer one has arrived before."""
@@ -294,13 +301,30 @@
             )
             return error_response(400, "malformed", str(error))
         incarnation = f"{executor_id}@{announcement.born}"
-        if (announcement.born, announcement.seq) > self.newest_announcement:
+        self.note_exit()
+        if (
+            incarnation not in self.exited
+            and (announcement.born, announcement.seq) > self.newest_announcement
+        ):
             self.newest_announcement = (announcement.born, announcement.seq)
             self.agent.handle_announcement(
                 make_view(executor_id, incarnation, announcement)
             )
         return json_response(200, {})
 
+    def note_exit(self) -> None:
+        """Forget the order of announcements once the newest executor has exited.
+
+        Its address has refused calls for it, so that another executor is there. That
+        one may have started earlier, if the newest announcement was false.
+        """
+        current = self.agent.executor
+        if current is None or not current.exited:
+            return
+        if current.view.incarnation not in self.exited:
+            self.exited.append(current.view.incarnation)
+            self.newest_announcement = (0, 0)
+
     async def handle_departure(self, request: Request) -> Response:
         """Tell the agent that the executor has ended."""
         self.agent.handle_exit(request.match["executor_id"])
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -507,3 +507,27 @@
                 self.assertEqual(run.announce(executor_id, born=2000), 400)
                 self.assertEqual(run.numbers[-1], events.ANNOUNCEMENT_MALFORMED.number)
                 self.assertEqual(run.agent.executor.view.executor_id, "i-1")
+
+
+class OtherExecutorTests(unittest.TestCase):
+    """An entry of an executor that is not there, with a later start than the real one,
+    kept the real one out of use for good.
+    """
+
+    def test_executor_is_used_again_once_its_address_refused_the_other_id(self):
+        run = AnnouncementRun()
+        run.announce("i-1", born=1000, seq=7)
+        run.announce("i-odd", born=2000, seq=1)
+        run.agent.executor.exited = True
+        run.announce("i-1", born=1000, seq=8)
+        self.assertEqual(run.agent.executor.view.incarnation, "i-1@1000")
+        run.announce("i-odd", born=2000, seq=2)
+        self.assertEqual(run.agent.executor.view.incarnation, "i-1@1000")
+
+    def test_late_announcement_of_an_earlier_executor_changes_nothing(self):
+        run = AnnouncementRun()
+        run.announce("i-1", born=1000, seq=7)
+        run.agent.executor.exited = True
+        run.announce("i-2", born=2000, seq=1)
+        run.announce("i-1", born=1000, seq=8)
+        self.assertEqual(run.agent.executor.view.incarnation, "i-2@2000")
