Take malformed answers of the log as no answer

Seen: a body that is cut short, not JSON or nested too deeply makes the task that reads or appends fail; it is started again after a while, with a trace in the log (event 106). Cause: HttpLog decoded its answers without turning the error into its own. Change: such an answer raises LogUnavailableError, and the read is repeated. Result: a test fails on the code before in 18 cases and passes.

--- a/rattanwing/log/client.py
+++ b/rattanwing/log/client.py
@@ -6,7 +6,13 @@
 
 import msgspec
 
-from rattanwing.errors import LogError, LogUnavailableError, RecordExpiredError
+from rattanwing.errors import (
+    LogError,
+    LogUnavailableError,
+    MalformedError,
+    RecordExpiredError,
+)
+from rattanwing.util.codec import decode_json
 from rattanwing.util.http_client import HttpCallError, HttpClient
 
 if TYPE_CHECKING:
@@ -85,14 +91,14 @@
         """Append JSON records in one call; see :class:`Log`."""
         body = b'{"records":[' + b",".join(records) + b"]}"
         response = await self.call("POST", f"/streams/{stream}", body, APPEND_TIMEOUT_S)
-        return msgspec.json.decode(response, type=AppendResponse).first_offset
+        return decode(response, AppendResponse).first_offset
 
     async def read(self, stream: str, start: int, wait_s: float) -> ReadResult:
         """Return records from offset ``start`` on; see :class:`Log`."""
         wait_ms = int(wait_s * 1000)
         target = f"/streams/{stream}?from={start}&wait_ms={wait_ms}"
         response = await self.call("GET", target, b"", wait_s + READ_TIMEOUT_S)
-        return msgspec.json.decode(response, type=ReadResult)
+        return decode(response, ReadResult)
 
     async def call(
         self, method: str, target: str, body: bytes, timeout_s: float
@@ -100,7 +106,8 @@
         """Send a request and return the body of the response.
 
         :param target: path and query of the request.
-        :raises LogUnavailableError: when the call failed or the status is 500 or more.
+        :raises LogUnavailableError: when the call failed, the status is 500 or more, or
+            the body is malformed.
         :raises RecordExpiredError: when the status is 410 (Gone).
         :raises LogError: when the status is another one than 200.
         """
@@ -110,7 +117,7 @@
         except HttpCallError as error:
             raise LogUnavailableError(str(error)) from error
         if response.status == 410:
-            expired = msgspec.json.decode(response.body, type=ExpiredResponse)
+            expired = decode(response.body, ExpiredResponse)
             raise RecordExpiredError(expired.first)
         if response.status >= 500:
             raise LogUnavailableError(f"the log returned HTTP status {response.status}")
@@ -138,3 +145,14 @@
     """
 
     first: int
+
+
+def decode(body: bytes, kind: Any) -> Any:
+    """Return the decoded body of an answer.
+
+    :raises LogUnavailableError: when it is malformed.
+    """
+    try:
+        return decode_json(body, kind)
+    except MalformedError as error:
+        raise LogUnavailableError(f"malformed answer of the log: {error}") from error
--- a/tests/test_hostile_input.py
+++ b/tests/test_hostile_input.py
@@ -8,12 +8,25 @@
 import trio
 
 from rattanwing import events, messages
+from rattanwing.errors import LogUnavailableError
+from rattanwing.log.client import HttpLog
+from rattanwing.util.http_client import HttpResponse
 from tests.history import find_violations
 from tests.world import run_world
 
 DEEP = b'{"odd":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
 
 
+class FakeHttp:
+    """Returns a preset answer."""
+
+    def __init__(self, status, body):
+        self.answer = HttpResponse(status, [], body)
+
+    async def call(self, *_request):
+        return self.answer
+
+
 class HostileInputTests(unittest.TestCase):
     def run_with_events(self, scenario):
         written = []
@@ -69,6 +82,22 @@
         self.assertGreaterEqual(refused, 6)
         self.assertNotIn(events.PEER_HANDLING_FAILED.number, written)
 
+    def test_malformed_answers_of_the_log_count_as_no_answer(self):
+        """Another error made the task that reads or appends fail."""
+        for body in (b"", b"{", b"[]", b"{}", b"\xff", DEEP):
+            for status, method, arguments in (
+                (200, "append", ("config", [b"{}"])),
+                (200, "read", ("config", 0, 0.0)),
+                (410, "read", ("config", 0, 0.0)),
+            ):
+                log = HttpLog("127.0.0.1:1")
+                log.client = FakeHttp(status, body)
+                with (
+                    self.subTest(body=body[:20], status=status, method=method),
+                    self.assertRaises(LogUnavailableError),
+                ):
+                    trio.run(getattr(log, method), *arguments)
+
     def test_malformed_records_are_skipped(self):
         async def scenario(world):
             world.start_entry("entry-1")
