Refuse a limit of the audit trail that is no number

Seen: limit=%B2, which is a digit but no number, gets status 500, and so does a limit of 5,000 digits. Change: up to nine digits from 0 to 9, else status 400 as before for other texts. Result: a test fails on the code before and passes.

--- a/rattanwing/entry/operators.py
+++ b/rattanwing/entry/operators.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -33,6 +34,9 @@
 STATUS_BY_RULE = {"unknown-job": 404, "malformed-value": 400, "unknown-path": 400}
 """HTTP status by the rule that refused a record; 409 for every other rule."""
 
+LIMIT = re.compile(r"[0-9]{1,9}")
+"""A number of rows."""
+
 
 class ChangeBody(msgspec.Struct):
     """Body of a configuration change.
@@ -158,7 +162,7 @@
     async def audit(self, request: Request) -> Response:
         """Return the newest rows of the audit trail, oldest first."""
         text = request.query.get("limit", "50")
-        if not text.isdigit():
+        if LIMIT.fullmatch(text) is None:
             return error_response(400, "malformed-limit", f"{text!r} is no number")
         rows = self.app.get("config").tree.audit
         return json_response(200, rows[-int(text) :] if int(text) else [])
--- a/tests/test_hostile_input.py
+++ b/tests/test_hostile_input.py
@@ -8,9 +8,11 @@
 import trio
 
 from rattanwing import events, messages
+from rattanwing.entry.operators import OperatorInterface
 from rattanwing.errors import LogUnavailableError
 from rattanwing.log.client import HttpLog
 from rattanwing.util.http_client import HttpResponse
+from rattanwing.util.http_server import Request
 from tests.history import find_violations
 from tests.world import run_world
 
@@ -98,6 +100,19 @@
                 ):
                     trio.run(getattr(log, method), *arguments)
 
+    def test_malformed_limits_are_refused(self):
+        async def scenario(world):
+            world.start_entry("entry-1")
+            world.start_agent("agent-1")
+            await world.wait_ready(1)
+            operators = OperatorInterface(world.app("entry-1"))
+            for limit in ("\u00b2", "9" * 5000, "-1", "x", ""):
+                made = Request("GET", "/", "/", {"limit": limit}, [], b"", {})
+                response = await operators.audit(made)
+                self.assertEqual(response.status, 400)
+
+        run_world(scenario, entries=1)
+
     def test_malformed_records_are_skipped(self):
         async def scenario(world):
             world.start_entry("entry-1")
