Let an error of one HTTP connection end that connection only

Seen: a request for a WebSocket that is followed by more bytes, sent to any HTTP address of an entry or an agent, ends the process (h11.LocalProtocolError). Found by a fuzz of the live server. Cause: hypercorn answers such a connection twice, and the error leaves its server, which runs all connections in one nursery of ours. Ruled out: refusing the scope 'websocket' in the application; the error arises after the application has returned. The application no longer sees the scope 'lifespan'.

--- a/rattanwing/util/http_server.py
+++ b/rattanwing/util/http_server.py
@@ -4,13 +4,17 @@
 
 import re
 import traceback
+from functools import partial
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qsl
 
 import hypercorn
 import msgspec
 import trio
-from hypercorn.trio import serve
+from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import ConnectionState
+from hypercorn.utils import repr_socket_addr, wrap_app
 
 from rattanwing import events
 from rattanwing.errors import RejectedError
@@ -18,6 +22,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from hypercorn.typing import AppWrapper
+
 MAX_BODY_BYTES = 1024 * 1024
 KEEP_ALIVE_S = 75.0
 HEADERS_JSON = [(b"content-type", b"application/json")]
@@ -96,9 +102,6 @@
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Handle one ASGI connection scope."""
-        if scope["type"] == "lifespan":
-            await self.handle_lifespan(receive, send)
-            return
         if scope["type"] != "http":
             return
         response = await self.respond(scope, receive)
@@ -109,14 +112,6 @@
         await send({**start, "headers": headers})
         await send({"type": "http.response.body", "body": response.body})
 
-    async def handle_lifespan(self, receive: Any, send: Any) -> None:
-        """Acknowledge startup and shutdown, as the ASGI lifespan protocol requires."""
-        while True:
-            message = await receive()
-            await send({"type": message["type"] + ".complete"})
-            if message["type"] == "lifespan.shutdown":
-                return
-
     async def respond(self, scope: Any, receive: Any) -> Response:
         """Return the response of the first route that matches the request."""
         path = scope["path"]
@@ -201,13 +196,66 @@
     """Serve until ``wait_for_stop`` returns, then finish the open requests.
 
     :param grace_s: maximum time in seconds to wait for open requests.
+    :param task_status: receives the list of the URLs that are served.
     """
     config = hypercorn.Config()
     config.bind = [address]
     config.errorlog = None
     config.accesslog = None
-    config.graceful_timeout = grace_s
-    config.shutdown_timeout = grace_s
     config.keep_alive_timeout = KEEP_ALIVE_S
     config.include_server_header = False
-    await serve(server, config, shutdown_trigger=wait_for_stop, task_status=task_status)
+    connection = partial(
+        serve_connection,
+        wrap_app(server, config.wsgi_max_body_size, "asgi"),
+        config,
+        context := WorkerContext(None),
+    )
+    async with trio.open_nursery() as connections:
+        listeners = open_listeners(config)
+        async with trio.open_nursery() as accepting:
+            accepting.start_soon(
+                partial(
+                    trio.serve_listeners,
+                    connection,
+                    listeners,
+                    handler_nursery=connections,
+                )
+            )
+            task_status.started([listening_url(listener) for listener in listeners])
+            await wait_for_stop()
+            accepting.cancel_scope.cancel()
+        await context.terminated.set()
+        connections.cancel_scope.deadline = trio.current_time() + grace_s
+
+
+def open_listeners(config: hypercorn.Config) -> list[trio.SocketListener]:
+    """Listen at the addresses of the configuration."""
+    listeners = []
+    for sock in config.create_sockets().insecure_sockets:
+        sock.listen(config.backlog)
+        listeners.append(trio.SocketListener(trio.socket.from_stdlib_socket(sock)))
+    return listeners
+
+
+def listening_url(listener: trio.SocketListener) -> str:
+    """Return the URL that a listener serves."""
+    sock = listener.socket
+    return f"http://{repr_socket_addr(sock.family, sock.getsockname())}"
+
+
+async def serve_connection(
+    app: AppWrapper,
+    config: hypercorn.Config,
+    context: WorkerContext,
+    stream: trio.SocketStream,
+) -> None:
+    """Serve one connection; no error of it reaches the other connections.
+
+    hypercorn's own server ends with any error of its protocol classes, and there are
+    requests that cause one.
+    """
+    try:
+        await TCPServer(app, config, context, ConnectionState({}), stream)
+    except* Exception as errors:
+        detail = "".join(traceback.format_exception(errors))
+        events.write(events.REQUEST_FAILED, trace=detail)
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,155 @@
+from __future__ import annotations
+
+import unittest
+from random import Random
+from unittest import mock
+
+import trio
+
+from rattanwing import events
+from rattanwing.util.address import split_address
+from rattanwing.util.http_server import HttpServer, json_response, serve_http
+from tests.processes import free_address
+
+SEED = 20261205
+ANSWER_LIMIT_S = 5.0
+ODD_LIMIT_S = 0.02
+
+REQUEST = (
+    b"PUT /rattanwing/instances/i-1 HTTP/1.1\r\nHost: a\r\n"
+    b"Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"
+)
+WEBSOCKET = (
+    b"GET / HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+    b"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n"
+)
+HTTP2 = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+ODD_REQUESTS = (
+    b"\xff" * 100,
+    WEBSOCKET,
+    WEBSOCKET + b"\xff" * 50,
+    HTTP2 + b"\0\0\0\4\0\0\0\0\0",
+    HTTP2 + b"\xff" * 200,
+    b"GET / HTTP/1.1\r\nHost: a\r\nUpgrade: h2c\r\nConnection: Upgrade, HTTP2-Settings"
+    b"\r\nHTTP2-Settings: !!!\r\n\r\n",
+    b"GET /%ff%00%0d%0a?%ff=%ff&=&a=b HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"GET http://[::1:80/ HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"GET \xc3\xa4 HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
+    b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\n",
+    b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nfffffffffff\r\n",
+    b"POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n",
+    b"GET / HTTP/1.1\r\n\r\n",
+    b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n",
+    b"GET / HTTP/9.9\r\nHost: a\r\n\r\n",
+    b"GET / HTTP/1.1\r\nHost: a\r\nX: \xff\xfe\r\n\r\n",
+    b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 100_000 + b"\r\n\r\n",
+    REQUEST + b"\xff" * 10,
+    b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" + b"a" * 200,
+)
+
+
+async def answer(request):
+    return json_response(200, {"body": len(request.body)})
+
+
+async def send(address, data, limit_s):
+    """Send bytes on a new connection and return what comes back in time."""
+    host, port = split_address(address)
+    stream = await trio.open_tcp_stream(host, port)
+    received = b""
+    try:
+        with trio.move_on_after(limit_s):
+            await stream.send_all(data)
+            while b"\r\n\r\n" not in received:
+                part = await stream.receive_some()
+                if not part:
+                    break
+                received += part
+    except trio.BrokenResourceError:
+        pass
+    await trio.aclose_forcefully(stream)
+    return received
+
+
+class OddRequestTests(unittest.TestCase):
+    def serve(self, test):
+        """Run ``test`` with the address of a server; return the events' numbers."""
+        numbers = []
+
+        async def main():
+            server = HttpServer()
+            server.route("*", r".*", answer)
+            address = free_address()
+            stop = trio.Event()
+            async with trio.open_nursery() as nursery:
+                await nursery.start(serve_http, server, address, stop.wait, 0.1)
+                await test(address)
+                stop.set()
+
+        with mock.patch.object(
+            events, "write", lambda event, **_fields: numbers.append(event.number)
+        ):
+            trio.run(main)
+        return numbers
+
+    def test_bytes_after_the_request_for_a_websocket_end_one_connection_only(self):
+        """The error of that connection ended the whole process."""
+
+        async def test(address):
+            host, port = split_address(address)
+            other = await trio.open_tcp_stream(host, port)
+            for _ in range(3):
+                await send(address, WEBSOCKET + b"\xff" * 50, ODD_LIMIT_S)
+            with trio.fail_after(ANSWER_LIMIT_S):
+                await other.send_all(REQUEST)
+                self.assertIn(b"200", await other.receive_some())
+            await trio.aclose_forcefully(other)
+
+        numbers = self.serve(test)
+        self.assertEqual(numbers, [events.REQUEST_FAILED.number] * 3)
+
+    def test_server_goes_on_after_odd_requests(self):
+        random = Random(SEED)
+        requests = list(ODD_REQUESTS)
+        for _ in range(200):
+            data = bytearray(random.choice((REQUEST, *ODD_REQUESTS)))
+            start = random.randrange(len(data))
+            data[start : start + random.randrange(3)] = random.randbytes(2)
+            requests.append(bytes(data))
+
+        async def test(address):
+            for data in requests:
+                await send(address, data, ODD_LIMIT_S)
+            answered = await send(address, REQUEST, ANSWER_LIMIT_S)
+            self.assertTrue(answered.startswith(b"HTTP/1.1 200"))
+
+        self.serve(test)
+
+    def test_open_requests_are_finished_at_a_stop(self):
+        """Within the grace period; then their connections are closed."""
+
+        async def slow_answer(_request):
+            await trio.sleep(0.2)
+            return json_response(200, {})
+
+        async def main():
+            server = HttpServer()
+            server.route("*", r".*", slow_answer)
+            address = free_address()
+            stop = trio.Event()
+            received = []
+
+            async def call():
+                received.append(await send(address, REQUEST, ANSWER_LIMIT_S))
+
+            async with trio.open_nursery() as nursery:
+                await nursery.start(serve_http, server, address, stop.wait, 2.0)
+                nursery.start_soon(call)
+                await trio.sleep(0.1)
+                stop.set()
+            with self.assertRaises(OSError):
+                await send(address, REQUEST, ANSWER_LIMIT_S)
+            return received[0]
+
+        self.assertTrue(trio.run(main).startswith(b"HTTP/1.1 200"))
