--- a/rattanwing/util/codec.py
+++ b/rattanwing/util/codec.py
@@ -14,6 +14,9 @@
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
+UNREADABLE = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+"""The errors of msgspec's decoders; the last is that of deep nesting."""
+
 
 def decode(decoder: msgspec.json.Decoder | msgspec.msgpack.Decoder, data: bytes) -> Any:
     """Return the decoded value.
@@ -23,7 +26,7 @@
     """
     try:
         return decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except UNREADABLE as error:
         raise MalformedError(str(error)) from error
 
 
@@ -33,7 +36,10 @@
     :param kind: any type that msgspec decodes.
     :raises MalformedError: if ``data`` is not JSON or not of that type.
     """
-    return decode(msgspec.json.Decoder(kind), data)
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except UNREADABLE as error:
+        raise MalformedError(str(error)) from error
 
 
 class MessageCodec:
