Refuse settings files with numbers or addresses out of range

Seen: a settings file that changes to hold cores = nan ends the process that reloads it (ValueError); status_s = nan is put in force. Cause: TOML has NaN and infinity, and only types were checked; addresses were split where they are used.

--- a/rattanwing/platform/settings.py
+++ b/rattanwing/platform/settings.py
@@ -7,8 +7,10 @@
 
 import msgspec
 
+from rattanwing.batch.model import NonNegative  # noqa: TC001
 from rattanwing.batch.settings import BatchSettings
 from rattanwing.errors import SettingsError
+from rattanwing.util.address import split_address
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -38,8 +40,8 @@
     :param status_s: how long the state of a finished job stays readable.
     """
 
-    grace_s: float = 6.0
-    status_s: float = 120.0
+    grace_s: NonNegative = 6.0
+    status_s: NonNegative = 120.0
 
 
 class Limits(msgspec.Struct):
@@ -49,8 +51,8 @@
     :param cores: speed of the host's processor, as a multiple of a common core.
     """
 
-    cpu_share: float = 0.0
-    cores: float = 1.0
+    cpu_share: NonNegative = 0.0
+    cores: NonNegative = 1.0
 
     @property
     def cpu(self) -> int:
@@ -90,12 +92,18 @@
 def parse_settings(data: bytes) -> BatchSettings:
     """Convert the content of a settings file.
 
-    :raises SettingsError: when it is not valid TOML, or a field is missing or has
-        the wrong type.
+    :raises SettingsError: when it is not valid TOML, or a field is missing, has the
+        wrong type or is out of range.
     """
     try:
         value = tomllib.loads(data.decode())
         found = msgspec.convert(value, SettingsFile, strict=False)
+        listen = found.listen
+        peers_address = f"{found.ip}:{found.port_range[0]}"
+        addresses = [found.platform.addr, peers_address]
+        addresses += filter(None, (listen.front, listen.ready, listen.control))
+        for address in addresses:
+            split_address(address)
     except (ValueError, RecursionError) as error:
         raise SettingsError([f".: {error}"]) from error
     return BatchSettings(
@@ -104,10 +112,10 @@
         found.platform.addr,
         found.bounds.status_s,
         found.bounds.grace_s,
-        found.listen.front or None,
-        found.listen.ready or None,
-        f"{found.ip}:{found.port_range[0]}",
-        found.listen.control or None,
+        listen.front or None,
+        listen.ready or None,
+        peers_address,
+        listen.control or None,
         found.limits.cpu,
     )
 
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import tempfile
 import unittest
+from pathlib import Path
 from unittest import mock
 
 import msgspec
@@ -23,6 +25,7 @@
     ExecutorClient,
     parse_order_answer,
 )
+from rattanwing.platform.main import reload_settings
 from rattanwing.platform.operator import OperatorRecords
 from rattanwing.platform.settings import parse_settings
 from rattanwing.util.http_client import HttpCallError, HttpClient
@@ -531,3 +534,37 @@
         run.announce("i-2", born=2000, seq=1)
         run.announce("i-1", born=1000, seq=8)
         self.assertEqual(run.agent.executor.view.incarnation, "i-2@2000")
+
+
+class SettingsTests(unittest.TestCase):
+    """The file may change at any time; an odd one ended the process that read it."""
+
+    def test_odd_values_are_refused(self):
+        limits = b"[limits]\ncpu_share = 0.4\ncores = 1\n"
+        for old, new in (
+            (b"grace_s = 6", b"grace_s = nan"),
+            (b"grace_s = 6", b"grace_s = inf"),
+            (b"status_s = 120", b"status_s = nan"),
+            (b"status_s = 120", b"status_s = -1"),
+            (b"cpu_share = 0.4", b"cpu_share = nan"),
+            (b"cores = 1", b"cores = inf"),
+            (b"7720,7735", b"70000,70010"),
+            (b"7720,7735", b"-1,7735"),
+            (b"10.200.1.7:8169", b"10.200.1.7:70000"),
+            (b"10.200.1.7:8169", b"store.example:8169"),
+            (b"10.1.0.14:8166", b"10.1.0.14"),
+            (b'ip = "10.1.0.14"', b'ip = ""'),
+        ):
+            data = (SETTINGS + limits).replace(old, new)
+            with self.subTest(new=new), self.assertRaises(SettingsError):
+                parse_settings(data)
+
+    def test_odd_file_leaves_the_settings_in_force(self):
+        settings = parse_settings(SETTINGS)
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.toml"
+            for data in (SETTINGS + b"[limits]\ncores = nan\n", DEEP, b"\xff", b""):
+                path.write_bytes(data)
+                with self.subTest(data=data[-20:]):
+                    reload_settings(path, settings, "changed")
+                    self.assertEqual(settings.grace_s, 6)
