Bound the labels and names of an announcement

Seen: an announcement with 100,000 labels is accepted; each report to the owner repeats them, twice a second. Cause: only the body was bounded, to 1 MiB. Change: at most 64 labels, and 255 characters of a label, service or zone. Result: a test fails on the code before in four cases and passes.

--- a/rattanwing/platform/executor.py
+++ b/rattanwing/platform/executor.py
@@ -65,7 +65,9 @@
 """Outcome of an order by the ``reason`` in the body of a 409 answer."""
 
 
-Name = Annotated[str, msgspec.Meta(min_length=1)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
+Label = Annotated[str, msgspec.Meta(max_length=255)]
+Labels = Annotated[list[Label], msgspec.Meta(max_length=64)]
 
 
 class Capacity(msgspec.Struct):
@@ -108,7 +110,7 @@
     state: Literal["ready", "draining"]
     cold_left_ms: Finite
     capacity: Capacity
-    labels: list[str]
+    labels: Labels
     seq: Number
     born: Number = 0
     clock_ms: Number = 0
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -568,3 +568,19 @@
                 with self.subTest(data=data[-20:]):
                     reload_settings(path, settings, "changed")
                     self.assertEqual(settings.grace_s, 6)
+
+
+class LongAnnouncementTests(unittest.TestCase):
+    """Each report to the owner repeated all of it, twice a second."""
+
+    def test_long_lists_and_names_are_refused(self):
+        for changes in (
+            {"labels": ["a"] * 100_000},
+            {"labels": ["a" * 100_000]},
+            {"zone": "a" * 100_000},
+            {"backend": "a" * 100_000},
+        ):
+            run = AnnouncementRun()
+            with self.subTest(field=next(iter(changes))):
+                self.assertEqual(run.announce(**changes), 400)
+        self.assertEqual(AnnouncementRun().announce(labels=["a"] * 64), 200)
