Cut the text of decoding errors

Seen: an announcement with a state or an address of 200,000 characters is repeated in full in the log and in the answer. Cause: the text of such an error holds the value. Change: the text is cut to 200 characters where bytes are decoded. Result: a test fails on the code before in two cases and passes.

--- a/rattanwing/util/codec.py
+++ b/rattanwing/util/codec.py
@@ -14,6 +14,9 @@
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
+MAX_DETAIL_CHARS = 200
+"""Most characters of an error's text, which may repeat a value in full."""
+
 UNREADABLE = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 """The errors of msgspec's decoders; the last is that of deep nesting."""
 
@@ -27,7 +30,7 @@
     try:
         return decoder.decode(data)
     except UNREADABLE as error:
-        raise MalformedError(str(error)) from error
+        raise MalformedError(str(error)[:MAX_DETAIL_CHARS]) from error
 
 
 def decode_json(data: bytes, kind: Any = Any) -> Any:
@@ -39,7 +42,7 @@
     try:
         return msgspec.json.decode(data, type=kind)
     except UNREADABLE as error:
-        raise MalformedError(str(error)) from error
+        raise MalformedError(str(error)[:MAX_DETAIL_CHARS]) from error
 
 
 class MessageCodec:
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -584,3 +584,21 @@
             with self.subTest(field=next(iter(changes))):
                 self.assertEqual(run.announce(**changes), 400)
         self.assertEqual(AnnouncementRun().announce(labels=["a"] * 64), 200)
+
+    def test_long_values_are_not_repeated_in_full(self):
+        """Neither in the log nor in the answer."""
+        for name in ("state", "addr"):
+            body = msgspec.json.encode({**ANNOUNCEMENT, name: "1:" * 100_000})
+            routes = AnnouncementRoutes(BatchAgent(lambda: 0.0, lambda _view: None))
+            made = request("PUT", "/x", body, match={"executor_id": "i-1"})
+            written = []
+            with (
+                self.subTest(name=name),
+                mock.patch.object(
+                    events, "write", lambda _event, **fields: written.append(fields)
+                ),
+            ):
+                response = trio.run(routes.handle_announcement, made)
+                self.assertEqual(response.status, 400)
+                self.assertLess(len(response.body), 1000)
+                self.assertLess(len(str(written[0]["error"])), 1000)
