--- a/rattanwing/batch/model.py
+++ b/rattanwing/batch/model.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from enum import IntEnum
+from typing import Annotated
 
 import msgspec
 
@@ -27,6 +28,17 @@
 MAX_NUMBER = 2**53
 """Bound of the numbers in a job; larger ones can't be stored."""
 
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+"""A number that every process can store and send."""
+
+Epoch = Annotated[int, msgspec.Meta(ge=0, le=2**33)]
+"""Epoch of an owner; the fences that are derived from it are within ``MAX_NUMBER``."""
+
+Finite = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+"""A number with a fraction that is neither infinite nor NaN."""
+
+NonNegative = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
 
 class JobState(IntEnum):
     """The state of a job; the last three are final."""
@@ -192,7 +204,8 @@
         if min(step.cpu, step.memory_mb, step.accelerators, step.estimate_ms) < 0:
             raise RejectedError("bad-size", f"step {number}: a size is negative")
         sizes = (step.cpu, step.memory_mb, step.accelerators, step.estimate_ms)
-        if max(*sizes, abs(step.spread_limit), abs(step.target_ms)) > MAX_NUMBER:
+        signed = (step.spread_limit, step.target_ms, step.max_unavailable)
+        if max(*sizes, *map(abs, signed)) > MAX_NUMBER:
             raise RejectedError("bad-size", f"step {number}: a size is too large")
 
 
--- a/rattanwing/entry/operators.py
+++ b/rattanwing/entry/operators.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -10,8 +11,9 @@
 from rattanwing import events
 from rattanwing.config.tree import ChangeRecord, Edit
 from rattanwing.entry import callers
-from rattanwing.errors import LogUnavailableError, RejectedError
+from rattanwing.errors import LogUnavailableError, MalformedError, RejectedError
 from rattanwing.jobs.records import JobSpec
+from rattanwing.util.codec import decode_json
 from rattanwing.util.http_server import (
     HttpServer,
     Request,
@@ -32,6 +34,9 @@
 STATUS_BY_RULE = {"unknown-job": 404, "malformed-value": 400, "unknown-path": 400}
 """HTTP status by the rule that refused a record; 409 for every other rule."""
 
+LIMIT = re.compile(r"[0-9]{1,9}")
+"""A number of rows."""
+
 
 class ChangeBody(msgspec.Struct):
     """Body of a configuration change.
@@ -131,8 +136,8 @@
     async def change_config(self, request: Request) -> Response:
         """Append a change and answer once it has been read back and folded."""
         try:
-            body = msgspec.json.decode(request.body, type=ChangeBody)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            body = decode_json(request.body, ChangeBody)
+        except MalformedError as error:
             return error_response(400, "malformed-change", str(error))
         change = ChangeRecord(body.id, body.author, body.edits, body.settle)
         stream = self.app.get("config").stream
@@ -157,7 +162,7 @@
     async def audit(self, request: Request) -> Response:
         """Return the newest rows of the audit trail, oldest first."""
         text = request.query.get("limit", "50")
-        if not text.isdigit():
+        if LIMIT.fullmatch(text) is None:
             return error_response(400, "malformed-limit", f"{text!r} is no number")
         rows = self.app.get("config").tree.audit
         return json_response(200, rows[-int(text) :] if int(text) else [])
@@ -172,8 +177,8 @@
     async def submit_job(self, request: Request) -> Response:
         """Submit a job and answer once its record has been read back."""
         try:
-            value = msgspec.json.decode(request.body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            value = decode_json(request.body)
+        except MalformedError as error:
             return error_response(400, "malformed-job", str(error))
         spec, problems = convert(JobSpec, value)
         if problems:
--- a/rattanwing/platform/executor.py
+++ b/rattanwing/platform/executor.py
@@ -2,25 +2,33 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+import re
+from collections import deque
+from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import msgspec
 
 from rattanwing import events
+from rattanwing.batch.model import Finite, Number
 from rattanwing.batch.ports import (
     EndedRow,
-    EndReason,
     ExecutorView,
     OrderOutcome,
     OrderResult,
     PollResult,
     RunningRow,
 )
+from rattanwing.batch.timing import wall_clock_ms
+from rattanwing.errors import MalformedError
+from rattanwing.util.address import check_callable
+from rattanwing.util.codec import decode_json
 from rattanwing.util.http_client import HttpCallError, HttpClient
 from rattanwing.util.http_server import Response, error_response, json_response
 from rattanwing.verdict import Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from rattanwing.batch.agent import BatchAgent
     from rattanwing.util.http_server import Request
 
@@ -31,10 +39,19 @@
 EXPECTED_INSTANCE_HEADER = b"rattanwing-expect-instance"
 ANNOUNCEMENT_PATH = r"/rattanwing/instances/(?P<executor_id>[^/]+)"
 
+EXECUTOR_ID = re.compile(r"[\x21-\x7e]{1,255}")
+"""An id that can be sent in a header."""
+
 CALL_TIMEOUT_S = 0.8
 """Time limit of a call, without the time that the executor is asked to wait. Calls
 stay on one host; the caller repeats one that takes longer."""
 
+MAX_CLOCK_AHEAD_MS = 3_600_000
+"""Most milliseconds by which an executor's wall clock may be ahead of the agent's."""
+
+MAX_EXITED = 16
+"""Number of exited incarnations that are remembered."""
+
 MAX_CONNECTIONS = 24
 """Limit of concurrent calls; an executor accepts at most 64 connections."""
 
@@ -48,6 +65,11 @@
 """Outcome of an order by the ``reason`` in the body of a 409 answer."""
 
 
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
+Label = Annotated[str, msgspec.Meta(max_length=255)]
+Labels = Annotated[list[Label], msgspec.Meta(max_length=64)]
+
+
 class Capacity(msgspec.Struct):
     """Capacity of an executor.
 
@@ -56,9 +78,9 @@
     :param gpu: number of accelerators.
     """
 
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: Number
+    mem_mb: Number
+    gpu: Number = 0
 
 
 class Announcement(msgspec.Struct):
@@ -67,26 +89,36 @@
     :param backend: the service whose queues it runs tasks for.
     :param addr: address for calls, as ``ip:port``.
     :param zone: its failure domain.
+    :param version: version of its software; not used.
+    :param slots: not used.
     :param state: ``draining`` if the executor is about to stop.
+    :param cold_left_ms: remaining time of its cold start, in milliseconds.
+    :param labels: its kind, then its rack.
     :param seq: sequence number; increases with each announcement of an incarnation.
     :param born: Unix time at which the executor's process started, in milliseconds;
         tells incarnations apart.
-    :param labels: its kind, then its rack.
+    :param clock_ms: its clock when it sent the announcement, in milliseconds; not used.
     :param remaining_ms: while draining, the least time until the executor stops, in
         milliseconds.
-    :param cold_left_ms: remaining time of its cold start, in milliseconds.
     """
 
-    backend: str
+    backend: Name
     addr: str
-    zone: str
-    state: str
+    zone: Name
+    version: str
+    slots: Number
+    state: Literal["ready", "draining"]
+    cold_left_ms: Finite
     capacity: Capacity
-    seq: int
-    born: int = 0
-    labels: list[str] = []
-    remaining_ms: float = 0
-    cold_left_ms: float = 0
+    labels: Labels
+    seq: Number
+    born: Number = 0
+    clock_ms: Number = 0
+    remaining_ms: Finite = 0
+
+    def __post_init__(self) -> None:
+        """Check the address; a decoder reports the error as its own."""
+        check_callable(self.addr)
 
 
 class OrderAnswer(msgspec.Struct):
@@ -97,7 +129,7 @@
     :param reason: reason of a refusal with status 409; empty otherwise.
     """
 
-    clock_ms: int = 0
+    clock_ms: Number = 0
     reason: str = ""
 
 
@@ -105,16 +137,11 @@
     """All running runs and all unacknowledged ends; each row is a list of fields.
 
     :param clock_ms: the executor's clock when it answered, in milliseconds.
-    :param running: rows of task, attempt, checkpoint, progress in percent and,
-        optionally, usage: the fields of
-        :class:`rattanwing.batch.ports.RunningRow`.
-    :param ended: rows of number, task, attempt, reason of the end and checkpoint:
-        the fields of :class:`rattanwing.batch.ports.EndedRow`.
     """
 
-    clock_ms: int
-    running: list[list[Any]]
-    ended: list[list[Any]]
+    clock_ms: Number
+    running: list[RunningRow]
+    ended: list[EndedRow]
 
 
 class ExecutorClient:
@@ -190,17 +217,7 @@
         if status != 200:
             return parse_order_answer(status, data)
         answer = decode(HoldAnswer, data)
-        try:
-            running = [RunningRow(*row) for row in answer.running]
-            ended = [
-                EndedRow(number, task, attempt, EndReason(how), checkpoint)
-                for number, task, attempt, how, checkpoint in answer.ended
-            ]
-        except (TypeError, ValueError) as error:
-            raise HttpCallError(
-                Verdict.MAY_HAVE_RUN, f"malformed row in the list of runs: {error}"
-            ) from error
-        return PollResult(answer.clock_ms, running, ended)
+        return PollResult(answer.clock_ms, answer.running, answer.ended)
 
     async def send_order(self, target: str, body: dict[str, Any]) -> OrderResult:
         """Send an order and return its outcome."""
@@ -246,8 +263,8 @@
     :raises HttpCallError: when the body is malformed.
     """
     try:
-        return msgspec.json.decode(data, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(data, kind)
+    except MalformedError as error:
         raise HttpCallError(
             Verdict.MAY_HAVE_RUN, f"malformed answer: {error}"
         ) from error
@@ -256,39 +273,82 @@
 class AnnouncementRoutes:
     """Handles the executor's announcements.
 
+    :param wall_ms: returns the Unix time in milliseconds.
     :param newest_announcement: ``born`` and ``seq`` of the newest announcement.
+    :param exited: the last incarnations that calls have shown to have exited; their
+        announcements are ignored.
     """
 
-    __slots__ = ("agent", "newest_announcement")
+    __slots__ = ("agent", "wall_ms", "newest_announcement", "exited")
 
-    def __init__(self, agent: BatchAgent) -> None:
+    def __init__(
+        self, agent: BatchAgent, wall_ms: Callable[[], int] = wall_clock_ms
+    ) -> None:
         self.agent = agent
+        self.wall_ms = wall_ms
         self.newest_announcement = (0, 0)
+        self.exited: deque[str] = deque(maxlen=MAX_EXITED)
 
     async def handle_announcement(self, request: Request) -> Response:
         """Pass an announcement to the agent unless a newer one has arrived before."""
         executor_id = request.match["executor_id"]
         try:
-            announcement = msgspec.json.decode(request.body, type=Announcement)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            announcement = decode_json(request.body, Announcement)
+            check_order(announcement, self.wall_ms())
+            if EXECUTOR_ID.fullmatch(executor_id) is None:
+                raise MalformedError("no call can carry the id")
+        except MalformedError as error:
             events.write(
                 events.ANNOUNCEMENT_MALFORMED, executor=executor_id, error=error
             )
             return error_response(400, "malformed", str(error))
         incarnation = f"{executor_id}@{announcement.born}"
-        if (announcement.born, announcement.seq) > self.newest_announcement:
+        self.note_exit()
+        if (
+            incarnation not in self.exited
+            and (announcement.born, announcement.seq) > self.newest_announcement
+        ):
             self.newest_announcement = (announcement.born, announcement.seq)
             self.agent.handle_announcement(
                 make_view(executor_id, incarnation, announcement)
             )
         return json_response(200, {})
 
+    def note_exit(self) -> None:
+        """Forget the order of announcements once the newest executor has exited.
+
+        Its address has refused calls for it, so that another executor is there. That
+        one may have started earlier, if the newest announcement was false.
+        """
+        current = self.agent.executor
+        if current is None or not current.exited:
+            return
+        if current.view.incarnation not in self.exited:
+            self.exited.append(current.view.incarnation)
+            self.newest_announcement = (0, 0)
+
     async def handle_departure(self, request: Request) -> Response:
         """Tell the agent that the executor has ended."""
         self.agent.handle_exit(request.match["executor_id"])
         return json_response(200, {})
 
 
+def check_order(announcement: Announcement, now_ms: int) -> None:
+    """Check the fields that order announcements.
+
+    One that claims to be far ahead would make all that follow look old.
+
+    :param now_ms: the Unix time in milliseconds.
+    :raises MalformedError: when the start is in the future, or more announcements have
+        been numbered than one in each millisecond since the start.
+    """
+    latest_ms = now_ms + MAX_CLOCK_AHEAD_MS
+    if announcement.born > latest_ms:
+        raise MalformedError(f"born {announcement.born} is in the future")
+    if announcement.seq > latest_ms - announcement.born:
+        raise MalformedError(f"seq {announcement.seq} is too high")
+
+
 def make_view(
     executor_id: str, incarnation: str, announcement: Announcement
 ) -> ExecutorView:
@@ -305,6 +365,6 @@
         announcement.capacity.mem_mb,
         announcement.capacity.gpu,
         announcement.state == "draining",
-        int(announcement.remaining_ms),
-        int(announcement.cold_left_ms),
+        max(0, int(announcement.remaining_ms)),
+        max(0, int(announcement.cold_left_ms)),
     )
