--- a/tests/batch/test_messages.py
+++ b/tests/batch/test_messages.py
@@ -28,7 +28,9 @@
             self.check_refused(messages.LeaseRenewal(value, 1.0))
             self.check_refused(messages.HostReport(value, 0, None, [], True))
             self.check_refused(messages.RelayedCancel("job-1", "queue-1", value))
-            self.check_refused(messages.StartRun(1, "t", 1, "", "", PROPERTIES, value))
+            self.check_refused(
+                messages.StartRun(1, "t", 1, "i", "", "", PROPERTIES, value)
+            )
 
     def test_numbers_that_can_not_be_passed_on(self):
         for value in (-1, 2**63):
@@ -38,7 +40,7 @@
             self.check_refused(messages.EndsStored("i", value))
             self.check_refused(messages.StopRun(1, "t", value))
             self.check_refused(
-                messages.StartRun(1, "t", value, "", "", PROPERTIES, 1.0)
+                messages.StartRun(1, "t", value, "i", "", "", PROPERTIES, 1.0)
             )
             row = RunningRow("t", value, "", 0)
             self.check_refused(messages.HostReport(1.0, 0, None, [row], True))
--- a/tests/test_fuzzed_input.py
+++ b/tests/test_fuzzed_input.py
@@ -271,7 +271,7 @@
         for message in (
             messages.OwnerHello(1, 1 << 20, "front-1"),
             messages.LeaseRenewal(1.0, 3.0),
-            messages.StartRun(1, "t", 1, "text", "", properties, 2.0),
+            messages.StartRun(1, "t", 1, "i", "text", "", properties, 2.0),
             messages.HostReport(1.0, 1, None, [RunningRow("t", 1, "", 0)], True),
             messages.RunsEnded("i", [EndedRow(1, "t", 1, EndReason.DONE, "")]),
             messages.InterferenceEstimates([("a", "b", 0.1)]),
