Stop a run whose start may still take effect when its repeat is refused

Cause: a start call without an answer may be carried out seconds later. Its repeat was refused (unhealthy, no room), the agent forgot the run and told the owner, which placed the task elsewhere. Only the refusal of an old attempt was taken as a sign of the first call. Class of fault: a later answer is taken to settle an earlier call.

Change: after an unanswered call, a refused repeat leads to a stop, which the executor remembers; the run counts as running until that is accepted. Evidence: both tests of tests.batch.test_start_calls failed before (refused, no stop). Ruled out: the incarnation in start orders, which does not concern one executor's calls.

--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -387,6 +387,10 @@
                 return
             if self.earlier_try_started(result, key, maybe_sent):
                 return
+            if maybe_sent and result.outcome is not OrderOutcome.OTHER_INCARNATION:
+                # The unanswered call may take effect after this refusal.
+                await self.stop(order.task, order.attempt)
+                return
             self.runs.pop(key, None)
             self.refuse(order, result.outcome.value)
             return
--- /dev/null
+++ b/tests/batch/test_start_calls.py
@@ -0,0 +1,87 @@
+from __future__ import annotations
+
+import unittest
+
+import trio
+import trio.testing
+
+from rattanwing.batch.ports import OrderOutcome, OrderResult, PollResult
+from rattanwing.batch.runs import ExecutorRuns
+from rattanwing.standin.runs import StandinBatchExecutor
+from rattanwing.util.http_client import HttpCallError
+from rattanwing.verdict import Verdict
+from tests.batch.test_agent import start_order
+
+KEY = ("job-1.0.0.0", 1)
+
+
+class ScriptedPort:
+    """Answers start calls from a script and polls with an empty listing.
+
+    :param starts: outcomes, errors, or coroutine functions that return an answer.
+    """
+
+    def __init__(self, starts):
+        self.starts = list(starts)
+        self.stops = []
+
+    async def start(self, *_order):
+        answer = self.starts.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        if callable(answer):
+            return await answer()
+        return OrderResult(answer, 1000)
+
+    async def stop(self, task, attempt, _fence):
+        self.stops.append((task, attempt))
+        return OrderResult(OrderOutcome.ACCEPTED, 1000)
+
+    async def poll(self, *_call):
+        await trio.sleep(0.01)
+        return PollResult(1000, [], [])
+
+
+class StartCallTests(unittest.TestCase):
+    """The start calls of one order, and their answers."""
+
+    def carry_out(self, starts):
+        """Carry out a start order; return the refusals and the stopped runs."""
+        refused = []
+        port = ScriptedPort(starts)
+
+        async def main():
+            view = StandinBatchExecutor("executor-0", "a", [], lambda _t: 1.0).view()
+            runs = self.runs = ExecutorRuns(
+                view,
+                port,
+                trio.current_time,
+                0.0,
+                lambda: None,
+                lambda *refusal: refused.append(refusal),
+            )
+            runs.set_fence(1)
+            runs.record_clock(1000, trio.current_time())
+            runs.extend_lease(trio.current_time() + 9)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(runs.poll_loop)
+                await trio.sleep(0.1)
+                order = start_order()
+                run = runs.admit(order)
+                await runs.start(order, run, trio.current_time() + 2)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        return refused, port.stops
+
+    def check_stopped(self, outcome):
+        unanswered = HttpCallError(Verdict.MAY_HAVE_RUN, "no answer in time")
+        refused, stops = self.carry_out([unanswered, outcome])
+        self.assertEqual((refused, stops), ([], [KEY]))
+
+    def test_refused_repeat_of_an_unanswered_call_is_stopped(self):
+        """The unanswered call may take effect later; the task ran twice."""
+        self.check_stopped(OrderOutcome.UNHEALTHY)
+
+    def test_repeat_without_room_after_an_unanswered_call_is_stopped(self):
+        self.check_stopped(OrderOutcome.NO_ROOM)
