Act on the answer to a start call only under the fence that it was sent with

Cause: two owners in turn ordered the same attempt on one host. The answer to the first one's call came after the second's stream had begun: the refusal removed the second one's run by task and attempt and went to the second owner, which placed the task again. The same happened to a run that the listing under the new fence had shown. Class of fault: an answer acted upon without the state that its call was decided for.

Change: the answer counts only if the fence is still the same and the run is the one that was admitted; everything under an earlier fence is settled by the next listing.

--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -371,6 +371,8 @@
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
             self.record_clock(result.clock_ms, self.clock())
+            if fence != self.fence or self.runs.get(key) is not run:
+                return
             if result.outcome is OrderOutcome.ACCEPTED:
                 run.may_be_unlisted_until = self.clock()
                 run.known_to_executor = True
--- a/tests/batch/test_start_calls.py
+++ b/tests/batch/test_start_calls.py
@@ -5,7 +5,7 @@
 import trio
 import trio.testing
 
-from rattanwing.batch.ports import OrderOutcome, OrderResult, PollResult
+from rattanwing.batch.ports import OrderOutcome, OrderResult, PollResult, RunningRow
 from rattanwing.batch.runs import ExecutorRuns
 from rattanwing.standin.runs import StandinBatchExecutor
 from rattanwing.util.http_client import HttpCallError
@@ -85,3 +85,21 @@
 
     def test_repeat_without_room_after_an_unanswered_call_is_stopped(self):
         self.check_stopped(OrderOutcome.NO_ROOM)
+
+    def test_answer_under_an_earlier_fence_leaves_a_listed_run(self):
+        """The unanswered call had started it, as the next stream's listing shows."""
+        unanswered = HttpCallError(Verdict.MAY_HAVE_RUN, "no answer in time")
+
+        async def refuse_after_listing():
+            now = trio.current_time()
+            self.runs.set_fence(2)
+            self.runs.listed_fence = 2
+            listing = PollResult(1100, [RunningRow(*KEY, "", 10)], [])
+            self.runs.apply_listing(listing, now, now)
+            self.listed = dict(self.runs.runs)
+            return OrderResult(OrderOutcome.FENCED, 1100)
+
+        refused, stops = self.carry_out([unanswered, refuse_after_listing])
+        self.assertEqual((refused, stops), ([], []))
+        self.assertIn(KEY, self.listed)
+        self.assertIs(self.runs.runs.get(KEY), self.listed[KEY])
