Delete an agent's address only while the directory is as it was read

Cause: when a host's lease has lapsed, the owner deletes the agent's address, and repeats the append for seconds while the store does not answer. The agent may have come back by then, registered and be connected; the late deletion removes the new address, and the next owner neither waits for the agent nor adopts its runs. Class of fault: a write carried out after the state that it was decided for has changed.

Change: the append is accepted only if the directory ends where the owner has read it, and is given up for agents that have registered again. It stays under the owner's epoch. Ruled out: crossing messages, restarts under the same id.

--- a/rattanwing/batch/connections.py
+++ b/rattanwing/batch/connections.py
@@ -11,8 +11,7 @@
 import trio
 
 from rattanwing import events
-from rattanwing.batch import messages, records
-from rattanwing.batch.timing import TASK_LEASE_S
+from rattanwing.batch import messages
 from rattanwing.errors import PeerLostError
 from rattanwing.peer.session import PeerSession
 
@@ -23,7 +22,7 @@
     from rattanwing.batch.cluster import ClusterState
     from rattanwing.batch.hosts import Host
     from rattanwing.batch.replica import Directory
-    from rattanwing.batch.writer import RecordWriter
+    from rattanwing.batch.unregistering import AddressRemover
     from rattanwing.peer.stream import ByteMessageStream
 
     Dial = Callable[
@@ -46,7 +45,7 @@
 class AgentConnections:
     """Keeps one stream open to every agent in the directory.
 
-    :param directory_writer: deletes agents' addresses under the owner's epoch.
+    :param address_remover: deletes the addresses of lost agents.
     :param dial: connects to an address and runs a function on the stream.
     :param on_message: called with the host, the session and each message.
     :param streams_opened: number of streams opened in this epoch.
@@ -59,7 +58,7 @@
         "epoch",
         "cluster",
         "directory",
-        "directory_writer",
+        "address_remover",
         "clock",
         "random",
         "dial",
@@ -76,7 +75,7 @@
         epoch: int,
         cluster: ClusterState,
         directory: Directory,
-        directory_writer: RecordWriter,
+        address_remover: AddressRemover,
         clock: Callable[[], float],
         random: Random,
         dial: Dial,
@@ -86,7 +85,7 @@
         self.epoch = epoch
         self.cluster = cluster
         self.directory = directory
-        self.directory_writer = directory_writer
+        self.address_remover = address_remover
         self.clock = clock
         self.random = random
         self.dial = dial
@@ -115,7 +114,7 @@
         self.nursery.start_soon(self.dial_loop, name, scope)
 
     def remove_agent(self, name: str) -> None:
-        """Stop dialling an agent whose host is lost, and delete its address.
+        """Stop dialling an agent whose host is lost, and have its address deleted.
 
         An agent that comes back writes its address again only while no owner is
         connected. A stream that is being opened at this moment is closed as well; if
@@ -125,15 +124,7 @@
         scope = self.dial_scopes.pop(name, None)
         if scope is not None:
             scope.cancel()
-        key = records.AGENT_PREFIX + name
-        self.directory.agents.pop(name, None)
-        if self.nursery is not None:
-            self.nursery.start_soon(self.delete_agent_record, key)
-
-    async def delete_agent_record(self, key: str) -> None:
-        """Delete an agent's record from the directory."""
-        expires_at = self.clock() + TASK_LEASE_S
-        await self.directory_writer.store_records([(key, None)], expires_at)
+        self.address_remover.remove(name)
 
     async def dial_loop(self, name: str, scope: trio.CancelScope) -> None:
         """Dial an agent, and redial it after each loss, until it is removed."""
--- a/rattanwing/batch/entry.py
+++ b/rattanwing/batch/entry.py
@@ -165,6 +165,7 @@
             writer,
             self.replica,
             self.directory,
+            self.directory_reader,
             self.configuration,
             self.clock,
             self.wall_ms,
--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -15,7 +15,7 @@
 from rattanwing.batch.replica import RETRY_PAUSE_S
 from rattanwing.batch.scheduler import Scheduler
 from rattanwing.batch.timing import TASK_LEASE_S
-from rattanwing.batch.writer import RecordWriter
+from rattanwing.batch.unregistering import AddressRemover
 from rattanwing.errors import LogError
 from rattanwing.verdict import Verdict
 
@@ -26,7 +26,8 @@
     from rattanwing.batch.configuration import CurrentConfiguration
     from rattanwing.batch.connections import Dial
     from rattanwing.batch.hosts import Host
-    from rattanwing.batch.replica import Directory, WorkReplica
+    from rattanwing.batch.replica import Directory, TopicReader, WorkReplica
+    from rattanwing.batch.writer import RecordWriter
     from rattanwing.peer.session import PeerSession
 
 MAX_ROUND_INTERVAL_S = 0.25
@@ -75,7 +76,7 @@
         "writer",
         "replica",
         "directory",
-        "directory_writer",
+        "address_remover",
         "current",
         "clock",
         "wall_ms",
@@ -94,6 +95,7 @@
         writer: RecordWriter,
         replica: WorkReplica,
         directory: Directory,
+        directory_reader: TopicReader,
         current: CurrentConfiguration,
         clock: Callable[[], float],
         wall_ms: Callable[[], int],
@@ -105,13 +107,13 @@
         self.writer = writer
         self.replica = replica
         self.directory = directory
-        self.directory_writer = RecordWriter(
+        self.address_remover = AddressRemover(
             writer.store,
-            records.DIRECTORY_TOPIC,
+            directory,
+            directory_reader,
             AppendStamp(
                 OWNER_PRODUCER, writer.epoch, random.randrange(1, FIRST_SEQUENCE_LIMIT)
             ),
-            clock,
             random,
         )
         self.current = current
@@ -124,7 +126,7 @@
             writer.epoch,
             self.scheduler.cluster,
             directory,
-            self.directory_writer,
+            self.address_remover,
             clock,
             random,
             dial,
@@ -153,7 +155,7 @@
                 for name in list(self.directory.agents):
                     self.connections.keep_connected(name)
                 nursery.start_soon(self.load_directory)
-                nursery.start_soon(self.directory_writer.run)
+                nursery.start_soon(self.address_remover.run)
                 nursery.start_soon(self.store_progress)
                 nursery.start_soon(self.delete_expired_jobs)
                 nursery.start_soon(self.store_interference)
@@ -194,12 +196,7 @@
         because they have switched to this owner.
         """
         store = self.writer.store
-        stamp = AppendStamp(
-            self.directory_writer.producer,
-            self.directory_writer.epoch,
-            self.directory_writer.sequence,
-        )
-        await store.append(records.DIRECTORY_TOPIC, [], stamp)
+        await store.append(records.DIRECTORY_TOPIC, [], self.address_remover.stamp)
         after = ""
         while True:
             page = await store.list_newest(records.DIRECTORY_TOPIC, after)
