--- a/tests/batch/test_schedules.py
+++ b/tests/batch/test_schedules.py
@@ -54,5 +54,5 @@
                 self.check(seed, same_id=True)
 
     def test_late_starts_for_the_earlier_life_of_an_executor(self):
-        """They repeat finished tasks on the new life, all processes having restarted."""
+        """They repeat finished tasks on the new life after all processes restarted."""
         self.check(3, same_id=True)
