Offer no CPU of best-effort runs that wait for CPU themselves

Cause: a best-effort run that its agent paces down counted with the CPU that it uses, so the owner offered the rest of its CPU to further ones. Under more work than the hosts can do every job got hosts at once; its runs shared the CPU, those with the largest loss stood still, and as a job is done only with its last task, most jobs were late, and held their memory meanwhile. Class of fault: admission beyond capacity, so that everything is late.

Change: a throttled run counts with its use only if its image is known to interfere with a serving task of its host, as it then waits for headroom; all others keep what they declare. The paces of one adjustment are decided in the order of the runs, so that they no longer depend on the hash seed.

--- a/rattanwing/batch/colocation.py
+++ b/rattanwing/batch/colocation.py
@@ -32,13 +32,16 @@
         self.headroom_loss = {
             run.task.step.image: 0.0 for run in runs if run.task.step.target_ms > 0
         }
+        interfering: set[str] = set()
         for run in best_effort_runs:
             step = run.task.step
             for image in self.headroom_loss:
+                if interference.headroom_loss(image, step.image, step.cpu) > 0:
+                    interfering.add(step.image)
                 self.headroom_loss[image] += interference.expected_loss(
                     image, step.image, step.cpu
                 )
-        self.best_effort_cpu_available = host.unused_cpu()
+        self.best_effort_cpu_available = host.unused_cpu(interfering)
 
     def losses_with(
         self, step: StepSpec, interference: InterferenceModel
@@ -64,7 +67,8 @@
 ) -> ColocationSummary:
     """Return the summary of a host, computed when none is cached.
 
-    CPU that best-effort runs leave idle because of their pace is offered to others.
+    CPU that best-effort runs leave idle while they wait for headroom is offered to
+    others; runs that wait for CPU keep what they declare.
     """
     if host.colocation is None:
         host.colocation = ColocationSummary(host, interference)
--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -199,19 +199,26 @@
             return 0
         return self.executor.cpu - self.reserved_cpu - self.reserved_best_effort_cpu
 
-    def unused_cpu(self) -> int:
+    def unused_cpu(self, interfering: set[str]) -> int:
         """Return the CPU that best-effort tasks could use, beyond what they use now.
 
+        :param interfering: best-effort images that are known to interfere with a
+            serving task of the host.
         :returns: thousandths of a core. Long-running tasks count with the share of
-            their declared CPU that they are assumed to use, throttled best-effort runs
-            with their last reported use, and all others with their declared CPU.
+            their declared CPU that they are assumed to use, and all others with their
+            declared CPU. Throttled runs of interfering images count with their last
+            reported use, as they wait for headroom. Other throttled runs wait for CPU:
+            a job is done only with its last task, so tasks that wait in the order of
+            urgency finish more jobs than tasks that all begin and share a host.
         """
         if self.executor is None:
             return 0
         serving = int(self.reserved_long_running_cpu * LONG_RUNNING_USE_SHARE)
         others = self.reserved_cpu - self.reserved_long_running_cpu
         used = sum(
-            run.measurement if run.throttled_since is not None else run.task.step.cpu
+            run.measurement
+            if run.throttled_since is not None and run.task.step.image in interfering
+            else run.task.step.cpu
             for run in self.runs.values()
             if run.task.step.best_effort
         )
--- a/rattanwing/batch/pacing.py
+++ b/rattanwing/batch/pacing.py
@@ -274,7 +274,7 @@
         for key in chosen:
             if paces[key] < runs[key].pace_percent:
                 self.causes[key] = "headroom"
-        return {key: paces[key] for key in chosen}
+        return {key: paces[key] for key in runs if key in chosen}
 
     def unmeasured_loss(
         self, latency: ServingLatency, runs: dict[Hashable, BestEffortRun]
--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -264,6 +264,26 @@
         self.add_job(job("second", [step]))
         self.assertEqual(self.place(), [])
 
+    def test_cpu_of_runs_that_wait_for_headroom_is_offered_to_others(self):
+        host = self.host("agent-1")
+        serving = StepSpec(
+            1, cpu=1000, memory_mb=100, long_running=True, target_ms=90, image="watch"
+        )
+        heavy = StepSpec(3, cpu=1000, memory_mb=100, best_effort=True, image="heavy")
+        light = StepSpec(1, cpu=1000, memory_mb=100, best_effort=True, image="light")
+        self.scheduler.interference.headroom_loss_per_core = {
+            ("watch", "heavy"): 0.3,
+            ("watch", "light"): 0.0,
+        }
+        self.add_job(job("serving", [serving]))
+        self.add_job(job("first", [heavy]))
+        self.assertEqual(len(self.place()), 4)
+        self.now += 1
+        rows = [RunningRow(*key, "", 10, 0) for key in host.runs]
+        self.report(host, rows)
+        self.add_job(job("second", [light]))
+        self.assertEqual(self.place(), [("agent-1", "second.0.0.0")])
+
     def test_each_host_is_summarized_once_per_round(self):
         """Bounds the lookups of estimates while 20 steps wait for full hosts."""
         hosts, per_host, waiting = 4, 6, 20
