Run one process of each name in the schedules with options

What callers saw: nothing; when two faults overlapped, each restarted what the other had started, so that two processes of one name ran and claimed ownership from each other every few milliseconds. Cause: the restarts of kill_all and of the other kills did not look at what was running. Change: with options, a fault starts no process that runs. Schedules without options stay as they are.

Ruled out: nothing.

--- a/tests/batch/schedules.py
+++ b/tests/batch/schedules.py
@@ -27,12 +27,15 @@
     :param faults: time in seconds and name of each fault that was injected.
     :param kinds: names of the faults to choose from.
     :param same_id: whether executors may restart under the id that they had.
+    :param one_process: whether at most one process of each name runs. Without options
+        there may be two, when a fault restarts what another one has stopped.
     """
 
     def __init__(self, world, seed, kinds, same_id):
         self.world = world
         self.kinds = kinds
         self.same_id = same_id
+        self.one_process = kinds is not FAULTS
         self.random = Random(seed)
         self.accepted = set()
         self.cancelled = set()
@@ -112,7 +115,7 @@
         name = self.random.choice(alive)
         self.world.kill(name)
         await trio.sleep(self.random.choice((0.5, 3.0)))
-        await self.world.start_entry(name)
+        await self.start_entry(name)
 
     async def kill_owner(self):
         owner = self.world.owner()
@@ -120,7 +123,7 @@
             return
         self.world.kill(owner.settings.name)
         await trio.sleep(self.random.choice((0.5, 5.0)))
-        await self.world.start_entry(owner.settings.name)
+        await self.start_entry(owner.settings.name)
 
     async def kill_agent(self):
         index = self.random.randrange(len(self.world.executors))
@@ -128,17 +131,27 @@
             return
         self.world.kill(f"agent-{index}")
         await trio.sleep(self.random.choice((0.3, 2.0, 11.0)))
-        await self.world.start_agent(index)
+        await self.start_agent(index)
 
     async def kill_all(self):
         for name in list(self.world.scopes):
             self.world.kill(name)
         await trio.sleep(self.random.choice((0.5, 3.0)))
         for index in range(len(self.world.executors)):
-            await self.world.start_agent(index)
+            await self.start_agent(index)
         for name in self.world.entry_names:
+            await self.start_entry(name)
+
+    async def start_entry(self, name):
+        """Start an entry, unless another fault has started it already."""
+        if not (self.one_process and name in self.world.scopes):
             await self.world.start_entry(name)
 
+    async def start_agent(self, index):
+        """Start an agent, unless another fault has started it already."""
+        if not (self.one_process and f"agent-{index}" in self.world.scopes):
+            await self.world.start_agent(index)
+
     async def crash_executor(self):
         executor = self.random.choice(self.world.executors)
         if not executor.up:
