--- a/rattanwing/batch/messages.py
+++ b/rattanwing/batch/messages.py
@@ -11,7 +11,14 @@
 
 import msgspec
 
-from rattanwing.batch.model import JobSpec, JobState  # noqa: TC001
+from rattanwing.batch.model import (  # noqa: TC001
+    Epoch,
+    Finite,
+    JobSpec,
+    JobState,
+    NonNegative,
+    Number,
+)
 from rattanwing.batch.ports import EndedRow, ExecutorView, RunningRow  # noqa: TC001
 from rattanwing.util.codec import MessageCodec
 
@@ -43,9 +50,9 @@
     :param target_ms: target tail latency of a serving task; 0 for none.
     """
 
-    cpu: int
-    memory_mb: int
-    accelerators: int
+    cpu: Number
+    memory_mb: Number
+    accelerators: Number
     best_effort: bool
     target_ms: int
     image: str
@@ -59,8 +66,8 @@
     :param owner: name of the owning entry.
     """
 
-    epoch: int
-    fence: int
+    epoch: Epoch
+    fence: Number
     owner: str
 
 
@@ -71,14 +78,16 @@
     :param lease_s: how long runs may continue, counted from that stamp.
     """
 
-    report_stamp: float
-    lease_s: float
+    report_stamp: Finite
+    lease_s: Finite
 
 
 class StartRun(Message, tag=3):
     """Order to start a run.
 
     :param number: sequence number of the order on this stream.
+    :param incarnation: incarnation of the executor that the run was placed on; no other
+        one may start it.
     :param text: the job's payload, which is passed unchanged to each of its tasks.
     :param checkpoint: checkpoint to resume from; empty for none.
     :param start_before: time on the agent's clock from which it must not start the
@@ -88,22 +97,23 @@
         owner sends none.
     """
 
-    number: int
+    number: Number
     task: str
-    attempt: int
+    attempt: Number
+    incarnation: str
     text: str
     checkpoint: str
     properties: TaskProperties
-    start_before: float
+    start_before: Finite
     ticket: str = ""
 
 
 class StopRun(Message, tag=4):
     """Order to stop a run, or to prevent its start if it has not started."""
 
-    number: int
+    number: Number
     task: str
-    attempt: int
+    attempt: Number
 
 
 class EndsStored(Message, tag=5):
@@ -116,7 +126,7 @@
     """
 
     incarnation: str
-    number: int
+    number: Number
 
 
 class HostReport(Message, tag=6):
@@ -131,8 +141,8 @@
         agent.
     """
 
-    stamp: float
-    last_order: int
+    stamp: Finite
+    last_order: Number
     executor: ExecutorView | None
     runs: list[RunningRow]
     complete: bool
@@ -150,7 +160,7 @@
     """The agent did not start a run and never will."""
 
     task: str
-    attempt: int
+    attempt: Number
     reason: str
 
 
@@ -161,7 +171,7 @@
     """
 
     task: str
-    attempt: int
+    attempt: Number
     properties: TaskProperties
 
 
@@ -173,7 +183,7 @@
         estimate yet for pairs that are not listed.
     """
 
-    rows: list[tuple[str, str, float]]
+    rows: list[tuple[str, str, NonNegative]]
 
 
 class Superseded(Message, tag=15):
@@ -182,7 +192,7 @@
     :param epoch: highest epoch that the agent has seen.
     """
 
-    epoch: int
+    epoch: Epoch
 
 
 # The class names of relayed calls appear in log lines, as values of the field "call".
@@ -195,7 +205,7 @@
     """
 
     spec: JobSpec
-    wait_s: float
+    wait_s: Finite
 
 
 class RelayedCancel(Message, tag=12):
@@ -206,7 +216,7 @@
 
     job_id: str
     queue: str
-    wait_s: float
+    wait_s: Finite
 
 
 class RelayedFind(Message, tag=13):
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -371,14 +371,28 @@
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
             self.record_clock(result.clock_ms, self.clock())
+            if fence != self.fence or self.runs.get(key) is not run:
+                return
             if result.outcome is OrderOutcome.ACCEPTED:
                 run.may_be_unlisted_until = self.clock()
                 run.known_to_executor = True
+                events.write(
+                    events.EXECUTOR_STARTED_RUN,
+                    task=order.task,
+                    attempt=order.attempt,
+                    incarnation=self.view.incarnation,
+                    order_number=order.number,
+                    fence=fence,
+                )
                 if order.properties.best_effort:
                     await self.pace_best_effort_runs()
                 return
             if self.earlier_try_started(result, key, maybe_sent):
                 return
+            if maybe_sent and result.outcome is not OrderOutcome.OTHER_INCARNATION:
+                # The unanswered call may take effect after this refusal.
+                await self.stop(order.task, order.attempt)
+                return
             self.runs.pop(key, None)
             self.refuse(order, result.outcome.value)
             return
@@ -529,6 +543,7 @@
             attempt=attempt,
             before=run.pace,
             percent=pace_percent,
+            cause=self.pacer.causes.get(key, ""),
             tails=[(load.tail_ms, load.target_ms) for load in serving],
         )
         run.pace = pace_percent
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -570,6 +570,7 @@
             run.order_number,
             str(task.id),
             attempt,
+            host.executor.incarnation,
             job.spec.text,
             task.checkpoint,
             task_properties(task.step),
@@ -581,6 +582,7 @@
             task=str(task.id),
             attempt=attempt,
             host=host.name,
+            incarnation=host.executor.incarnation,
             heard_s=round(now - host.last_heard_at, 3),
             epoch=self.epoch,
         )
--- a/rattanwing/platform/store.py
+++ b/rattanwing/platform/store.py
@@ -2,20 +2,24 @@
 
 from __future__ import annotations
 
-import base64
 import struct
 from urllib.parse import quote
 
 import msgspec
 
+from rattanwing import events
+from rattanwing.batch.model import Number  # noqa: TC001
 from rattanwing.batch.ports import AppendStamp, NewestPage, ReadResult, StoredRecord
 from rattanwing.errors import (
     LogConditionError,
     LogFencedError,
     LogSequenceError,
     LogUnavailableError,
+    MalformedError,
+    RecordError,
     RecordExpiredError,
 )
+from rattanwing.util.codec import decode_json
 from rattanwing.util.http_client import HttpCallError, HttpClient
 from rattanwing.verdict import Verdict
 
@@ -54,21 +58,21 @@
     :param expected: sequence number that the store expects.
     """
 
-    offset: int = 0
+    offset: Number = 0
     reason: str = ""
-    seq: int = 0
-    expected: int = 0
+    seq: Number = 0
+    expected: Number = 0
 
 
 class NewestItem(msgspec.Struct):
     """The newest record of a key.
 
-    :param value: base64 of the value.
+    :param value: the value, base64 in the answer.
     """
 
     key: str
-    value: str
-    offset: int
+    value: bytes
+    offset: Number
 
 
 class NewestAnswer(msgspec.Struct):
@@ -79,7 +83,7 @@
     """
 
     items: list[NewestItem]
-    end: int
+    end: Number
     has_more: bool = False
 
 
@@ -89,7 +93,7 @@
     :param first: oldest offset that the store still keeps.
     """
 
-    first: int = 0
+    first: Number = 0
 
 
 class PlatformStore:
@@ -166,7 +170,7 @@
             )
         answer = decode(NewestAnswer, data)
         records = [
-            StoredRecord(item.key, base64.b64decode(item.value) or None, item.offset)
+            StoredRecord(item.key, item.value or None, item.offset)
             for item in answer.items
         ]
         return NewestPage(records, answer.has_more, answer.end)
@@ -193,8 +197,8 @@
     :raises LogUnavailableError: when the body is malformed.
     """
     try:
-        return msgspec.json.decode(data, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(data, kind)
+    except MalformedError as error:
         raise LogUnavailableError(
             f"malformed answer from the store: {error}"
         ) from error
@@ -212,7 +216,7 @@
 
 
 def decode_read(data: bytes, offset: int) -> ReadResult:
-    """Decode the answer to a read.
+    """Decode the answer to a read; a malformed record is logged and skipped.
 
     :param offset: offset of the first record.
     :raises LogUnavailableError: when the answer is truncated.
@@ -222,6 +226,7 @@
             "the answer to a read is truncated", may_have_applied=False
         )
     records = []
+    end_offset = offset
     position = READ_HEADER.size
     while position + RECORD_LENGTH.size <= len(data):
         (length,) = RECORD_LENGTH.unpack_from(data, position)
@@ -232,8 +237,12 @@
                 "the answer to a read is truncated", may_have_applied=False
             )
         position += length
-        records.append(decode_record(content, offset + len(records)))
-    return ReadResult(records, offset + len(records))
+        try:
+            records.append(decode_record(content, end_offset))
+        except RecordError as error:
+            events.write(events.RECORD_MALFORMED, offset=end_offset, error=error)
+        end_offset += 1
+    return ReadResult(records, end_offset)
 
 
 def decode_record(content: bytes, offset: int) -> StoredRecord:
@@ -241,7 +250,11 @@
 
     Bytes of the key that are not valid UTF-8 become escape sequences, so that the
     reader can log the key.
+
+    :raises RecordError: when the record is shorter than its key.
     """
     size = content[0] if content else 0
+    if len(content) <= size:
+        raise RecordError(f"the record of {len(content)} bytes is shorter than its key")
     key = content[1 : 1 + size].decode("utf-8", "backslashreplace")
     return StoredRecord(key, content[1 + size :] or None, offset)
