Send starts elsewhere after a host has refused one

What callers saw: with one of two executors answering 503 to starts, a job of one task had 300 orders in 3 s and no run, while the other host was empty.

Cause: a refused run was released and nothing remembered the refusal. The host that refuses everything has the most free resources, so it was chosen again in each round. STARVED_AFTER_S could not help, because each refused order reset runs_changed_at of the job; nor would it have, as it only widens the choice.

Change: the host gets no starts for 0.5 s (doubled up to 2 s while it goes on refusing), then other hosts are preferred for 3 s, and for this task until its next run has ended. A new executor on the host clears this. Refusals because the order came too late or its executor was replaced do not tell against the host. Starvation is measured from the last end of a run that had been started (last_run_ended_at). A report is no sign of that by itself: agents list a run already while they start it.

--- a/rattanwing/batch/cluster.py
+++ b/rattanwing/batch/cluster.py
@@ -69,7 +69,7 @@
         run = Run(task, attempt, host, now)
         host.add(run)
         task.runs.append(run)
-        task.job.count_run(1, now)
+        task.job.count_run(1, now, has_run=False)
         return run
 
     def send_properties(self, runs: list[Run]) -> None:
@@ -85,8 +85,14 @@
         for run in list(host.runs.values()):
             self.mark_lost(run, reason, now)
 
-    def mark_lost(self, run: Run, reason: str, now: float) -> None:
-        """Release a run that has no reported end but can no longer be running."""
+    def mark_lost(
+        self, run: Run, reason: str, now: float, refused: bool = False
+    ) -> None:
+        """Release a run that has no reported end but can no longer be running.
+
+        :param refused: whether the run was never started; its agent reports a run
+            already while it is starting it.
+        """
         events.write(
             events.RUN_LOST,
             task=str(run.task.id),
@@ -95,15 +101,18 @@
             reason=reason,
         )
         run.task.keep_checkpoint(run.checkpoint, run.attempt)
-        self.release(run, now)
+        self.release(run, now, has_run=run.reported and not refused)
 
-    def release(self, run: Run, now: float) -> None:
-        """Free the resources of a run."""
+    def release(self, run: Run, now: float, has_run: bool) -> None:
+        """Free the resources of a run.
+
+        :param has_run: whether the run has been started.
+        """
         run.host.remove(run)
         if run not in run.task.runs:
             return
         run.task.runs.remove(run)
-        run.task.job.count_run(-1, now)
+        run.task.job.count_run(-1, now, has_run)
 
     def stop(self, run: Run, reason: str, now: float) -> None:
         """Order the stop of a run; its resources are freed when its end is reported."""
--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -257,20 +257,42 @@
 longest time for which the platform's hosts keep failing runs."""
 
 
+REFUSAL_PAUSE_S = 0.5
+"""Time in seconds for which a host gets no starts after it has refused one."""
+
+MAX_REFUSAL_PAUSE_S = 2.0
+"""Longest such pause; it doubles each time that the host refuses starts again."""
+
+REFUSAL_MEMORY_S = 3.0
+"""Time in seconds after a pause for which other hosts are preferred and a further
+refusal counts as a repeated one."""
+
+
 class HostHealth:
-    """Detects hosts on which runs fail or stall.
+    """Detects hosts on which runs fail or stall, or that refuse starts.
 
     Failures of tasks that fail on other hosts as well are not counted.
 
     :param ends: whether each of the recent ends was a failure, oldest first.
+    :param refusing_until: time until which the host gets no starts, because it has
+        refused some.
+    :param refusal_pause_s: length of the last such pause.
     """
 
-    __slots__ = ("ends", "failing_until", "stalled_until")
+    __slots__ = (
+        "ends",
+        "failing_until",
+        "stalled_until",
+        "refusing_until",
+        "refusal_pause_s",
+    )
 
     def __init__(self) -> None:
         self.ends: list[bool] = []
         self.failing_until = 0.0
         self.stalled_until = 0.0
+        self.refusing_until = float("-inf")
+        self.refusal_pause_s = 0.0
 
     def record_end(self, failed: bool, fails_elsewhere: bool, now: float) -> None:
         """Record the end of a run.
@@ -290,6 +312,28 @@
         """Record that a run on the host made no progress."""
         self.stalled_until = now + FAILING_FOR_S
 
+    def record_refusal(self, now: float) -> None:
+        """Record that the host refused a start."""
+        if self.is_refusing(now):
+            return
+        pause_s = REFUSAL_PAUSE_S
+        if self.has_refused_lately(now):
+            pause_s = min(2 * self.refusal_pause_s, MAX_REFUSAL_PAUSE_S)
+        self.refusal_pause_s = pause_s
+        self.refusing_until = now + pause_s
+
+    def forget_refusals(self) -> None:
+        """Forget the refusals of an executor that has been replaced."""
+        self.refusing_until = float("-inf")
+
+    def is_refusing(self, now: float) -> bool:
+        """Return whether the host gets no starts because it has refused some."""
+        return now < self.refusing_until
+
+    def has_refused_lately(self, now: float) -> bool:
+        """Return whether other hosts are preferred because this one refused starts."""
+        return now < self.refusing_until + REFUSAL_MEMORY_S
+
     def is_failing(self, now: float) -> bool:
         """Return whether new runs should avoid the host."""
         return now < self.failing_until or now < self.stalled_until
--- a/rattanwing/batch/jobs.py
+++ b/rattanwing/batch/jobs.py
@@ -24,6 +24,8 @@
         there is none.
     :param runs: attempts that may be running.
     :param failed_on: names of the hosts on which the task has failed.
+    :param refused_on: names of the hosts that have refused its start since its last
+        run.
     """
 
     __slots__ = (
@@ -38,6 +40,7 @@
         "done",
         "runs",
         "failed_on",
+        "refused_on",
     )
 
     def __init__(self, job: OwnedJob, task_id: TaskId, step: StepSpec) -> None:
@@ -52,6 +55,7 @@
         self.done = False
         self.runs: list[Run] = []
         self.failed_on: set[str] = set()
+        self.refused_on: set[str] = set()
 
     @property
     def key(self) -> str:
@@ -131,8 +135,8 @@
     :param occurrences_begun: number of occurrences that have begun.
     :param inherited: whether the job was accepted before this owner's claim, so that
         an earlier owner may have started its tasks.
-    :param runs_changed_at: time of the last start or end of a run; before the first
-        start, the time when the owner received the job.
+    :param last_run_ended_at: time of the last end of a run that had been started;
+        before the first, the time when the owner received the job.
     :param unsettled: whether a task may be waiting for a run; a job whose tasks all
         run or depend on others is looked at again only after one of them has ended.
     :param target_ms: completion-time target, in milliseconds.
@@ -152,7 +156,7 @@
         "skipped_until",
         "target_ms",
         "finished_at_ms",
-        "runs_changed_at",
+        "last_run_ended_at",
         "running",
         "stored",
     )
@@ -167,7 +171,7 @@
         self.skipped_until = 0.0
         self.target_ms = completion_target_ms(spec)
         self.finished_at_ms = 0
-        self.runs_changed_at = received_at
+        self.last_run_ended_at = received_at
         self.running = 0
         self.stored: Progress | None = None
 
@@ -231,16 +235,20 @@
             for step in steps
         )
 
-    def count_run(self, change: int, now: float) -> None:
-        """Record the start (``change`` 1) or end (-1) of a run."""
+    def count_run(self, change: int, now: float, has_run: bool) -> None:
+        """Record the order (``change`` 1) or end (-1) of a run.
+
+        :param has_run: whether a run that ends has been started.
+        """
         self.running += change
-        self.runs_changed_at = now
+        if has_run:
+            self.last_run_ended_at = now
         if change < 0:
             self.unsettled = True
 
     def is_starved(self, now: float, limit_s: float) -> bool:
         """Return whether the job has had no run for more than ``limit_s``."""
-        return self.running == 0 and now - self.runs_changed_at > limit_s
+        return self.running == 0 and now - self.last_run_ended_at > limit_s
 
     def finish_task(self, task: Task) -> None:
         """Mark a task as done, and with it all tasks of its gang."""
--- a/rattanwing/batch/metrics.py
+++ b/rattanwing/batch/metrics.py
@@ -47,7 +47,8 @@
         gauges["jobs_unfinished"] = len(jobs)
         gauges["jobs_without_run"] = sum(job.running == 0 for job in jobs)
         gauges["oldest_idle_seconds"] = max(
-            (now - job.runs_changed_at for job in jobs if job.running == 0), default=0.0
+            (now - job.last_run_ended_at for job in jobs if job.running == 0),
+            default=0.0,
         )
         gauges["runs"] = sum(len(host.runs) for host in hosts)
         gauges["hosts_connected"] = sum(host.connected for host in hosts)
--- a/rattanwing/batch/placement.py
+++ b/rattanwing/batch/placement.py
@@ -66,6 +66,10 @@
 """Cost of a host on which the task has failed before, in thousandths of a core: such a
 host is a last resort."""
 
+REFUSED_WEIGHT = 50_000
+"""Cost of a host that has refused the task, or lately any start, in thousandths of a
+core."""
+
 
 class Constraints:
     """Placement limits set by the current configuration.
@@ -98,6 +102,8 @@
         return "other-service"
     if executor.failure_domain in constraints.closed_domains:
         return "domain-closed"
+    if host.health.is_refusing(now):
+        return "refuses-starts"
     return ""
 
 
@@ -263,6 +269,8 @@
         total += REMOTE_DATA_WEIGHT
     if host.name in task.failed_on:
         total += FAILED_HERE_WEIGHT
+    if host.name in task.refused_on or host.health.has_refused_lately(now):
+        total += REFUSED_WEIGHT
     return total
 
 
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -60,6 +60,12 @@
 """Time in seconds for which a job is passed over after its placement has failed with
 an unexpected error."""
 
+HARMLESS_REFUSALS = frozenset(
+    {"executor-gone", "expired", "no-executor", "other-executor"}
+)
+"""Reasons of refusals that don't tell against the host: the order came too late, or
+its executor has been replaced."""
+
 STOP_RETRY_S = 2.0
 """Time in seconds after which a stop is ordered again if the run is still reported."""
 
@@ -228,6 +234,7 @@
         )
         if replaced:
             self.cluster.mark_all_lost(host, "executor-gone", now)
+            host.health.forget_refusals()
         if executor is not None or report.complete:
             host.executor = executor
         first_complete = report.complete and not host.fully_reported
@@ -375,7 +382,7 @@
         )
         run = host.runs.get((end.task, end.attempt))
         if run is not None:
-            self.cluster.release(run, now)
+            self.cluster.release(run, now, has_run=True)
         try:
             task_id = parse_task_id(end.task)
         except ValueError:
@@ -387,6 +394,7 @@
         task.attempt = max(task.attempt, end.attempt)
         task.ended_attempt = max(task.ended_attempt, end.attempt)
         task.keep_checkpoint(end.checkpoint, end.attempt)
+        task.refused_on.clear()
         self.mark_unstored(job)
         if run is not None:
             failed = end.reason is EndReason.FAILED
@@ -426,10 +434,18 @@
     def handle_refused(
         self, host: Host, refused: messages.RunRefused, now: float
     ) -> None:
-        """Release a run that its agent refused to start, so that it is placed again."""
+        """Release a run that its agent refused to start, so that it is placed again.
+
+        Other hosts are then preferred for the task, and the host gets no starts for
+        a short time, unless the reason does not tell against the host.
+        """
         run = host.runs.get((refused.task, refused.attempt))
-        if run is not None:
-            self.cluster.mark_lost(run, refused.reason, now)
+        if run is None:
+            return
+        self.cluster.mark_lost(run, refused.reason, now, refused=True)
+        if refused.reason not in HARMLESS_REFUSALS:
+            run.task.refused_on.add(host.name)
+            host.health.record_refusal(now)
 
     # Placement
 
