Start nothing on hosts whose lease the owner can't extend

What callers saw: nothing, but while the store was away for longer than a lease, six waiting tasks were ordered 1800 times in 3 s and refused as `late` each time, and their attempt numbers grew by 300 each.

Cause: answer_report grants no lease once TASK_LEASE_S has passed since the owner's last append, and placement did not look at the lease.

Change: a host with less than 2 s of lease left gets no starts (`no-lease`). The lease is looked at by host, not by owner, so that after an outage a host is used only once its own lease has been extended.

The test harness of the scheduler now extends the lease after each report, as the owner's loop does; without that, hosts in its tests lapse 9 s after they were added, which no test meant.

--- a/rattanwing/batch/placement.py
+++ b/rattanwing/batch/placement.py
@@ -66,6 +66,10 @@
 """Cost of a host on which the task has failed before, in thousandths of a core: such a
 host is a last resort."""
 
+MIN_LEASE_S = 2.0
+"""Shortest remaining time of a host's lease, in seconds, with which runs are started
+there. Less remains only while the owner can't extend leases."""
+
 REFUSED_WEIGHT = 50_000
 """Cost of a host that has refused the task, or lately any start, in thousandths of a
 core."""
@@ -102,6 +106,8 @@
         return "other-service"
     if executor.failure_domain in constraints.closed_domains:
         return "domain-closed"
+    if host.leased_until - now < MIN_LEASE_S:
+        return "no-lease"
     if host.health.is_refusing(now):
         return "refuses-starts"
     return ""
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -1,11 +1,14 @@
 from __future__ import annotations
 
 import unittest
+from collections import Counter
 from types import SimpleNamespace
+from unittest import mock
 
 import trio
 import trio.testing  # noqa: F401
 
+from rattanwing import events
 from rattanwing.batch.messages import Answer
 from rattanwing.batch.model import JobState, StepSpec
 from tests.batch.world import job, play
@@ -267,6 +270,31 @@
         world = self.run_jobs_through(fault)
         self.assertEqual(len(world.history), 16)
 
+    def test_no_orders_while_the_owner_cannot_grant_a_lease(self):
+        """Six tasks were ordered 1800 times in 3 s and refused as late each time."""
+        placed = Counter()
+
+        def count(event, **fields):
+            placed[fields.get("task")] += event is events.RUN_PLACED
+
+        async def scenario(world):
+            world.durations = lambda _task: 60.0
+            await trio.sleep(3)
+            await world.submit(job(steps=(StepSpec(6, cpu=500, memory_mb=100),)))
+            await trio.sleep(1)
+            world.store.disconnected_clients.update(world.scopes)
+            await trio.sleep(9.5)
+            placed.clear()
+            await trio.sleep(3)
+            self.assertEqual(sum(placed.values()), 0)
+            world.store.disconnected_clients.clear()
+            await trio.sleep(6)
+
+        with mock.patch.object(events, "write", count):
+            world = play(scenario, entries=1, hosts=2, seed=1)
+        self.assertEqual(world.overlaps(), [])
+        self.assertEqual(sum(run.ended_at is None for run in world.history), 6)
+
     def test_store_loses_answers(self):
         async def fault(world):
             world.store.lose_answers = 6
--- a/tests/batch/test_overload.py
+++ b/tests/batch/test_overload.py
@@ -8,6 +8,7 @@
 from rattanwing.batch.model import JobState, QueueRules, StepSpec
 from rattanwing.batch.pacing import BestEffortPacer, BestEffortRun, ServingLatency
 from rattanwing.batch.ports import EndedRow, EndReason, RunningRow
+from rattanwing.batch.timing import TASK_LEASE_S
 from tests.batch.test_scheduler import SchedulerTestCase, executor_view
 from tests.batch.world import job
 
@@ -131,6 +132,7 @@
             True,
         )
         self.scheduler.handle_report(host, report, self.now, self.now_ms())
+        host.extend_lease(self.now, TASK_LEASE_S)
 
     def work(self, host):
         """Let the runs of a host work, and report those that are done."""
--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -67,6 +67,7 @@
             self.now, last_order, executor, list(runs), complete
         )
         self.scheduler.handle_report(host, report, self.now, self.now_ms())
+        host.extend_lease(self.now, TASK_LEASE_S)
 
     def add_job(self, spec, inherited=False, progress=None):
         view = JobView(spec)
