Acknowledge ends again whose acknowledgement was lost

What callers saw: ends of runs that were stored, but whose EndsStored was lost with the stream, stayed in the executor's list until another run ended there.

Cause: the next stream brings the same ends again; handle_ends passed over them by their number and did not acknowledge them.

Change: every message with ends is acknowledged up to the newest end that was processed. They are still applied once. The acknowledgement can't overtake the progress: store_progress stores what was marked before it in the same or an earlier append.

--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -360,7 +360,11 @@
     def handle_ends(
         self, host: Host, message: messages.RunsEnded, now: float, now_ms: int
     ) -> None:
-        """Apply the ends of runs that an executor lists, each once."""
+        """Apply the ends of runs that an executor lists, each once.
+
+        All of them are acknowledged: an end that comes again was stored, but its
+        acknowledgement may have been lost with an earlier stream.
+        """
         if message.incarnation != host.ends_incarnation:
             host.ends_incarnation = message.incarnation
             host.last_end_number = 0
@@ -369,7 +373,8 @@
                 continue
             host.last_end_number = end.number
             self.handle_end(host, end, now, now_ms)
-            self.unacked[host.name] = (message.incarnation, end.number)
+        if message.ends:
+            self.unacked[host.name] = (message.incarnation, host.last_end_number)
 
     def handle_end(self, host: Host, end: EndedRow, now: float, now_ms: int) -> None:
         """Apply the end of a run; a later stream may report the same end again."""
--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -344,6 +344,22 @@
         self.assertEqual(self.scheduler.unacked["agent-1"][1], 1)
         self.assertIs(owned.progress(3).state, JobState.COMPLETED)
 
+    def test_ends_whose_acknowledgement_was_lost_are_acknowledged_again(self):
+        """The stream broke before EndsStored arrived; the next brings them again."""
+        host, owned, task = self.started()
+        self.end(host, "job-1.0.0.0", reason=EndReason.FAILED)
+        self.end(host, "job-1.0.0.0", 2, EndReason.FAILED, number=2)
+        self.scheduler.unacked.clear()
+        self.scheduler.unstored.clear()
+        self.scheduler.cluster.end_stream(host)
+        self.scheduler.cluster.begin_stream(host)
+        self.report(host)
+        self.end(host, "job-1.0.0.0", reason=EndReason.FAILED)
+        self.assertEqual(self.scheduler.unacked, {"agent-1": ("agent-1@1", 2)})
+        self.assertEqual(self.scheduler.unstored, {})
+        self.assertEqual(task.failed_attempts, {1, 2})
+        self.assertIs(owned.state, JobState.RUNNING)
+
     def test_older_end_does_not_replace_a_newer_checkpoint(self):
         host, _owned, task = self.started(saves_checkpoints=True)
         self.end(host, "job-1.0.0.0", 2, EndReason.LAPSED, "new", 5)
