Stop the rest of a gang when a member is refused, lost or has ended

What callers saw: when the start of one member was refused, the other members waited for it until their executors ended them as `alone`, and only then was the gang placed again.

Cause: place_gang waits while any member has a run, also when one has none.

Change: if a member has no run while others have, these are stopped (`gang-broken`); once all have ended, the gang is placed again with an attempt number above all earlier ones. This covers refusals, lost runs and ends alike; in the last case the executors end the others as well, and the stop then finds nothing to do.

--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -553,9 +553,17 @@
     ) -> bool:
         """Place all tasks of a gang, or none of them.
 
-        :returns: whether the gang was placed, or is still running.
+        Once a member has no run, because it was refused, lost or has ended, the others
+        are stopped; the gang is placed again when all of them have ended.
+
+        :returns: whether the gang was placed, or still has runs.
         """
-        if any(task.runs for task in step.tasks):
+        runs = [run for task in step.tasks for run in task.runs]
+        if runs:
+            if any(task.is_waiting() for task in step.tasks):
+                for run in runs:
+                    if run.last_stop_ordered_at is None:
+                        self.cluster.stop(run, "gang-broken", now)
             return True
         attempt = max(task.attempt for task in step.tasks) + 1
         checkpoint = next(
--- a/tests/batch/test_refusals.py
+++ b/tests/batch/test_refusals.py
@@ -11,7 +11,7 @@
 from rattanwing.batch.hosts import REFUSAL_MEMORY_S, REFUSAL_PAUSE_S
 from rattanwing.batch.model import StepSpec
 from rattanwing.batch.placement import STARVED_AFTER_S
-from rattanwing.batch.ports import OrderOutcome, OrderResult, RunningRow
+from rattanwing.batch.ports import EndReason, OrderOutcome, OrderResult, RunningRow
 from rattanwing.batch.scheduler import HARMLESS_REFUSALS
 from rattanwing.standin.runs import StandinExecutorPort
 from tests.batch.test_scheduler import SchedulerTestCase
@@ -140,5 +140,60 @@
         self.assertTrue(owned.is_starved(self.now, STARVED_AFTER_S))
 
 
+class GangTests(SchedulerTestCase):
+    """The members of a gang wait for each other, and end ``alone`` after a time."""
+
+    def setUp(self):
+        super().setUp()
+        self.hosts = [self.host(f"agent-{i}", cpu=1000) for i in range(2)]
+        self.add_job(job(steps=(StepSpec(2, cpu=1000, gang=True),)))
+        self.assertEqual(len(self.place()), 2)
+        self.spare = self.host("agent-2", cpu=1000)
+
+    def orders(self, kind):
+        """Run a round; return the host, task and attempt of each order of a kind."""
+        self.place()
+        return [
+            (host.name, message.task, message.attempt)
+            for host, message in self.scheduler.cluster.outbox
+            if isinstance(message, kind)
+        ]
+
+    def check_placed_anew(self, other):
+        """Check that the run on the other host is stopped, then all are placed."""
+        ((task, _attempt),) = other.runs
+        self.assertEqual(self.orders(messages.StopRun), [(other.name, task, 1)])
+        self.assertEqual(self.orders(messages.StopRun), [])
+        self.assertEqual(self.orders(messages.StartRun), [])
+        self.end(other, task, reason=EndReason.STOPPED)
+        placed = self.orders(messages.StartRun)
+        self.assertEqual(
+            sorted((task, attempt) for _host, task, attempt in placed),
+            [("job-1.0.0.0", 2), ("job-1.0.0.1", 2)],
+        )
+
+    def test_members_are_stopped_when_one_is_refused(self):
+        ((task, attempt),) = self.hosts[0].runs
+        refused = messages.RunRefused(task, attempt, "unhealthy")
+        self.scheduler.handle_refused(self.hosts[0], refused, self.now)
+        self.check_placed_anew(self.hosts[1])
+
+    def test_members_are_stopped_when_one_is_lost(self):
+        self.report(self.hosts[1], incarnation="agent-1@2")
+        self.check_placed_anew(self.hosts[0])
+
+    def test_members_are_stopped_when_one_has_ended(self):
+        ((task, _attempt),) = self.hosts[0].runs
+        self.end(self.hosts[0], task, reason=EndReason.LAPSED)
+        self.check_placed_anew(self.hosts[1])
+
+    def test_whole_gang_is_left_alone(self):
+        for host in self.hosts:
+            rows = [RunningRow(*key, "", 10) for key in host.runs]
+            self.report(host, runs=rows)
+        self.scheduler.jobs["job-1"].unsettled = True
+        self.assertEqual(self.orders((messages.StopRun, messages.StartRun)), [])
+
+
 if __name__ == "__main__":
     unittest.main()
