--- a/rattanwing/standin/runs.py
+++ b/rattanwing/standin/runs.py
@@ -1,7 +1,8 @@
 """In-memory stand-in for an executor that runs batch tasks under leases and fences.
 
-It can crash and restart, carry out starts late and without an answer, fail tasks,
-become unreachable, and drain.
+It can crash and restart, also under a new id, carry out starts late and without an
+answer, fail tasks, become unreachable, drain, and change its capacity. Some tasks can
+crash each executor that starts them.
 """
 
 from __future__ import annotations
@@ -32,6 +33,13 @@
 KILL_GRACE_S = 0.2
 """Time that a stopped run takes to end."""
 
+DEADLY_AFTER_S = 0.01
+"""Time in seconds after which a deadly task crashes the executor that has started
+it."""
+
+RESTART_AFTER_S = 3.0
+"""Time in seconds after which an executor that a task has crashed starts again."""
+
 
 class RunRecord:
     """A run in the history that tests check; times are in seconds of trio's clock.
@@ -40,6 +48,7 @@
     :param ended_at: when it ended; ``None`` while it runs.
     :param end_reason: why it ended; ``None`` while it runs.
     :param acknowledged_at: when its end was acknowledged; ``None`` before.
+    :param crashed: whether the executor crashed while it ran.
     """
 
     __slots__ = (
@@ -50,6 +59,7 @@
         "ended_at",
         "end_reason",
         "acknowledged_at",
+        "crashed",
     )
 
     def __init__(self, task: str, attempt: int, executor: str, now: float) -> None:
@@ -60,6 +70,7 @@
         self.ended_at: float | None = None
         self.end_reason: EndReason | None = None
         self.acknowledged_at: float | None = None
+        self.crashed = False
 
 
 class LateStarts:
@@ -98,6 +109,11 @@
     :param draining: whether the executor announces that it will stop.
     :param end_added: set, and replaced by a new event, when a run ends.
     :param lapse_times: when leases lapsed, in seconds of trio's clock.
+    :param deadly: returns whether a task crashes each executor that starts it.
+    :param renames: whether each restart takes a new executor id.
+    :param executor_id: the id under which the current incarnation announces itself.
+    :param capacity_changes: time, thousandths of a core and megabytes of memory of
+        each change of the capacity.
     """
 
     __slots__ = (
@@ -126,6 +142,10 @@
         "nursery",
         "reachable",
         "lapse_times",
+        "deadly",
+        "renames",
+        "executor_id",
+        "capacity_changes",
     )
 
     def __init__(
@@ -150,11 +170,17 @@
         self.draining = False
         self.nursery: trio.Nursery | None = None
         self.lapse_times: list[float] = []
+        self.deadly: Callable[[str], bool] = lambda _task: False
+        self.renames = False
+        self.capacity_changes: list[tuple[float, int, int]] = []
         self.restart()
 
     def restart(self) -> None:
         """Start a new incarnation, without runs and with empty state."""
         self.incarnation += 1
+        self.executor_id = (
+            f"{self.name}-{self.incarnation}" if self.renames else self.name
+        )
         self.up = True
         self.fence = 0
         self.started_at = 0.0
@@ -172,14 +198,31 @@
         for record in self.running.values():
             record.ended_at = trio.current_time()
             record.end_reason = EndReason.LAPSED
+            record.crashed = True
         self.running = {}
         self.up = False
 
+    async def crash_later(self, incarnation: int) -> None:
+        """Crash soon, as after the start of a deadly task, and start again later."""
+        await trio.sleep(DEADLY_AFTER_S)
+        if not self.up or incarnation != self.incarnation:
+            return
+        self.crash()
+        await trio.sleep(RESTART_AFTER_S)
+        if not self.up:
+            self.restart()
+
+    def set_capacity(self, cpu: int, memory_mb: int) -> None:
+        """Change the capacity while the executor runs; announcements then show it."""
+        self.cpu = cpu
+        self.memory_mb = memory_mb
+        self.capacity_changes.append((trio.current_time(), cpu, memory_mb))
+
     def view(self) -> ExecutorView:
         """Return the description that the executor announces."""
         return ExecutorView(
-            f"{self.name}@{self.incarnation}",
-            self.name,
+            f"{self.executor_id}@{self.incarnation}",
+            self.executor_id,
             self.service,
             "127.0.0.1:1",
             self.failure_domain,
@@ -270,6 +313,8 @@
         self.running[key] = record
         self.last_attempts[task] = max(attempt, self.last_attempts.get(task, 0))
         self.nursery.start_soon(self.run_task, key, self.incarnation)
+        if self.deadly(task):
+            self.nursery.start_soon(self.crash_later, self.incarnation)
         return self.make_result(OrderOutcome.ACCEPTED)
 
     async def stop(self, task: str, attempt: int, fence: int) -> OrderResult:
