Give up tasks that crash the executors which start them

Cause: a run whose executor is replaced counts as lost and is placed again, without a limit and without a record of what happened. Ruled out: ends that were listed late (a crash lists none), and attempts (only ends that are listed as failed count).

The agent reports each incarnation that ended without an announcement, with the runs that it may have had and how long each is known to have run, on every owner's stream until the owner has stored what it concluded. The owner suspects the tasks that had run for less than 0.5 s, keeps the incarnations in the job's progress for the next owner, clears a task whose run goes on and makes progress, and gives the job up after two crashes if no task of another job was just started there and no other executor failed at about that time, else after three. Suspects of different jobs never share a host, other tasks avoid that host while there is room, and a job with suspects starts only these, one at a time (a gang as a whole). Runs whose start was never called are not part of a crash. An agent that was restarted meanwhile forgets the crash; the owner then suspects what that agent had reported before. Long-running, best-effort and scheduled tasks are treated alike.

New tests of the decisions, the scheduler and the agent.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -10,6 +10,7 @@
 from rattanwing import events
 from rattanwing.batch import messages, records
 from rattanwing.batch.runs import ExecutorRuns
+from rattanwing.batch.suspicion import SURVIVAL_S
 from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
 from rattanwing.errors import PeerLostError, ProtocolError
 from rattanwing.peer.session import PeerSession
@@ -31,6 +32,12 @@
 because its record may have been deleted. The interval is a little longer than
 a change of owner usually takes."""
 
+MAX_CRASHES_KEPT = 32
+"""Most crashes of executors that are kept until the owner has stored them."""
+
+MAX_SUSPECTS_LOGGED = 20
+"""Most tasks that are named in the log line about a crash."""
+
 UNREGISTER_TIMEOUT_S = 1.0
 """Longest wait for the store when an agent stops. If it does not answer, the owner
 deletes the address later."""
@@ -55,6 +62,22 @@
         return self.epoch, self.fence
 
 
+class KeptCrash:
+    """The crash of an incarnation, kept until the owner has stored it.
+
+    :param answered_at: time of its last answer.
+    :param sent: whether it was sent on the owner's current stream.
+    """
+
+    __slots__ = ("incarnation", "answered_at", "runs", "sent")
+
+    def __init__(self, executor: ExecutorRuns) -> None:
+        self.incarnation = executor.view.incarnation
+        self.answered_at = executor.answered_at
+        self.runs = executor.crashed_runs()
+        self.sent = False
+
+
 class BatchAgent:
     """Serves one owner and controls one executor at a time.
 
@@ -65,6 +88,7 @@
     :param last_end_sent: highest number of an end that was sent on the owner's
         stream.
     :param executor_exited: whether an executor has announced its exit.
+    :param crashes: crashes that the owner has not stored yet, by incarnation.
     """
 
     __slots__ = (
@@ -78,6 +102,7 @@
         "nursery",
         "last_end_sent",
         "executor_exited",
+        "crashes",
     )
 
     def __init__(
@@ -95,6 +120,7 @@
         self.nursery: trio.Nursery | None = None
         self.last_end_sent = 0
         self.executor_exited = False
+        self.crashes: dict[str, KeptCrash] = {}
 
     def request_report(self) -> None:
         """Have the next report sent at once."""
@@ -121,6 +147,7 @@
         if current is not None:
             current.exited = True
             current.poll_scope.cancel()
+            self.keep_crash(current)
         leases_end_by = self.started_at + TASK_LEASE_S + LEASE_MARGIN_S
         self.executor = ExecutorRuns(
             view,
@@ -155,6 +182,39 @@
         self.executor_exited = True
         self.request_report()
 
+    def keep_crash(self, executor: ExecutorRuns) -> None:
+        """Keep the crash of an incarnation that ended without an announcement."""
+        view = executor.view
+        if view.draining or view.incarnation in self.crashes:
+            return
+        crash = KeptCrash(executor)
+        suspects = [run.task for run in crash.runs if run.survived_s < SURVIVAL_S]
+        events.write(
+            events.EXECUTOR_CRASHED,
+            executor=view.executor_id,
+            incarnation=view.incarnation,
+            silent_s=round(self.clock() - executor.answered_at, 3),
+            runs=len(crash.runs),
+            just_started=len(suspects),
+            tasks=suspects[:MAX_SUSPECTS_LOGGED],
+        )
+        if not crash.runs:
+            return
+        self.crashes[view.incarnation] = crash
+        if len(self.crashes) > MAX_CRASHES_KEPT:
+            del self.crashes[next(iter(self.crashes))]
+
+    def send_crashes(self, now: float) -> None:
+        """Send the owner the crashes that were not yet sent on its stream."""
+        if self.executor is not None and self.executor.exited:
+            self.keep_crash(self.executor)
+        for crash in self.crashes.values():
+            if not crash.sent:
+                silent_s = round(now - crash.answered_at, 3)
+                crash.sent = self.send(
+                    messages.ExecutorCrashed(crash.incarnation, silent_s, crash.runs)
+                )
+
     async def run(self) -> None:
         """Poll the executor and send reports until cancelled."""
         try:
@@ -175,6 +235,7 @@
             self.changed = trio.Event()
             self.send_ends()
             reported_at = self.clock()
+            self.send_crashes(reported_at)
             self.send_report(reported_at)
 
     def send_ends(self) -> None:
@@ -223,6 +284,7 @@
                 [] if lapsed else executor.running_rows(),
                 executor.is_complete(now),
                 executor.is_unreachable(now),
+                round(now - executor.answered_at, 3),
             )
         self.send(report)
 
@@ -271,6 +333,8 @@
             messages,
         )
         self.last_end_sent = 0
+        for crash in self.crashes.values():
+            crash.sent = False
         self.last_contact_at = self.clock()
         events.write(
             events.OWNER_ACCEPTED,
@@ -305,6 +369,8 @@
             case messages.EndsStored() if executor is not None:
                 if executor.view.incarnation == message.incarnation:
                     executor.drop_stored_ends(message.number)
+            case messages.CrashStored():
+                self.crashes.pop(message.incarnation, None)
             case messages.RunProperties() if executor is not None:
                 run = executor.runs.get((message.task, message.attempt))
                 if run is not None and run.properties is None:
--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from rattanwing.batch.colocation import ColocationSummary
     from rattanwing.batch.interference import HeadroomSample
-    from rattanwing.batch.jobs import Task
+    from rattanwing.batch.jobs import OwnedJob, Task
     from rattanwing.batch.model import StepSpec
     from rattanwing.batch.ports import ExecutorView
 
@@ -43,6 +43,8 @@
     :param measurement: last reported measurement: for a serving task its tail latency
         in milliseconds, for other tasks their CPU use in thousandths of a core.
     :param last_sample: for a serving task, the sample to compare the next one with.
+    :param proven: whether it has run for long enough to show that its task does not
+        crash executors.
     :param throttled_since: for a best-effort task, the time since which it has used
         less than a quarter of its CPU; ``None`` if it uses more.
     """
@@ -60,6 +62,7 @@
         "checkpoint",
         "measurement",
         "last_sample",
+        "proven",
         "throttled_since",
     )
 
@@ -76,6 +79,7 @@
         self.checkpoint = ""
         self.measurement = 0
         self.last_sample: HeadroomSample | None = None
+        self.proven = False
         self.throttled_since: float | None = None
 
     def record_use(self, measurement: int, now: float) -> None:
@@ -99,6 +103,8 @@
         current stream.
     :param last_heard_at: time of the last report from the agent.
     :param report_stamp: the agent's clock when it sent that report.
+    :param silent_since: time of the executor's last answer if it has stopped answering,
+        else ``None``.
     :param leased_until: time on the owner's clock at which the lease of the host's
         runs lapses unless it is extended.
     :param next_order: number of the next order on the current stream.
@@ -110,6 +116,7 @@
     :param colocation: cached summary, ``None`` after the runs have changed.
     :param freed: whether the host may be able to run more than at the last round of
         placement.
+    :param suspect_run: the last run of a suspected task that was started here.
     """
 
     __slots__ = (
@@ -121,6 +128,7 @@
         "fully_reported",
         "last_heard_at",
         "report_stamp",
+        "silent_since",
         "leased_until",
         "next_order",
         "reserved_cpu",
@@ -134,6 +142,7 @@
         "unknown_runs",
         "colocation",
         "freed",
+        "suspect_run",
     )
 
     def __init__(self, name: str, leased_until: float) -> None:
@@ -145,6 +154,7 @@
         self.fully_reported = False
         self.last_heard_at = 0.0
         self.report_stamp = 0.0
+        self.silent_since: float | None = None
         self.leased_until = leased_until
         self.next_order = 1
         self.reserved_cpu = 0
@@ -158,6 +168,7 @@
         self.unknown_runs = 0
         self.colocation: ColocationSummary | None = None
         self.freed = True
+        self.suspect_run: Run | None = None
 
     def add(self, run: Run) -> None:
         """Add a run and reserve its resources."""
@@ -170,6 +181,27 @@
             self.reserve(run.task.step, -1)
             self.freed = True
 
+    def tests_suspect(self) -> bool:
+        """Return whether a run here may show that a suspected task is deadly."""
+        run = self.suspect_run
+        return (
+            run is not None
+            and not run.proven
+            and run.task.is_suspect()
+            and (str(run.task.id), run.attempt) in self.runs
+        )
+
+    def runs_suspect_of_other_job(self, job: OwnedJob) -> bool:
+        """Return whether a suspected task of another job runs here."""
+        return any(
+            run.task.is_suspect() and run.task.job is not job
+            for run in self.runs.values()
+        )
+
+    def count_unproven(self) -> int:
+        """Return the number of runs that started here a short time ago."""
+        return sum(not run.proven for run in self.runs.values())
+
     def allocate_order_number(self) -> int:
         """Return the number of the next order on this host's stream."""
         number = self.next_order
--- a/rattanwing/batch/jobs.py
+++ b/rattanwing/batch/jobs.py
@@ -24,6 +24,8 @@
         there is none.
     :param runs: attempts that may be running.
     :param failed_on: names of the hosts on which the task has failed.
+    :param crashed_on: incarnations of executors that crashed soon after starting the
+        task, which is suspected of having caused it; empty once it is cleared.
     """
 
     __slots__ = (
@@ -38,6 +40,7 @@
         "done",
         "runs",
         "failed_on",
+        "crashed_on",
     )
 
     def __init__(self, job: OwnedJob, task_id: TaskId, step: StepSpec) -> None:
@@ -52,6 +55,7 @@
         self.done = False
         self.runs: list[Run] = []
         self.failed_on: set[str] = set()
+        self.crashed_on: set[str] = set()
 
     @property
     def key(self) -> str:
@@ -68,6 +72,10 @@
         """Return whether the task is waiting for a run."""
         return not self.done and not self.runs
 
+    def is_suspect(self) -> bool:
+        """Return whether the task is suspected of crashing executors."""
+        return bool(self.crashed_on)
+
 
 class StepTasks:
     """The tasks of one step in one occurrence.
@@ -140,6 +148,7 @@
         placement has failed with an unexpected error.
     :param running: number of runs of its tasks.
     :param stored: progress that an earlier owner stored, ``None`` if there is none.
+    :param suspects: its tasks that are suspected of crashing executors.
     """
 
     __slots__ = (
@@ -155,6 +164,7 @@
         "runs_changed_at",
         "running",
         "stored",
+        "suspects",
     )
 
     def __init__(self, spec: JobSpec, received_at: float, inherited: bool) -> None:
@@ -170,6 +180,7 @@
         self.runs_changed_at = received_at
         self.running = 0
         self.stored: Progress | None = None
+        self.suspects: set[Task] = set()
 
     def create_due_occurrences(self, now_ms: int) -> None:
         """Create the tasks of every occurrence that is due."""
@@ -204,6 +215,8 @@
                 task.attempt = task.ended_attempt
                 task.checkpoint = progress.checkpoints.get(task.key, "")
                 task.checkpoint_attempt = task.ended_attempt
+                for incarnation in progress.crashes.get(task.key, ()):
+                    self.suspect(task, incarnation)
 
     def task(self, task_id: TaskId) -> Task | None:
         """Return a task, ``None`` if the job has no task of that id."""
@@ -242,6 +255,30 @@
         """Return whether the job has had no run for more than ``limit_s``."""
         return self.running == 0 and now - self.runs_changed_at > limit_s
 
+    def suspect(self, task: Task, incarnation: str) -> None:
+        """Record that an executor crashed soon after starting a task."""
+        task.crashed_on.add(incarnation)
+        self.suspects.add(task)
+
+    def clear(self, task: Task) -> None:
+        """Clear a task of the suspicion of crashing executors."""
+        task.crashed_on.clear()
+        self.suspects.discard(task)
+        self.unsettled = True
+
+    def may_start(self, task: Task) -> bool:
+        """Return whether a suspicion of other tasks lets a waiting task start.
+
+        A job starts its suspected tasks before all others, and one at a time.
+        """
+        if not self.suspects:
+            return True
+        return task in self.suspects and not self.has_unproven_run()
+
+    def has_unproven_run(self) -> bool:
+        """Return whether a task has a run that may still crash its executor."""
+        return any(not run.proven for task in self.tasks() for run in task.runs)
+
     def finish_task(self, task: Task) -> None:
         """Mark a task as done, and with it all tasks of its gang."""
         step = self.steps_by_occurrence[task.id.occurrence][task.id.step]
@@ -250,6 +287,7 @@
             if not member.done:
                 member.done = True
                 step.unfinished -= 1
+            self.clear(member)
         self.unsettled = True
 
     def tasks(self) -> list[Task]:
@@ -263,7 +301,7 @@
 
     def progress(self, epoch: int) -> Progress:
         """Return the progress record to store for the job."""
-        done, failures, attempts, checkpoints = {}, {}, {}, {}
+        done, failures, attempts, checkpoints, crashes = {}, {}, {}, {}, {}
         for steps in self.steps_by_occurrence.values():
             for step in steps:
                 if step.unfinished < len(step.tasks):
@@ -277,6 +315,8 @@
                         attempts[task.key] = task.ended_attempt
                     if task.checkpoint:
                         checkpoints[task.key] = task.checkpoint
+                    if task.crashed_on:
+                        crashes[task.key] = sorted(task.crashed_on)
         return Progress(
             epoch,
             self.state,
@@ -285,4 +325,5 @@
             attempts,
             checkpoints,
             self.finished_at_ms,
+            crashes,
         )
--- a/rattanwing/batch/messages.py
+++ b/rattanwing/batch/messages.py
@@ -129,6 +129,7 @@
         answered under this stream's fence, or every lease on it has lapsed.
     :param executor_unreachable: whether there is no executor, or it does not answer the
         agent.
+    :param silent_s: time since the executor's last answer; 0 without an executor.
     """
 
     stamp: float
@@ -137,6 +138,7 @@
     runs: list[RunningRow]
     complete: bool
     executor_unreachable: bool = False
+    silent_s: float = 0.0
 
 
 class RunsEnded(Message, tag=7):
@@ -176,6 +178,37 @@
     rows: list[tuple[str, str, float]]
 
 
+class CrashedRun(msgspec.Struct, array_like=True, frozen=True):
+    """A run that was or may have been running when its executor crashed.
+
+    :param survived_s: time for which the executor is known to have run it.
+    """
+
+    task: str
+    attempt: int
+    survived_s: float
+
+
+class ExecutorCrashed(Message, tag=16):
+    """An incarnation of an executor has ended without an announcement.
+
+    The agent sends it on each stream until it is acknowledged by ``CrashStored``.
+
+    :param silent_s: time since its last answer.
+    :param runs: the runs that ended with it.
+    """
+
+    incarnation: str
+    silent_s: float
+    runs: list[CrashedRun]
+
+
+class CrashStored(Message, tag=17):
+    """Acknowledges a crash once the store holds what the owner concluded from it."""
+
+    incarnation: str
+
+
 class Superseded(Message, tag=15):
     """Tells an owner that the agent has seen a later epoch.
 
@@ -237,6 +270,8 @@
     | RunRefused
     | RunProperties
     | InterferenceEstimates
+    | ExecutorCrashed
+    | CrashStored
     | Superseded
     | RelayedSubmit
     | RelayedCancel
--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -242,7 +242,7 @@
         scheduler.place_waiting_tasks(now, now_ms)
         scheduler.send_interference(now)
         self.send_orders()
-        if scheduler.unstored or scheduler.unacked:
+        if scheduler.unstored or scheduler.unacked or scheduler.unacked_crashes:
             self.store_needed.set()
 
     def check_reachability(self, now: float) -> None:
@@ -289,6 +289,7 @@
             self.store_needed = trio.Event()
             jobs, self.scheduler.unstored = self.scheduler.unstored, {}
             acks, self.scheduler.unacked = self.scheduler.unacked, {}
+            crashes, self.scheduler.unacked_crashes = self.scheduler.unacked_crashes, []
             changed = [
                 (
                     records.PROGRESS_PREFIX + job_id,
@@ -302,6 +303,8 @@
                     return
             for name, (incarnation, number) in acks.items():
                 self.connections.send(name, messages.EndsStored(incarnation, number))
+            for name, incarnation in crashes:
+                self.connections.send(name, messages.CrashStored(incarnation))
             self.scheduler.drop_finished_jobs(self.replica.jobs)
 
     async def store_interference(self) -> None:
@@ -347,6 +350,8 @@
                 self.answer_report(host, session, message, now)
             case messages.RunsEnded():
                 self.scheduler.handle_ends(host, message, now, now_ms)
+            case messages.ExecutorCrashed():
+                self.scheduler.handle_crash(host, message, now, now_ms)
             case messages.Superseded():
                 self.handle_superseded(session, message.epoch)
             case messages.RunRefused():
--- a/rattanwing/batch/placement.py
+++ b/rattanwing/batch/placement.py
@@ -67,6 +67,15 @@
 host is a last resort."""
 
 
+SUSPECT_HOST_WEIGHT = 100_000
+"""Cost of a host that runs a task suspected of crashing executors, in thousandths of a
+core: it is avoided while there is room elsewhere."""
+
+UNPROVEN_WEIGHT = 10_000
+"""Cost for a suspected task of each run that has just started on a host, in thousandths
+of a core. If the host crashes, such runs are suspected as well."""
+
+
 class Constraints:
     """Placement limits set by the current configuration.
 
@@ -168,6 +177,8 @@
         reason = rejection_reason(host, job, task.step, constraints, now)
         if not reason and 0 < task.step.spread_limit <= count_runs_on(host, task):
             reason = "spread"
+        if not reason and task.is_suspect() and host.runs_suspect_of_other_job(job):
+            reason = "runs-suspect"
         if not reason and not is_suitable(host, task.step, interference, now):
             reason = "does-not-suit"
         if reason:
@@ -261,6 +272,10 @@
         total += REMOTE_DATA_WEIGHT
     if host.name in task.failed_on:
         total += FAILED_HERE_WEIGHT
+    if task.is_suspect():
+        total += UNPROVEN_WEIGHT * host.count_unproven()
+    elif host.tests_suspect():
+        total += SUSPECT_HOST_WEIGHT
     return total
 
 
@@ -299,6 +314,8 @@
     limit = task.step.spread_limit
     if limit:
         fitting = [host for host in fitting if count_runs_on(host, task) < limit]
+    if task.is_suspect():
+        fitting = [h for h in fitting if not h.runs_suspect_of_other_job(job)]
     candidates = [
         host for host in fitting if is_suitable(host, task.step, interference, now)
     ]
--- a/rattanwing/batch/ports.py
+++ b/rattanwing/batch/ports.py
@@ -112,6 +112,8 @@
     :param measurement: for a serving task its tail latency in ms, for any other task
         the CPU that it uses in thousandths of a core; an estimate over the last half
         second.
+    :param survived_s: time for which the executor is known to have run it, in seconds;
+        set by the agent in its reports.
     """
 
     task: str
@@ -119,6 +121,7 @@
     checkpoint: str
     progress_percent: int
     measurement: int = 0
+    survived_s: float = 0.0
 
 
 class EndedRow(msgspec.Struct, array_like=True):
--- a/rattanwing/batch/records.py
+++ b/rattanwing/batch/records.py
@@ -60,6 +60,8 @@
         done.
     :param checkpoints: newest checkpoint, by task that is not done.
     :param finished_at_ms: Unix time in ms at which the job finished, else 0.
+    :param crashes: incarnations of executors that crashed soon after starting a task,
+        by suspected task.
     """
 
     epoch: int
@@ -69,6 +71,7 @@
     attempts: dict[str, int] = {}
     checkpoints: dict[str, str] = {}
     finished_at_ms: int = 0
+    crashes: dict[str, list[str]] = {}
 
 
 class CancelRequest(msgspec.Struct, array_like=True):
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -12,6 +12,7 @@
 import trio
 
 from rattanwing import events
+from rattanwing.batch import messages
 from rattanwing.batch.pacing import (
     FULL_PERCENT,
     BestEffortPacer,
@@ -33,7 +34,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from rattanwing.batch import messages
     from rattanwing.batch.ports import ExecutorPort
 
 POLL_WAIT_S = 0.5
@@ -66,6 +66,9 @@
     :param may_be_unlisted_until: a poll sent up to this time may not list the run yet.
     :param known_to_executor: whether an answer or a listing of the executor has shown
         that it received the run's start or stop.
+    :param maybe_sent: whether a call may have brought its start to the executor.
+    :param known_since: when the executor first answered that it runs, or listed it;
+        ``None`` before.
     :param first_seen_at: when the agent first recorded it.
     :param pace_decided: whether a best-effort run has been given its first pace.
     """
@@ -79,6 +82,8 @@
         "pace",
         "may_be_unlisted_until",
         "known_to_executor",
+        "maybe_sent",
+        "known_since",
         "first_seen_at",
         "pace_decided",
     )
@@ -98,9 +103,26 @@
         self.pace = FULL_PERCENT
         self.may_be_unlisted_until = now
         self.known_to_executor = known_to_executor
+        self.maybe_sent = known_to_executor
+        self.known_since: float | None = None
         self.first_seen_at = now
         self.pace_decided = False
 
+    def confirm(self, now: float) -> None:
+        """Record an answer which shows that the executor runs it."""
+        self.known_to_executor = True
+        if self.known_since is None:
+            self.known_since = now
+
+    def survived_s(self, answered_at: float) -> float:
+        """Return for how long the executor is known to have run it, in seconds.
+
+        :param answered_at: time of the executor's last answer.
+        """
+        if self.known_since is None:
+            return 0.0
+        return max(0.0, answered_at - self.known_since)
+
 
 class ExecutorRuns:
     """Carries out orders on one incarnation of an executor.
@@ -225,9 +247,24 @@
         """Return a row for each run that is or may be running."""
         return [
             RunningRow(
-                task, attempt, run.checkpoint, run.progress_percent, run.measurement
+                task,
+                attempt,
+                run.checkpoint,
+                run.progress_percent,
+                run.measurement,
+                round(run.survived_s(self.answered_at), 3),
+            )
+            for (task, attempt), run in self.runs.items()
+        ]
+
+    def crashed_runs(self) -> list[messages.CrashedRun]:
+        """Return the runs that ended, or may have, if this incarnation has crashed."""
+        return [
+            messages.CrashedRun(
+                task, attempt, round(run.survived_s(self.answered_at), 3)
             )
             for (task, attempt), run in self.runs.items()
+            if run.maybe_sent
         ]
 
     def drop_stored_ends(self, number: int) -> None:
@@ -285,10 +322,11 @@
 
     def handle_poll_refusal(self, result: OrderResult) -> None:
         """Handle a refused poll; ``OTHER_INCARNATION`` shows that this one exited."""
-        self.answered_at = self.clock()
         if result.outcome is OrderOutcome.OTHER_INCARNATION:
             self.exited = True
             self.on_change()
+        else:
+            self.answered_at = self.clock()
         events.write(
             events.ORDER_REFUSED,
             executor=self.view.executor_id,
@@ -311,7 +349,8 @@
             run = self.runs.setdefault(
                 key, AgentRun(None, self.fence, now, known_to_executor=True)
             )
-            run.known_to_executor = True
+            run.maybe_sent = True
+            run.confirm(now)
             run.checkpoint, run.progress_percent, run.measurement = (
                 row.checkpoint,
                 row.progress_percent,
@@ -350,12 +389,13 @@
         """
         key = (order.task, order.attempt)
         fence = run.fence
-        maybe_sent = False
         while fence == self.fence and not self.exited and not run.known_to_executor:
             deadline_ms = self.deadline_ms()
             if self.clock() >= expires_at or deadline_ms is None:
-                await self.abandon_start(order, maybe_sent)
+                await self.abandon_start(order, run.maybe_sent)
                 return
+            sent_before = run.maybe_sent
+            run.maybe_sent = True
             try:
                 result = await self.executor.start(
                     order.task,
@@ -367,17 +407,18 @@
                     fence,
                 )
             except HttpCallError as error:
-                maybe_sent = maybe_sent or error.verdict is not Verdict.NOT_RUN
+                run.maybe_sent = sent_before or error.verdict is not Verdict.NOT_RUN
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
-            self.record_clock(result.clock_ms, self.clock())
+            if result.outcome is not OrderOutcome.OTHER_INCARNATION:
+                self.record_clock(result.clock_ms, self.clock())
             if result.outcome is OrderOutcome.ACCEPTED:
                 run.may_be_unlisted_until = self.clock()
-                run.known_to_executor = True
+                run.confirm(self.clock())
                 if order.properties.best_effort:
                     await self.pace_best_effort_runs()
                 return
-            if self.earlier_try_started(result, key, maybe_sent):
+            if self.earlier_try_started(result, key, sent_before):
                 return
             self.runs.pop(key, None)
             self.refuse(order, result.outcome.value)
@@ -393,7 +434,7 @@
         if result.outcome is not OrderOutcome.OLD_ATTEMPT or not maybe_sent:
             return False
         if key in self.runs:
-            self.runs[key].known_to_executor = True
+            self.runs[key].confirm(self.clock())
             self.runs[key].may_be_unlisted_until = self.clock()
         return True
 
@@ -447,7 +488,8 @@
             except HttpCallError:
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
-            self.record_clock(result.clock_ms, self.clock())
+            if result.outcome is not OrderOutcome.OTHER_INCARNATION:
+                self.record_clock(result.clock_ms, self.clock())
             if result.outcome is OrderOutcome.ACCEPTED:
                 run = self.runs.get((task, attempt))
                 if run is not None and not run.known_to_executor:
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -23,6 +23,13 @@
     count_rejections,
 )
 from rattanwing.batch.ports import EndedRow, EndReason, RunningRow
+from rattanwing.batch.suspicion import (
+    SAME_TIME_S,
+    SURVIVAL_S,
+    has_survived,
+    is_deadly,
+    is_isolated,
+)
 from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
 from rattanwing.batch.urgency import sort_by_urgency
 
@@ -60,6 +67,10 @@
 """Time in seconds for which a job is passed over after its placement has failed with
 an unexpected error."""
 
+CRASH_MEMORY_S = 30.0
+"""Time in seconds for which crashes of executors are remembered, so that others are
+compared with them; more than an executor takes to come back."""
+
 STOP_RETRY_S = 2.0
 """Time in seconds after which a stop is ordered again if the run is still reported."""
 
@@ -71,6 +82,9 @@
     :param unstored: jobs whose progress must be stored, by id.
     :param unacked: by host, the executor incarnation and number of the newest end
         of a run that may be acknowledged once the jobs' progress is stored.
+    :param unacked_crashes: host and executor incarnation of each crash that may be
+        acknowledged once the jobs' progress is stored.
+    :param crash_times: time of each recent crash, by executor incarnation.
     :param takeover_complete: whether tasks of inherited jobs may be started; see
         :meth:`check_takeover`.
     :param directory_known: whether every registered agent is in ``cluster``.
@@ -84,6 +98,8 @@
         "constraints",
         "unstored",
         "unacked",
+        "unacked_crashes",
+        "crash_times",
         "takeover_complete",
         "directory_known",
         "interference",
@@ -99,6 +115,8 @@
         self.constraints = Constraints()
         self.unstored: dict[str, OwnedJob] = {}
         self.unacked: dict[str, tuple[str, int]] = {}
+        self.unacked_crashes: list[tuple[str, str]] = []
+        self.crash_times: dict[str, float] = {}
         self.takeover_complete = False
         self.directory_known = False
         self.interference = InterferenceModel()
@@ -217,6 +235,9 @@
         host.report_stamp = report.stamp
         host.executor_unreachable = report.executor_unreachable
         host.colocation = None
+        host.silent_since = None
+        if report.silent_s > SAME_TIME_S:
+            host.silent_since = now - report.silent_s
         executor = report.executor
         previous = host.executor
         # A report without an executor shows that the previous one is gone only if the
@@ -227,6 +248,8 @@
             else report.complete
         )
         if replaced:
+            if executor is not None and not previous.draining:
+                self.suspect_forgotten_runs(host, previous.incarnation, now, now_ms)
             self.cluster.mark_all_lost(host, "executor-gone", now)
         if executor is not None or report.complete:
             host.executor = executor
@@ -259,6 +282,8 @@
         run.progress_percent = row.progress_percent
         run.record_use(row.measurement, now)
         run.checkpoint = row.checkpoint or run.checkpoint
+        if not run.proven and has_survived(row.survived_s, row.progress_percent):
+            self.handle_survival(run)
         if (
             run.last_stop_ordered_at is not None
             and now - run.last_stop_ordered_at > STOP_RETRY_S
@@ -431,6 +456,119 @@
         if run is not None:
             self.cluster.mark_lost(run, refused.reason, now)
 
+    # Crashes
+
+    def handle_crash(
+        self, host: Host, crash: messages.ExecutorCrashed, now: float, now_ms: int
+    ) -> None:
+        """Apply the crash of an executor; the agent may report it on several streams.
+
+        Its runs are lost. The tasks that it had just started are suspected of having
+        crashed it.
+        """
+        self.unacked_crashes.append((host.name, crash.incarnation))
+        crashed_at = now - crash.silent_s
+        self.crash_times = {
+            incarnation: at
+            for incarnation, at in self.crash_times.items()
+            if now - at < CRASH_MEMORY_S
+        }
+        others = [*self.crash_times.values()]
+        others += [
+            other.silent_since
+            for other in self.cluster.hosts.values()
+            if other is not host and other.silent_since is not None
+        ]
+        self.crash_times[crash.incarnation] = crashed_at
+        started = []
+        for row in crash.runs:
+            run = host.runs.get((row.task, row.attempt))
+            if run is not None:
+                self.cluster.mark_lost(run, "executor-crashed", now)
+            task = self.find_task(row.task)
+            if task is not None:
+                task.attempt = max(task.attempt, row.attempt)
+                if row.survived_s < SURVIVAL_S:
+                    started.append(task)
+        only_suspect = len({task.id.job_id for task in started}) == 1
+        isolated = is_isolated(crashed_at, others)
+        self.suspect(started, crash.incarnation, only_suspect, isolated, now, now_ms)
+
+    def suspect_forgotten_runs(
+        self, host: Host, incarnation: str, now: float, now_ms: int
+    ) -> None:
+        """Suspect runs of an earlier stream whose executor was replaced.
+
+        An agent that was restarted meanwhile does not report the crash.
+        """
+        started = [
+            run.task
+            for run in host.runs.values()
+            if run.order_number == 0 and run.reported and not run.proven
+        ]
+        self.suspect(started, incarnation, False, False, now, now_ms)
+
+    def find_task(self, name: str) -> Task | None:
+        """Return the task of a reported name; ``None`` if there is none."""
+        try:
+            task_id = parse_task_id(name)
+        except ValueError:
+            return None
+        job = self.jobs.get(task_id.job_id)
+        return job.task(task_id) if job is not None else None
+
+    def suspect(
+        self,
+        tasks: list[Task],
+        incarnation: str,
+        only_suspect: bool,
+        isolated: bool,
+        now: float,
+        now_ms: int,
+    ) -> None:
+        """Suspect tasks that an executor started just before it crashed.
+
+        The job of a task is given up if the task is found to be deadly.
+
+        :param only_suspect: see :func:`rattanwing.batch.suspicion.is_deadly`.
+        :param isolated: see :func:`rattanwing.batch.suspicion.is_deadly`.
+        """
+        for task in tasks:
+            job = task.job
+            if task.done or job.state.final or any(run.proven for run in task.runs):
+                continue
+            job.suspect(task, incarnation)
+            self.mark_unstored(job)
+            crashes = len(task.crashed_on)
+            events.write(
+                events.TASK_SUSPECTED,
+                task=str(task.id),
+                incarnation=incarnation,
+                crashes=crashes,
+                only_suspect=only_suspect,
+                isolated=isolated,
+                epoch=self.epoch,
+            )
+            if is_deadly(crashes, only_suspect, isolated):
+                events.write(
+                    events.JOB_GIVEN_UP,
+                    job=job.spec.job_id,
+                    task=str(task.id),
+                    crashed=sorted(task.crashed_on),
+                    epoch=self.epoch,
+                )
+                self.finish_job(job, JobState.FAILED, now, now_ms)
+
+    def handle_survival(self, run: Run) -> None:
+        """Clear the task of a run that has not crashed its executor."""
+        run.proven = True
+        task = run.task
+        if not task.is_suspect():
+            return
+        task.job.clear(task)
+        self.mark_unstored(task.job)
+        events.write(events.TASK_CLEARED, task=str(task.id), host=run.host.name)
+
     # Placement
 
     def place_waiting_tasks(self, now: float, now_ms: int) -> None:
@@ -488,16 +626,21 @@
 
         :returns: whether no task of the step is left waiting.
         """
+        held_back = False
         for task in step.tasks:
             if not task.is_waiting():
                 continue
+            if not job.may_start(task):
+                held_back = True
+                continue
             host = choose_host(hosts, job, task, self.interference, now)
             if host is None:
                 self.record_wait(job, step, task, now)
                 return False
             self.start(job, task, task.attempt + 1, host, now)
-        step.waiting_since = None
-        return True
+        if not held_back:
+            step.waiting_since = None
+        return not held_back
 
     def record_wait(
         self,
@@ -536,6 +679,8 @@
         """
         if any(task.runs for task in step.tasks):
             return True
+        if not any(job.may_start(task) for task in step.tasks):
+            return False
         attempt = max(task.attempt for task in step.tasks) + 1
         checkpoint = next(
             (task.checkpoint for task in step.tasks if task.checkpoint), ""
@@ -563,6 +708,8 @@
         task.attempt = attempt
         run = self.cluster.add_run(task, attempt, host, now)
         run.order_number = host.allocate_order_number()
+        if task.is_suspect():
+            host.suspect_run = run
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
             self.mark_unstored(job)
--- /dev/null
+++ b/rattanwing/batch/suspicion.py
@@ -0,0 +1,65 @@
+"""Finds out which task crashes the executors that start it.
+
+A deadly task crashes every executor soon after its start, and with it all runs there.
+A task is suspected after an executor has crashed soon after starting it, and cleared
+once it has run for longer. Suspected tasks of different jobs never run on one host, and
+a job with suspected tasks starts them one at a time, so that the next crash shows which
+task is deadly. The job of a deadly task is given up.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+SURVIVAL_S = 0.5
+"""Time in seconds for which an executor must have run a task for its crash not to be
+due to the task; deadly tasks take effect some 10 ms after their start."""
+
+CLEARED_WITHOUT_PROGRESS_S = 3.0
+"""Time in seconds after which a run that makes no progress clears its task too. The
+run of a deadly task may stand still on a defective host."""
+
+SAME_TIME_S = 0.6
+"""Crashes of executors that are no further apart than this, in seconds, may have one
+cause outside the tasks. An executor's last answer precedes its crash by up to the
+0.5 s of a poll."""
+
+ENOUGH_CRASHES = 2
+"""Number of crashes from which a task may be given up."""
+
+MAX_CRASHES = 3
+"""Number of crashes after which a task is given up however they came about."""
+
+
+def has_survived(survived_s: float, progress_percent: int) -> bool:
+    """Return whether a run shows that its task is not deadly.
+
+    :param survived_s: time for which the executor is known to have run it.
+    """
+    if progress_percent > 0:
+        return survived_s >= SURVIVAL_S
+    return survived_s >= CLEARED_WITHOUT_PROGRESS_S
+
+
+def is_deadly(crashes: int, only_suspect: bool, isolated: bool) -> bool:
+    """Return whether a task is to be given up after a crash.
+
+    :param crashes: number of executors that crashed soon after starting the task.
+    :param only_suspect: whether the last of them had started no task of another job
+        shortly before.
+    :param isolated: whether no other executor failed at about the same time.
+    """
+    if crashes >= MAX_CRASHES:
+        return True
+    return crashes >= ENOUGH_CRASHES and only_suspect and isolated
+
+
+def is_isolated(crashed_at: float, others: Iterable[float]) -> bool:
+    """Return whether a crash is apart from the failures of other executors.
+
+    :param others: times at which other executors last answered.
+    """
+    return all(abs(at - crashed_at) > SAME_TIME_S for at in others)
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -216,6 +216,19 @@
 RUN_PACE_CHANGED = Event(
     546, logbook.INFO, "The pace of a best-effort run was changed."
 )
+TASK_SUSPECTED = Event(
+    550,
+    logbook.WARNING,
+    "An executor crashed soon after it had started a task, which is now suspected.",
+)
+TASK_CLEARED = Event(
+    551, logbook.INFO, "A suspected task ran long enough and is no longer suspected."
+)
+JOB_GIVEN_UP = Event(
+    552,
+    logbook.WARNING,
+    "A job fails because the executors that start one of its tasks crash.",
+)
 JOB_PLACEMENT_FAILED = Event(
     548,
     logbook.ERROR,
@@ -244,6 +257,11 @@
 ANNOUNCEMENT_MALFORMED = Event(
     617, logbook.WARNING, "An executor's announcement was malformed and was refused."
 )
+EXECUTOR_CRASHED = Event(
+    619,
+    logbook.WARNING,
+    "An executor ended without an announcement; it had just started the named tasks.",
+)
 
 TASK_STARTED = Event(601, logbook.INFO, "A task has started on this worker.")
 TASK_REFUSED = Event(602, logbook.INFO, "The start of a task was refused.")
--- a/rattanwing/platform/executor.py
+++ b/rattanwing/platform/executor.py
@@ -38,6 +38,9 @@
 MAX_CONNECTIONS = 24
 """Limit of concurrent calls; an executor accepts at most 64 connections."""
 
+RUNNING_FIELDS = 5
+"""Number of fields that a row of a running run has at most."""
+
 REFUSAL_OUTCOMES = {
     "fence": OrderOutcome.FENCED,
     "old": OrderOutcome.OLD_ATTEMPT,
@@ -191,7 +194,7 @@
             return parse_order_answer(status, data)
         answer = decode(HoldAnswer, data)
         try:
-            running = [RunningRow(*row) for row in answer.running]
+            running = [RunningRow(*row[:RUNNING_FIELDS]) for row in answer.running]
             ended = [
                 EndedRow(number, task, attempt, EndReason(how), checkpoint)
                 for number, task, attempt, how, checkpoint in answer.ended
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -103,3 +103,63 @@
         self.agent.handle_message(self.owner, start_order())
         self.assertEqual(self.owner.session.sent[-1].reason, "no-executor")
         self.assertEqual(self.agent.executor.running_rows(), [])
+
+
+class CrashReportTests(unittest.TestCase):
+    """An owner that died with what it knew of a crash let the count start again."""
+
+    def setUp(self):
+        self.executor = StandinBatchExecutor(
+            "executor-0", "domain-a", [], lambda _task: 1.0
+        )
+        self.now = 10.0
+        self.agent = BatchAgent(lambda: self.now, self.executor.port)
+        self.agent.nursery = RecordingNursery()
+        self.owner = self.agent.owner = OwnerSession(1, 1)
+        self.owner.session = RecordingSession()
+        self.agent.handle_announcement(self.executor.view())
+        self.agent.executor.listed_fence = 1
+        self.agent.handle_message(self.owner, start_order())
+        self.run = self.agent.executor.runs["job-1.0.0.0", 1]
+
+    def replace_executor(self):
+        self.executor.restart()
+        self.agent.handle_announcement(self.executor.view())
+
+    def crashes(self):
+        """Return the crashes that the agent sends with its next report."""
+        self.owner.session.sent.clear()
+        self.agent.send_crashes(self.now)
+        return self.owner.session.sent
+
+    def test_crash_lists_runs_with_the_time_that_they_survived(self):
+        self.run.maybe_sent = True
+        self.run.confirm(10.0)
+        self.agent.executor.answered_at = 10.2
+        self.now = 13.0
+        self.replace_executor()
+        row = messages.CrashedRun("job-1.0.0.0", 1, 0.2)
+        crash = messages.ExecutorCrashed("executor-0@1", 2.8, [row])
+        self.assertEqual(self.crashes(), [crash])
+
+    def test_crash_is_sent_to_each_owner_until_it_is_stored(self):
+        self.run.maybe_sent = True
+        self.replace_executor()
+        self.assertEqual(len(self.crashes()), 1)
+        self.assertEqual(self.crashes(), [])
+        for crash in self.agent.crashes.values():
+            crash.sent = False
+        self.assertEqual(len(self.crashes()), 1)
+        self.agent.handle_message(self.owner, messages.CrashStored("executor-0@1"))
+        self.assertEqual(self.agent.crashes, {})
+
+    def test_run_whose_start_was_never_called_is_not_part_of_a_crash(self):
+        self.replace_executor()
+        self.assertEqual(self.crashes(), [])
+
+    def test_executor_that_drained_did_not_crash(self):
+        self.run.maybe_sent = True
+        self.executor.draining = True
+        self.agent.handle_announcement(self.executor.view())
+        self.replace_executor()
+        self.assertEqual(self.crashes(), [])
--- a/tests/batch/test_crashes.py
+++ b/tests/batch/test_crashes.py
@@ -126,6 +126,7 @@
     def test_deadly_long_running_task_is_given_up(self):
         async def scenario(world):
             make_deadly(world, DEADLY)
+            world.durations = lambda _task: 60.0
             await trio.sleep(1)
             steps = (StepSpec(3, cpu=600, memory_mb=100, long_running=True),)
             await submit(world, job("job-deadly", steps=steps))
--- /dev/null
+++ b/tests/batch/test_suspicion.py
@@ -0,0 +1,208 @@
+from __future__ import annotations
+
+import unittest
+
+from rattanwing.batch import messages
+from rattanwing.batch.model import JobState, StepSpec
+from rattanwing.batch.ports import RunningRow
+from rattanwing.batch.suspicion import (
+    CLEARED_WITHOUT_PROGRESS_S,
+    MAX_CRASHES,
+    SAME_TIME_S,
+    SURVIVAL_S,
+    has_survived,
+    is_deadly,
+    is_isolated,
+)
+from tests.batch.test_scheduler import SMALL, SchedulerTestCase
+from tests.batch.world import job
+
+
+class DecisionTests(unittest.TestCase):
+    def test_two_clear_crashes_are_enough(self):
+        self.assertFalse(is_deadly(1, True, True))
+        self.assertTrue(is_deadly(2, True, True))
+
+    def test_unclear_crashes_need_a_third(self):
+        self.assertFalse(is_deadly(2, False, True))
+        self.assertFalse(is_deadly(2, True, False))
+        self.assertTrue(is_deadly(MAX_CRASHES, False, False))
+
+    def test_crashes_at_the_same_time_are_not_isolated(self):
+        self.assertTrue(is_isolated(10.0, []))
+        self.assertFalse(is_isolated(10.0, [3.0, 10.0 + SAME_TIME_S / 2]))
+        self.assertTrue(is_isolated(10.0, [3.0, 10.1 + SAME_TIME_S]))
+
+    def test_run_without_progress_proves_little(self):
+        self.assertTrue(has_survived(SURVIVAL_S, 1))
+        self.assertFalse(has_survived(SURVIVAL_S, 0))
+        self.assertTrue(has_survived(CLEARED_WITHOUT_PROGRESS_S, 0))
+
+
+class SuspicionTests(SchedulerTestCase):
+    def setUp(self):
+        super().setUp()
+        self.scheduler.directory_known = True
+        self.hosts = [self.host(f"agent-{number}") for number in range(3)]
+
+    def crash(self, host, *tasks, survived_s=0.0, silent_s=3.0, incarnation=None):
+        """Report the crash of a host's executor, which had just started some tasks."""
+        rows = [
+            messages.CrashedRun(task, self.attempt(task), survived_s) for task in tasks
+        ]
+        incarnation = incarnation or host.executor.incarnation
+        crash = messages.ExecutorCrashed(incarnation, silent_s, rows)
+        self.scheduler.handle_crash(host, crash, self.now, self.now_ms())
+        number = int(host.executor.incarnation.rpartition("@")[2]) + 1
+        self.report(host, incarnation=f"{host.name}@{number}")
+
+    def attempt(self, task):
+        return self.scheduler.find_task(task).attempt
+
+    def host_of(self, task):
+        return self.scheduler.find_task(task).runs[0].host
+
+    def survive(self, task):
+        """Report that a task has made progress for long enough."""
+        host = self.host_of(task)
+        rows = [
+            RunningRow(str(run.task.id), run.attempt, "", 10, 0, SURVIVAL_S)
+            for run in host.runs.values()
+        ]
+        self.report(host, rows, incarnation=host.executor.incarnation)
+
+    def keep_running(self):
+        """Have every host report its runs, which have just started."""
+        for host in self.hosts:
+            rows = [
+                RunningRow(str(run.task.id), run.attempt, "", 0)
+                for run in host.runs.values()
+            ]
+            self.report(host, rows, incarnation=host.executor.incarnation)
+
+    def test_only_tasks_that_had_just_started_are_suspected(self):
+        owned = self.add_job(job(steps=(SMALL,)))
+        self.place()
+        first, second = owned.tasks()
+        host = first.runs[0].host
+        self.crash(host, str(first.id))
+        self.assertEqual(owned.suspects, {first})
+        self.assertEqual(first.runs, [])
+        self.crash(second.runs[0].host, str(second.id), survived_s=SURVIVAL_S)
+        self.assertEqual(owned.suspects, {first})
+
+    def test_job_fails_after_two_clear_crashes(self):
+        owned = self.add_job(job(steps=(SMALL,)))
+        self.place()
+        task = owned.tasks()[0]
+        self.crash(task.runs[0].host, str(task.id))
+        self.now += 5
+        self.keep_running()
+        self.survive("job-1.0.0.1")
+        self.place()
+        self.crash(task.runs[0].host, str(task.id))
+        self.assertIs(owned.state, JobState.FAILED)
+        self.assertIn("job-1", self.scheduler.unstored)
+
+    def test_crash_that_is_reported_twice_counts_once(self):
+        owned = self.add_job(job(steps=(SMALL,)))
+        self.place()
+        task = owned.tasks()[0]
+        host = task.runs[0].host
+        incarnation = host.executor.incarnation
+        self.crash(host, str(task.id))
+        self.now += 5
+        self.crash(host, str(task.id), silent_s=8.0, incarnation=incarnation)
+        self.assertEqual(len(task.crashed_on), 1)
+        self.assertIs(owned.state, JobState.RUNNING)
+
+    def test_crashes_of_several_executors_at_once_need_a_third(self):
+        """A failure of many executors must not fail the jobs that it hits twice."""
+        owned = self.add_job(job(steps=(StepSpec(1, cpu=500, memory_mb=100),)))
+        task = owned.tasks()[0]
+        for number in range(MAX_CRASHES):
+            self.assertIs(owned.state.final, False)
+            self.place()
+            host = task.runs[0].host
+            other = next(each for each in self.hosts if each is not host)
+            self.crash(other)
+            self.crash(host, str(task.id))
+            self.now += 5
+            self.keep_running()
+            self.assertEqual(len(task.crashed_on), number + 1)
+        self.assertIs(owned.state, JobState.FAILED)
+
+    def test_run_that_goes_on_clears_its_task(self):
+        owned = self.add_job(job(steps=(SMALL,)))
+        self.place()
+        task = owned.tasks()[0]
+        self.crash(task.runs[0].host, str(task.id))
+        self.keep_running()
+        self.survive("job-1.0.0.1")
+        self.place()
+        self.survive(str(task.id))
+        self.assertEqual((task.crashed_on, owned.suspects), (set(), set()))
+        self.assertEqual(owned.progress(3).crashes, {})
+
+    def test_suspects_of_two_jobs_run_on_different_hosts(self):
+        jobs = [self.add_job(job(f"job-{number}", (SMALL,))) for number in (1, 2)]
+        self.place()
+        for number, owned in enumerate(jobs):
+            owned.suspect(owned.tasks()[0], f"old@{number}")
+            for task in owned.tasks():
+                for run in list(task.runs):
+                    self.scheduler.cluster.mark_lost(run, "test", self.now)
+        placed = {task: host for host, task in self.place()}
+        self.assertEqual(set(placed), {"job-1.0.0.0", "job-2.0.0.0"})
+        self.assertEqual(len(set(placed.values())), 2)
+
+    def test_job_with_a_suspect_starts_one_task_at_a_time(self):
+        owned = self.add_job(job(steps=(StepSpec(4, cpu=500, memory_mb=100),)))
+        for task in owned.tasks()[1:3]:
+            owned.suspect(task, "old@1")
+        self.assertEqual([task for _, task in self.place()], ["job-1.0.0.1"])
+        self.assertEqual(self.place(), [])
+        self.survive("job-1.0.0.1")
+        self.now += 1
+        self.keep_running()
+        self.assertEqual([task for _, task in self.place()], ["job-1.0.0.2"])
+        self.survive("job-1.0.0.2")
+        self.now += 1
+        self.keep_running()
+        self.assertEqual(len(self.place()), 2)
+
+    def test_gang_with_a_suspect_starts_as_a_whole(self):
+        gang = StepSpec(3, cpu=500, memory_mb=100, gang=True)
+        owned = self.add_job(job(steps=(gang,)))
+        owned.suspect(owned.tasks()[1], "old@1")
+        self.assertEqual(len(self.place()), 3)
+
+    def test_next_owner_continues_the_count(self):
+        owned = self.add_job(job(steps=(SMALL,)))
+        owned.suspect(owned.tasks()[0], "old@1")
+        owned.suspect(owned.tasks()[0], "old@2")
+        progress = owned.progress(3)
+        self.scheduler.jobs.clear()
+        inherited = self.add_job(job("job-1"), inherited=True, progress=progress)
+        self.assertEqual(inherited.tasks()[0].crashed_on, {"old@1", "old@2"})
+        self.assertEqual(inherited.suspects, {inherited.tasks()[0]})
+
+    def test_crash_that_a_restarted_agent_forgot_counts(self):
+        owned = self.add_job(job(steps=(SMALL,)))
+        self.place()
+        task = owned.tasks()[0]
+        host = task.runs[0].host
+        self.report(host, [RunningRow(str(task.id), 1, "", 0)])
+        self.scheduler.cluster.begin_stream(host)
+        self.report(host, incarnation=f"{host.name}@2")
+        self.assertEqual(task.crashed_on, {f"{host.name}@1"})
+
+    def test_executor_that_drained_did_not_crash(self):
+        owned = self.add_job(job(steps=(SMALL,)))
+        self.place()
+        task = owned.tasks()[0]
+        host = task.runs[0].host
+        self.report(host, [RunningRow(str(task.id), 1, "", 0)], draining=True)
+        self.scheduler.cluster.begin_stream(host)
+        self.report(host, incarnation=f"{host.name}@2")
+        self.assertEqual(task.crashed_on, set())
