Compare crashes by the exact time at which connections broke

The agent now reports the first failed call after an answer at once, with whether its connection broke, as it does within some 10 ms of a crash. A run counts as just started if its executor ended within 0.25 s of the answer to its start (before: 0.5 s, up to the last answer, which is up to 0.5 s older). Crashes within 0.1 s of each other may have one cause; their times are compared on the agents' clocks, by the message that came fastest. A crash that only a time-out shows needs a third. The stand-in breaks a waiting poll when it crashes, as executors do.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -65,15 +65,17 @@
 class KeptCrash:
     """The crash of an incarnation, kept until the owner has stored it.
 
-    :param answered_at: time of its last answer.
+    :param failed_at: time of the first call that it did not answer.
+    :param broken: whether that call lost its connection, so that its time is exact.
     :param sent: whether it was sent on the owner's current stream.
     """
 
-    __slots__ = ("incarnation", "answered_at", "runs", "sent")
+    __slots__ = ("incarnation", "failed_at", "broken", "runs", "sent")
 
     def __init__(self, executor: ExecutorRuns) -> None:
         self.incarnation = executor.view.incarnation
-        self.answered_at = executor.answered_at
+        self.failed_at = executor.failed_at or executor.answered_at
+        self.broken = executor.failed_at is not None and executor.broken
         self.runs = executor.crashed_runs()
         self.sent = False
 
@@ -210,9 +212,11 @@
             self.keep_crash(self.executor)
         for crash in self.crashes.values():
             if not crash.sent:
-                silent_s = round(now - crash.answered_at, 3)
+                failed_s = round(now - crash.failed_at, 3)
                 crash.sent = self.send(
-                    messages.ExecutorCrashed(crash.incarnation, silent_s, crash.runs)
+                    messages.ExecutorCrashed(
+                        crash.incarnation, now, failed_s, crash.broken, crash.runs
+                    )
                 )
 
     async def run(self) -> None:
@@ -284,7 +288,9 @@
                 [] if lapsed else executor.running_rows(),
                 executor.is_complete(now),
                 executor.is_unreachable(now),
-                round(now - executor.answered_at, 3),
+                None
+                if executor.failed_at is None
+                else round(now - executor.failed_at, 3),
             )
         self.send(report)
 
--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -103,8 +103,10 @@
         current stream.
     :param last_heard_at: time of the last report from the agent.
     :param report_stamp: the agent's clock when it sent that report.
-    :param silent_since: time of the executor's last answer if it has stopped answering,
-        else ``None``.
+    :param failed_at: time of the first call that the executor did not answer, ``None``
+        if it answers.
+    :param clock_offset: the owner's clock less the agent's, by the message of the
+        current stream that arrived fastest; ``None`` before the first.
     :param leased_until: time on the owner's clock at which the lease of the host's
         runs lapses unless it is extended.
     :param next_order: number of the next order on the current stream.
@@ -128,7 +130,8 @@
         "fully_reported",
         "last_heard_at",
         "report_stamp",
-        "silent_since",
+        "failed_at",
+        "clock_offset",
         "leased_until",
         "next_order",
         "reserved_cpu",
@@ -154,7 +157,8 @@
         self.fully_reported = False
         self.last_heard_at = 0.0
         self.report_stamp = 0.0
-        self.silent_since: float | None = None
+        self.failed_at: float | None = None
+        self.clock_offset: float | None = None
         self.leased_until = leased_until
         self.next_order = 1
         self.reserved_cpu = 0
@@ -181,6 +185,12 @@
             self.reserve(run.task.step, -1)
             self.freed = True
 
+    def record_stamp(self, stamp: float, now: float) -> None:
+        """Record the agent's clock reading in a message received at ``now``."""
+        offset = now - stamp
+        if self.clock_offset is None or offset < self.clock_offset:
+            self.clock_offset = offset
+
     def tests_suspect(self) -> bool:
         """Return whether a run here may show that a suspected task is deadly."""
         run = self.suspect_run
--- a/rattanwing/batch/messages.py
+++ b/rattanwing/batch/messages.py
@@ -1,8 +1,9 @@
 """Messages between entries and agents and among entries, and their codec.
 
 Messages are MessagePack arrays with a numeric tag. A monotonic time in a message is
-interpreted only by the process whose clock produced it. All other times are durations,
-except the Unix times in a ``JobSpec``, which the owner compares with its own clock.
+interpreted only by the process whose clock produced it, or compared with other times
+of that process. All other times are durations, except the Unix times in a ``JobSpec``,
+which the owner compares with its own clock.
 """
 
 from __future__ import annotations
@@ -129,7 +130,8 @@
         answered under this stream's fence, or every lease on it has lapsed.
     :param executor_unreachable: whether there is no executor, or it does not answer the
         agent.
-    :param silent_s: time since the executor's last answer; 0 without an executor.
+    :param failed_s: time since the first call that the executor did not answer;
+        ``None`` if it answers or there is none.
     """
 
     stamp: float
@@ -138,7 +140,7 @@
     runs: list[RunningRow]
     complete: bool
     executor_unreachable: bool = False
-    silent_s: float = 0.0
+    failed_s: float | None = None
 
 
 class RunsEnded(Message, tag=7):
@@ -194,12 +196,16 @@
 
     The agent sends it on each stream until it is acknowledged by ``CrashStored``.
 
-    :param silent_s: time since its last answer.
+    :param stamp: the agent's clock when it sent this message.
+    :param failed_s: time since the first call that it did not answer.
+    :param broken: whether that call lost its connection, so that the time is exact.
     :param runs: the runs that ended with it.
     """
 
     incarnation: str
-    silent_s: float
+    stamp: float
+    failed_s: float
+    broken: bool
     runs: list[CrashedRun]
 
 
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -50,6 +50,10 @@
 """An executor that has not answered for this long counts as unreachable and gets no new
 runs."""
 
+BROKEN_WITHIN_S = 0.3
+"""A poll that fails within this time in seconds after the end of its wait has lost its
+connection; one that times out takes longer."""
+
 RunKey = tuple[str, int]
 """Task and attempt."""
 
@@ -114,14 +118,14 @@
         if self.known_since is None:
             self.known_since = now
 
-    def survived_s(self, answered_at: float) -> float:
+    def survived_s(self, alive_at: float) -> float:
         """Return for how long the executor is known to have run it, in seconds.
 
-        :param answered_at: time of the executor's last answer.
+        :param alive_at: latest time at which the executor is known to have been up.
         """
         if self.known_since is None:
             return 0.0
-        return max(0.0, answered_at - self.known_since)
+        return max(0.0, alive_at - self.known_since)
 
 
 class ExecutorRuns:
@@ -136,6 +140,9 @@
         when the answer with it arrived.
     :param stored_number: the ends of runs up to this number are in the store.
     :param ends: listed ends that are not stored yet, by number.
+    :param failed_at: time of the first call that failed after the last answer, ``None``
+        if there was none.
+    :param broken: whether that call failed because its connection broke.
     :param exited: whether this incarnation of the executor has exited.
     :param on_change: called when runs have ended or the set of runs has changed.
     :param on_refused: called with task, attempt and reason of a refused start.
@@ -155,6 +162,8 @@
         "stored_number",
         "ends",
         "answered_at",
+        "failed_at",
+        "broken",
         "exited",
         "on_change",
         "on_refused",
@@ -184,6 +193,8 @@
         self.stored_number = 0
         self.ends: dict[int, EndedRow] = {}
         self.answered_at = clock()
+        self.failed_at: float | None = None
+        self.broken = False
         self.exited = False
         self.on_change = on_change
         self.on_refused = on_refused
@@ -231,6 +242,20 @@
             self.clock_sample = (clock_ms, now)
         self.answered_at = now
         self.silence_logged = False
+        if self.failed_at is not None:
+            self.failed_at = None
+            self.on_change()
+
+    def record_failure(self, now: float, broken: bool) -> None:
+        """Record a call that failed; the first one since the last answer is reported.
+
+        :param broken: whether its connection broke, as it does when the executor
+            crashes.
+        """
+        if self.failed_at is None:
+            self.failed_at = now
+            self.broken = broken
+            self.on_change()
 
     def used_resources(self) -> tuple[int, int]:
         """Return the thousandths of a core and the megabytes that runs reserve.
@@ -259,10 +284,10 @@
 
     def crashed_runs(self) -> list[messages.CrashedRun]:
         """Return the runs that ended, or may have, if this incarnation has crashed."""
+        exact = self.broken and self.failed_at is not None
+        ended_at = self.failed_at if exact else self.answered_at
         return [
-            messages.CrashedRun(
-                task, attempt, round(run.survived_s(self.answered_at), 3)
-            )
+            messages.CrashedRun(task, attempt, round(run.survived_s(ended_at), 3))
             for (task, attempt), run in self.runs.items()
             if run.maybe_sent
         ]
@@ -305,6 +330,8 @@
                 events.write(
                     events.EXECUTOR_SILENT, executor=self.view.executor_id, error=error
                 )
+            now = self.clock()
+            self.record_failure(now, now - sent_at <= wait_s + BROKEN_WITHIN_S)
             await trio.sleep(RETRY_PAUSE_S)
             return False
         if isinstance(result, OrderResult):
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -24,7 +24,6 @@
 )
 from rattanwing.batch.ports import EndedRow, EndReason, RunningRow
 from rattanwing.batch.suspicion import (
-    SAME_TIME_S,
     SURVIVAL_S,
     has_survived,
     is_deadly,
@@ -235,9 +234,10 @@
         host.report_stamp = report.stamp
         host.executor_unreachable = report.executor_unreachable
         host.colocation = None
-        host.silent_since = None
-        if report.silent_s > SAME_TIME_S:
-            host.silent_since = now - report.silent_s
+        host.record_stamp(report.stamp, now)
+        host.failed_at = None
+        if report.failed_s is not None:
+            host.failed_at = report.stamp + host.clock_offset - report.failed_s
         executor = report.executor
         previous = host.executor
         # A report without an executor shows that the previous one is gone only if the
@@ -467,7 +467,8 @@
         crashed it.
         """
         self.unacked_crashes.append((host.name, crash.incarnation))
-        crashed_at = now - crash.silent_s
+        host.record_stamp(crash.stamp, now)
+        crashed_at = crash.stamp + host.clock_offset - crash.failed_s
         self.crash_times = {
             incarnation: at
             for incarnation, at in self.crash_times.items()
@@ -475,9 +476,9 @@
         }
         others = [*self.crash_times.values()]
         others += [
-            other.silent_since
+            other.failed_at
             for other in self.cluster.hosts.values()
-            if other is not host and other.silent_since is not None
+            if other is not host and other.failed_at is not None
         ]
         self.crash_times[crash.incarnation] = crashed_at
         started = []
@@ -491,7 +492,7 @@
                 if row.survived_s < SURVIVAL_S:
                     started.append(task)
         only_suspect = len({task.id.job_id for task in started}) == 1
-        isolated = is_isolated(crashed_at, others)
+        isolated = crash.broken and is_isolated(crashed_at, others)
         self.suspect(started, crash.incarnation, only_suspect, isolated, now, now_ms)
 
     def suspect_forgotten_runs(
--- a/rattanwing/batch/suspicion.py
+++ b/rattanwing/batch/suspicion.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-SURVIVAL_S = 0.5
+SURVIVAL_S = 0.25
 """Time in seconds for which an executor must have run a task for its crash not to be
 due to the task; deadly tasks take effect some 10 ms after their start."""
 
@@ -22,10 +22,10 @@
 """Time in seconds after which a run that makes no progress clears its task too. The
 run of a deadly task may stand still on a defective host."""
 
-SAME_TIME_S = 0.6
+SAME_TIME_S = 0.1
 """Crashes of executors that are no further apart than this, in seconds, may have one
-cause outside the tasks. An executor's last answer precedes its crash by up to the
-0.5 s of a poll."""
+cause outside the tasks. Agents notice a crash within some 10 ms, by the connection that
+breaks."""
 
 ENOUGH_CRASHES = 2
 """Number of crashes from which a task may be given up."""
@@ -50,7 +50,8 @@
     :param crashes: number of executors that crashed soon after starting the task.
     :param only_suspect: whether the last of them had started no task of another job
         shortly before.
-    :param isolated: whether no other executor failed at about the same time.
+    :param isolated: whether no other executor is known to have failed at about the same
+        time.
     """
     if crashes >= MAX_CRASHES:
         return True
@@ -60,6 +61,6 @@
 def is_isolated(crashed_at: float, others: Iterable[float]) -> bool:
     """Return whether a crash is apart from the failures of other executors.
 
-    :param others: times at which other executors last answered.
+    :param others: times at which other executors stopped answering.
     """
     return all(abs(at - crashed_at) > SAME_TIME_S for at in others)
--- a/rattanwing/standin/runs.py
+++ b/rattanwing/standin/runs.py
@@ -201,6 +201,8 @@
             record.crashed = True
         self.running = {}
         self.up = False
+        # A poll that waits for an end loses its connection at once.
+        self.end_added.set()
 
     async def crash_later(self, incarnation: int) -> None:
         """Crash soon, as after the start of a deadly task, and start again later."""
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -136,10 +136,22 @@
         self.run.maybe_sent = True
         self.run.confirm(10.0)
         self.agent.executor.answered_at = 10.2
+        self.agent.executor.record_failure(10.4, broken=True)
+        self.now = 13.0
+        self.replace_executor()
+        row = messages.CrashedRun("job-1.0.0.0", 1, 0.4)
+        crash = messages.ExecutorCrashed("executor-0@1", 13.0, 2.6, True, [row])
+        self.assertEqual(self.crashes(), [crash])
+
+    def test_crash_that_is_found_by_a_timeout_proves_no_longer_survival(self):
+        self.run.maybe_sent = True
+        self.run.confirm(10.0)
+        self.agent.executor.answered_at = 10.2
+        self.agent.executor.record_failure(11.4, broken=False)
         self.now = 13.0
         self.replace_executor()
         row = messages.CrashedRun("job-1.0.0.0", 1, 0.2)
-        crash = messages.ExecutorCrashed("executor-0@1", 2.8, [row])
+        crash = messages.ExecutorCrashed("executor-0@1", 13.0, 1.6, False, [row])
         self.assertEqual(self.crashes(), [crash])
 
     def test_crash_is_sent_to_each_owner_until_it_is_stored(self):
--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -60,11 +60,19 @@
         self.report(host, **changes)
         return host
 
-    def report(self, host, runs=(), last_order=None, complete=True, **changes):
+    def report(
+        self,
+        host,
+        runs=(),
+        last_order=None,
+        complete=True,
+        failed_s=None,
+        **changes,
+    ):
         last_order = host.next_order - 1 if last_order is None else last_order
         executor = executor_view(host.name, **changes)
         report = messages.HostReport(
-            self.now, last_order, executor, list(runs), complete
+            self.now, last_order, executor, list(runs), complete, failed_s=failed_s
         )
         self.scheduler.handle_report(host, report, self.now, self.now_ms())
 
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -45,13 +45,15 @@
         self.scheduler.directory_known = True
         self.hosts = [self.host(f"agent-{number}") for number in range(3)]
 
-    def crash(self, host, *tasks, survived_s=0.0, silent_s=3.0, incarnation=None):
+    def crash(
+        self, host, *tasks, survived_s=0.0, failed_s=3.0, broken=True, incarnation=None
+    ):
         """Report the crash of a host's executor, which had just started some tasks."""
         rows = [
             messages.CrashedRun(task, self.attempt(task), survived_s) for task in tasks
         ]
         incarnation = incarnation or host.executor.incarnation
-        crash = messages.ExecutorCrashed(incarnation, silent_s, rows)
+        crash = messages.ExecutorCrashed(incarnation, self.now, failed_s, broken, rows)
         self.scheduler.handle_crash(host, crash, self.now, self.now_ms())
         number = int(host.executor.incarnation.rpartition("@")[2]) + 1
         self.report(host, incarnation=f"{host.name}@{number}")
@@ -112,7 +114,7 @@
         incarnation = host.executor.incarnation
         self.crash(host, str(task.id))
         self.now += 5
-        self.crash(host, str(task.id), silent_s=8.0, incarnation=incarnation)
+        self.crash(host, str(task.id), failed_s=8.0, incarnation=incarnation)
         self.assertEqual(len(task.crashed_on), 1)
         self.assertIs(owned.state, JobState.RUNNING)
 
@@ -132,6 +134,52 @@
             self.assertEqual(len(task.crashed_on), number + 1)
         self.assertIs(owned.state, JobState.FAILED)
 
+    def test_crash_whose_time_is_not_known_needs_a_third(self):
+        owned = self.add_job(job(steps=(StepSpec(1, cpu=500, memory_mb=100),)))
+        task = owned.tasks()[0]
+        for number in range(MAX_CRASHES):
+            self.assertEqual((owned.state.final, len(task.crashed_on)), (False, number))
+            self.place()
+            self.crash(task.runs[0].host, str(task.id), broken=False)
+            self.now += 5
+            self.keep_running()
+        self.assertIs(owned.state, JobState.FAILED)
+
+    def test_crash_together_with_an_executor_that_is_still_away_needs_a_third(self):
+        owned = self.add_job(job(steps=(StepSpec(1, cpu=500, memory_mb=100),)))
+        task = owned.tasks()[0]
+        for number in range(MAX_CRASHES):
+            self.assertEqual((owned.state.final, len(task.crashed_on)), (False, number))
+            self.place()
+            host = task.runs[0].host
+            other = next(each for each in self.hosts if each is not host)
+            self.report(other, incarnation=other.executor.incarnation, failed_s=0.5)
+            self.crash(host, str(task.id), failed_s=0.52)
+            self.now += 5
+            self.keep_running()
+        self.assertIs(owned.state, JobState.FAILED)
+
+    def test_crash_that_is_reported_late_is_compared_by_the_time_of_the_agent(self):
+        """An agent's message that waited made a crash seem to be apart from others."""
+        owned = self.add_job(job(steps=(StepSpec(1, cpu=500, memory_mb=100),)))
+        task = owned.tasks()[0]
+        for number in range(MAX_CRASHES):
+            self.assertEqual((owned.state.final, len(task.crashed_on)), (False, number))
+            self.place()
+            host = task.runs[0].host
+            other = next(each for each in self.hosts if each is not host)
+            self.crash(other)
+            rows = [messages.CrashedRun(str(task.id), task.attempt, 0.0)]
+            crash = messages.ExecutorCrashed(
+                host.executor.incarnation, self.now, 3.0, True, rows
+            )
+            self.now += 0.5
+            self.scheduler.handle_crash(host, crash, self.now, self.now_ms())
+            self.report(host, incarnation=f"{host.name}@{number + 7}")
+            self.now += 5
+            self.keep_running()
+        self.assertIs(owned.state, JobState.FAILED)
+
     def test_run_that_goes_on_clears_its_task(self):
         owned = self.add_job(job(steps=(SMALL,)))
         self.place()
