Start nothing beside a suspected task, on up to a quarter of the hosts

Seen in the runs before: a suspected task went to the executor that had just come back, as the emptiest one, and other waiting tasks followed within milliseconds. Its crash then took them along, made them suspects, and could not be told to be its own, so that a third was needed.

--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -119,6 +119,7 @@
     :param freed: whether the host may be able to run more than at the last round of
         placement.
     :param suspect_run: the last run of a suspected task that was started here.
+    :param held_until: time until which nothing else is started beside that run.
     """
 
     __slots__ = (
@@ -146,6 +147,7 @@
         "colocation",
         "freed",
         "suspect_run",
+        "held_until",
     )
 
     def __init__(self, name: str, leased_until: float) -> None:
@@ -173,6 +175,7 @@
         self.colocation: ColocationSummary | None = None
         self.freed = True
         self.suspect_run: Run | None = None
+        self.held_until = 0.0
 
     def add(self, run: Run) -> None:
         """Add a run and reserve its resources."""
@@ -201,6 +204,10 @@
             and (str(run.task.id), run.attempt) in self.runs
         )
 
+    def is_held(self, now: float) -> bool:
+        """Return whether nothing is started here beside a suspected task."""
+        return now < self.held_until and self.tests_suspect()
+
     def runs_suspect_of_other_job(self, job: OwnedJob) -> bool:
         """Return whether a suspected task of another job runs here."""
         return any(
--- a/rattanwing/batch/placement.py
+++ b/rattanwing/batch/placement.py
@@ -179,6 +179,8 @@
             reason = "spread"
         if not reason and task.is_suspect() and host.runs_suspect_of_other_job(job):
             reason = "runs-suspect"
+        if not reason and not task.is_suspect() and host.is_held(now):
+            reason = "tests-suspect"
         if not reason and not is_suitable(host, task.step, interference, now):
             reason = "does-not-suit"
         if reason:
@@ -316,6 +318,8 @@
         fitting = [host for host in fitting if count_runs_on(host, task) < limit]
     if task.is_suspect():
         fitting = [h for h in fitting if not h.runs_suspect_of_other_job(job)]
+    else:
+        fitting = [h for h in fitting if not h.is_held(now)]
     candidates = [
         host for host in fitting if is_suitable(host, task.step, interference, now)
     ]
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -24,10 +24,12 @@
 )
 from rattanwing.batch.ports import EndedRow, EndReason, RunningRow
 from rattanwing.batch.suspicion import (
+    HOLD_S,
     SURVIVAL_S,
     has_survived,
     is_deadly,
     is_isolated,
+    may_hold,
 )
 from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
 from rattanwing.batch.urgency import sort_by_urgency
@@ -560,9 +562,17 @@
                 )
                 self.finish_job(job, JobState.FAILED, now, now_ms)
 
+    def hold(self, host: Host, run: Run, now: float) -> None:
+        """Keep other starts off a host where a suspected task starts, if possible."""
+        hosts = self.cluster.hosts.values()
+        host.suspect_run = run
+        if may_hold(sum(other.is_held(now) for other in hosts), len(hosts)):
+            host.held_until = now + HOLD_S
+
     def handle_survival(self, run: Run) -> None:
         """Clear the task of a run that has not crashed its executor."""
         run.proven = True
+        run.host.freed = run.host.freed or run.host.suspect_run is run
         task = run.task
         if not task.is_suspect():
             return
@@ -710,7 +720,7 @@
         run = self.cluster.add_run(task, attempt, host, now)
         run.order_number = host.allocate_order_number()
         if task.is_suspect():
-            host.suspect_run = run
+            self.hold(host, run, now)
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
             self.mark_unstored(job)
--- a/rattanwing/batch/suspicion.py
+++ b/rattanwing/batch/suspicion.py
@@ -22,6 +22,13 @@
 """Time in seconds after which a run that makes no progress clears its task too. The
 run of a deadly task may stand still on a defective host."""
 
+HOLD_S = 1.0
+"""Longest time in seconds for which a host starts nothing beside a suspected task that
+has just started there, so that only this task can be the cause of a crash."""
+
+HELD_SHARE = 0.25
+"""Largest share of the hosts that are held at the same time, but at least one."""
+
 SAME_TIME_S = 0.1
 """Crashes of executors that are no further apart than this, in seconds, may have one
 cause outside the tasks. Agents notice a crash within some 10 ms, by the connection that
@@ -58,6 +65,15 @@
     return crashes >= ENOUGH_CRASHES and only_suspect and isolated
 
 
+def may_hold(held: int, hosts: int) -> bool:
+    """Return whether one more host may be held.
+
+    :param held: number of hosts that are held now.
+    :param hosts: number of all hosts.
+    """
+    return held < max(1, int(hosts * HELD_SHARE))
+
+
 def is_isolated(crashed_at: float, others: Iterable[float]) -> bool:
     """Return whether a crash is apart from the failures of other executors.
 
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -204,6 +204,17 @@
         self.assertEqual(set(placed), {"job-1.0.0.0", "job-2.0.0.0"})
         self.assertEqual(len(set(placed.values())), 2)
 
+    def test_nothing_starts_beside_a_suspect_on_a_quarter_of_the_hosts(self):
+        owned = self.add_job(job(steps=(SMALL,)))
+        owned.suspect(owned.tasks()[0], "old@1")
+        self.place()
+        tested = self.host_of("job-1.0.0.0")
+        self.add_job(job("job-2", (StepSpec(40, cpu=500, memory_mb=100),)))
+        hosts = {host for host, _task in self.place()}
+        self.assertEqual(hosts, {host.name for host in self.hosts} - {tested.name})
+        self.survive("job-1.0.0.0")
+        self.assertIn(tested.name, {host for host, _task in self.place()})
+
     def test_job_with_a_suspect_starts_one_task_at_a_time(self):
         owned = self.add_job(job(steps=(StepSpec(4, cpu=500, memory_mb=100),)))
         for task in owned.tasks()[1:3]:
