Take up a changed capacity of an executor at once

An executor's capacity may shrink and grow while it runs (LIMIT). But it told the owner only with the next regular report, up to 0.5 s later, it did not check accelerators at all, and tasks that waited for a grown host were placed only at the next look at all hosts.

The agent now logs (620) and reports the change at once and refuses starts beyond the accelerators; a grown host counts as freed. Runs beyond a shrunk capacity go on: the rule counts starts, a stop throws their work away, and the executor does not ask for it; best-effort runs are paced by the new capacity as before. What is being stopped counts until its end is listed, at the owner and at the agent.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -144,6 +144,16 @@
                     remaining_ms=view.remaining_ms,
                 )
                 self.request_report()
+            if view.capacity() != current.view.capacity():
+                events.write(
+                    events.EXECUTOR_CAPACITY_CHANGED,
+                    executor=view.executor_id,
+                    before=current.view.capacity(),
+                    cpu=view.cpu,
+                    memory_mb=view.memory_mb,
+                    accelerators=view.accelerators,
+                )
+                self.request_report()
             current.view = view
             return
         if current is not None:
--- a/rattanwing/batch/ports.py
+++ b/rattanwing/batch/ports.py
@@ -256,3 +256,7 @@
     draining: bool = False
     remaining_ms: int = 0
     warmup_remaining_ms: int = 0
+
+    def capacity(self) -> tuple[int, int, int]:
+        """Return thousandths of a core, megabytes of memory and accelerators."""
+        return self.cpu, self.memory_mb, self.accelerators
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -257,8 +257,10 @@
             self.broken = broken
             self.on_change()
 
-    def used_resources(self) -> tuple[int, int]:
-        """Return the thousandths of a core and the megabytes that runs reserve.
+    def used_resources(self) -> tuple[int, int, int]:
+        """Return the thousandths of a core, megabytes and accelerators in use.
+
+        All runs reserve them, also those that are being stopped.
 
         Best-effort runs reserve memory, but no CPU.
         """
@@ -266,7 +268,9 @@
             run.properties for run in self.runs.values() if run.properties is not None
         ]
         cpu = sum(properties.cpu for properties in known if not properties.best_effort)
-        return cpu, sum(properties.memory_mb for properties in known)
+        memory_mb = sum(properties.memory_mb for properties in known)
+        accelerators = sum(properties.accelerators for properties in known)
+        return cpu, memory_mb, accelerators
 
     def running_rows(self) -> list[RunningRow]:
         """Return a row for each run that is or may be running."""
@@ -473,7 +477,7 @@
             return "unclean"
         if any(run.properties is None for run in self.runs.values()):
             return "unknown-room"
-        cpu, memory_mb = self.used_resources()
+        cpu, memory_mb, accelerators = self.used_resources()
         if (
             not order.properties.best_effort
             and cpu + order.properties.cpu > self.view.cpu
@@ -481,6 +485,8 @@
             return "no-cpu"
         if memory_mb + order.properties.memory_mb > self.view.memory_mb:
             return "no-memory"
+        if accelerators + order.properties.accelerators > self.view.accelerators:
+            return "no-accelerator"
         return ""
 
     def refuse(self, order: messages.StartRun, reason: str) -> None:
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -255,6 +255,16 @@
             self.cluster.mark_all_lost(host, "executor-gone", now)
         if executor is not None or report.complete:
             host.executor = executor
+        grown = (
+            previous is not None
+            and executor is not None
+            and any(
+                after > before
+                for after, before in zip(
+                    executor.capacity(), previous.capacity(), strict=True
+                )
+            )
+        )
         first_complete = report.complete and not host.fully_reported
         host.fully_reported = host.fully_reported or report.complete
         listed = {(row.task, row.attempt): row for row in report.runs}
@@ -271,7 +281,7 @@
                     self.cluster.mark_lost(run, "not-reported", now)
         if first_complete:
             self.cluster.send_properties(list(host.runs.values()))
-        host.freed = host.freed or not was_open or replaced
+        host.freed = host.freed or not was_open or replaced or grown
         self.interference.observe(list(host.runs.values()), now)
         if executor is not None and executor.draining:
             self.stop_runs_on_draining_host(host, executor.remaining_ms, now)
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -262,6 +262,9 @@
     logbook.WARNING,
     "An executor ended without an announcement; it had just started the named tasks.",
 )
+EXECUTOR_CAPACITY_CHANGED = Event(
+    620, logbook.INFO, "The capacity of an executor has changed while it runs."
+)
 
 TASK_STARTED = Event(601, logbook.INFO, "A task has started on this worker.")
 TASK_REFUSED = Event(602, logbook.INFO, "The start of a task was refused.")
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -30,8 +30,8 @@
         self.tasks.append((task, args))
 
 
-def start_order(number=1, cpu=100, start_before=12.0):
-    properties = messages.TaskProperties(cpu, 10, 0, False, 0, "")
+def start_order(number=1, cpu=100, start_before=12.0, accelerators=0):
+    properties = messages.TaskProperties(cpu, 10, accelerators, False, 0, "")
     return messages.StartRun(
         number, "job-1.0.0.0", 1, "text", "", properties, start_before
     )
@@ -39,7 +39,9 @@
 
 class ReportTests(unittest.TestCase):
     def setUp(self):
-        executor = StandinBatchExecutor("executor-0", "domain-a", [], lambda _task: 1.0)
+        self.executor = executor = StandinBatchExecutor(
+            "executor-0", "domain-a", [], lambda _task: 1.0
+        )
         self.now = 10.0
         self.agent = BatchAgent(lambda: self.now, executor.port)
         self.agent.nursery = RecordingNursery()
@@ -64,6 +66,29 @@
         self.assertEqual(self.owner.session.sent[-1].reason, "no-cpu")
         self.assertEqual(self.report().runs, [])
 
+    def test_orders_beyond_the_accelerators_are_refused(self):
+        self.agent.handle_message(self.owner, start_order(accelerators=1))
+        self.assertEqual(self.owner.session.sent[-1].reason, "no-accelerator")
+        self.assertEqual(self.report().runs, [])
+
+    def test_change_of_capacity_is_reported_at_once_and_limits_starts(self):
+        """The owner learned of it up to half a second later."""
+        for cpu, memory_mb in ((4000, 5), (50, 5), (4000, 8000)):
+            with self.subTest(cpu=cpu, memory_mb=memory_mb):
+                self.agent.changed = trio.Event()
+                self.executor.cpu = cpu
+                self.executor.memory_mb = memory_mb
+                self.agent.handle_announcement(self.executor.view())
+                self.assertTrue(self.agent.changed.is_set())
+                view = self.report().executor
+                self.assertEqual((view.cpu, view.memory_mb), (cpu, memory_mb))
+                self.agent.changed = trio.Event()
+                self.agent.handle_announcement(self.executor.view())
+                self.assertFalse(self.agent.changed.is_set())
+                self.agent.handle_message(self.owner, start_order())
+                fits = memory_mb == 8000
+                self.assertEqual(len(self.agent.executor.runs), int(fits))
+
     def test_start_is_refused_while_a_run_of_unknown_size_is_listed(self):
         """After a restart an agent gets its runs' properties from the owner, but not
         those of a run whose job was cancelled in the meantime.
--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -482,3 +482,53 @@
         for spec in (job("long", steps=(longer,)), job("short", steps=(step,))):
             self.add_job(msgspec.structs.replace(spec, accepted_at_ms=self.now_ms()))
         self.assertEqual(self.place(), [("agent-1", "short.0.0.0")])
+
+
+class ChangingCapacityTests(SchedulerTestCase):
+    def setUp(self):
+        super().setUp()
+        self.only_host = self.host("agent-1")
+        self.add_job(job(steps=(StepSpec(8, cpu=1000, memory_mb=100),)))
+
+    def list_runs(self):
+        return [
+            RunningRow(str(run.task.id), run.attempt, "", 10)
+            for run in self.only_host.runs.values()
+        ]
+
+    def test_nothing_is_started_beyond_a_shrunk_capacity(self):
+        self.assertEqual(len(self.place()), 4)
+        self.report(self.only_host, self.list_runs(), cpu=2500)
+        for task in ("job-1.0.0.0", "job-1.0.0.1"):
+            self.end(self.only_host, task, number=int(task[-1]) + 1)
+            self.now += 1
+            self.report(self.only_host, self.list_runs(), cpu=2500)
+            self.assertEqual(self.place(), [])
+        self.assertEqual(len(self.only_host.runs), 2)
+        self.end(self.only_host, "job-1.0.0.2", number=3)
+        self.report(self.only_host, self.list_runs(), cpu=2500)
+        self.assertEqual(len(self.place()), 1)
+
+    def test_runs_beyond_a_shrunk_capacity_go_on(self):
+        self.place()
+        self.report(self.only_host, self.list_runs(), cpu=500, memory_mb=50)
+        self.place()
+        stops = [
+            message
+            for _host, message in self.scheduler.cluster.outbox
+            if isinstance(message, messages.StopRun)
+        ]
+        self.assertEqual((stops, len(self.only_host.runs)), ([], 4))
+
+    def test_run_that_is_being_stopped_counts_against_a_shrunk_capacity(self):
+        self.place()
+        run = next(iter(self.only_host.runs.values()))
+        self.scheduler.cluster.stop(run, "test", self.now)
+        self.report(self.only_host, self.list_runs(), cpu=4000)
+        self.assertEqual(self.place(), [])
+
+    def test_host_that_has_grown_takes_waiting_tasks_at_once(self):
+        self.place()
+        self.assertEqual(self.place(), [])
+        self.report(self.only_host, self.list_runs(), cpu=6000)
+        self.assertEqual(len(self.place()), 2)
