--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -273,6 +273,7 @@
             and self.connected
             and self.fully_reported
             and not self.executor_unreachable
+            and self.failed_at is None
             and not self.unknown_runs
             and not self.executor.draining
             and now - self.last_heard_at <= SILENT_AFTER_S
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -256,6 +256,15 @@
         self.report(host, incarnation=f"{host.name}@2")
         self.assertEqual(task.crashed_on, {f"{host.name}@1"})
 
+    def test_nothing_starts_on_an_executor_that_has_just_stopped_answering(self):
+        """Orders to a crashed executor ran out after 2 s, and their tasks waited."""
+        for host in self.hosts:
+            self.report(host, failed_s=0.01)
+        self.add_job(job(steps=(SMALL,)))
+        self.assertEqual(self.place(), [])
+        self.report(self.hosts[0])
+        self.assertEqual({host for host, _task in self.place()}, {"agent-0"})
+
     def test_executor_that_drained_did_not_crash(self):
         owned = self.add_job(job(steps=(SMALL,)))
         self.place()
