--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -301,6 +301,7 @@
                 None
                 if executor.failed_at is None
                 else round(now - executor.failed_at, 3),
+                [] if lapsed else executor.survival_times_s(),
             )
         self.send(report)
 
@@ -399,6 +400,10 @@
         if self.executor is None or self.nursery is None:
             self.send_refusal(order.task, order.attempt, "no-executor")
             return
+        # The owner counts this run as lost once it hears of the new executor.
+        if order.incarnation != self.executor.view.incarnation:
+            self.executor.refuse(order, "other-executor")
+            return
         if self.clock() >= order.start_before:
             self.executor.refuse(order, "expired")
             return
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -269,10 +269,11 @@
         host.fully_reported = host.fully_reported or report.complete
         listed = {(row.task, row.attempt): row for row in report.runs}
         host.unknown_runs = 0
+        survived = dict(zip(listed, report.survival_times_s, strict=False))
         for key, row in listed.items():
             run = host.runs.get(key) or self.adopt(host, row, now)
             if run is not None:
-                self.update_run(run, row, now)
+                self.update_run(run, row, survived.get(key, 0.0), now)
             else:
                 host.unknown_runs += 1
         if report.complete:
@@ -286,7 +287,9 @@
         if executor is not None and executor.draining:
             self.stop_runs_on_draining_host(host, executor.remaining_ms, now)
 
-    def update_run(self, run: Run, row: RunningRow, now: float) -> None:
+    def update_run(
+        self, run: Run, row: RunningRow, survived_s: float, now: float
+    ) -> None:
         """Apply the reported state of a run, and repeat a stop that had no effect."""
         if row.progress_percent != run.progress_percent or not run.reported:
             run.progressed_at = now
@@ -294,7 +297,7 @@
         run.progress_percent = row.progress_percent
         run.record_use(row.measurement, now)
         run.checkpoint = row.checkpoint or run.checkpoint
-        if not run.proven and has_survived(row.survived_s, row.progress_percent):
+        if not run.proven and has_survived(survived_s, row.progress_percent):
             self.handle_survival(run)
         if (
             run.last_stop_ordered_at is not None
@@ -738,6 +741,7 @@
             run.order_number,
             str(task.id),
             attempt,
+            host.executor.incarnation,
             job.spec.text,
             task.checkpoint,
             task_properties(task.step),
@@ -749,6 +753,7 @@
             task=str(task.id),
             attempt=attempt,
             host=host.name,
+            incarnation=host.executor.incarnation,
             heard_s=round(now - host.last_heard_at, 3),
             epoch=self.epoch,
         )
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -257,6 +257,7 @@
 ANNOUNCEMENT_MALFORMED = Event(
     617, logbook.WARNING, "An executor's announcement was malformed and was refused."
 )
+EXECUTOR_STARTED_RUN = Event(618, logbook.INFO, "An executor has started a run.")
 EXECUTOR_CRASHED = Event(
     619,
     logbook.WARNING,
--- a/rattanwing/util/http_client.py
+++ b/rattanwing/util/http_client.py
@@ -14,8 +14,9 @@
 import msgspec
 import trio
 
-from rattanwing.errors import RattanwingError
+from rattanwing.errors import MalformedError, RattanwingError
 from rattanwing.util.address import split_address
+from rattanwing.util.codec import decode_json
 from rattanwing.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -233,9 +234,13 @@
     async def connect(self) -> trio.SocketStream:
         """Open a connection.
 
-        :raises HttpCallError: when there is none within ``CONNECT_TIMEOUT_S``.
+        :raises HttpCallError: when there is none within ``CONNECT_TIMEOUT_S``, or the
+            address is invalid.
         """
-        host, port = split_address(self.address)
+        try:
+            host, port = split_address(self.address)
+        except ValueError as error:
+            raise HttpCallError(Verdict.NOT_RUN, f"no connection: {error}") from error
         sock = trio.socket.socket()
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
@@ -262,8 +267,8 @@
         if not response.body:
             return response.status, None
         try:
-            return response.status, msgspec.json.decode(response.body)
-        except msgspec.DecodeError as error:
+            return response.status, decode_json(response.body)
+        except MalformedError as error:
             detail = f"answer is not JSON: {error}"
             raise HttpCallError(Verdict.MAY_HAVE_RUN, detail) from error
 
--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -67,12 +67,19 @@
         last_order=None,
         complete=True,
         failed_s=None,
+        survival_times_s=(),
         **changes,
     ):
         last_order = host.next_order - 1 if last_order is None else last_order
         executor = executor_view(host.name, **changes)
         report = messages.HostReport(
-            self.now, last_order, executor, list(runs), complete, failed_s=failed_s
+            self.now,
+            last_order,
+            executor,
+            list(runs),
+            complete,
+            failed_s=failed_s,
+            survival_times_s=list(survival_times_s),
         )
         self.scheduler.handle_report(host, report, self.now, self.now_ms())
 
@@ -260,6 +267,18 @@
         self.add_job(job(steps=(best_effort,)))
         self.assertEqual(len(self.place()), 2)
 
+    def test_cpu_of_throttled_runs_is_not_promised_to_others(self):
+        """Tasks were placed on hosts where those before them stood still."""
+        host = self.host("agent-1")
+        step = StepSpec(4, cpu=1000, memory_mb=100, best_effort=True)
+        self.add_job(job("first", [step]))
+        self.assertEqual(len(self.place()), 4)
+        self.now += 1
+        rows = [RunningRow(*key, "", 10, 0) for key in host.runs]
+        self.report(host, rows)
+        self.add_job(job("second", [step]))
+        self.assertEqual(self.place(), [])
+
     def test_each_host_is_summarized_once_per_round(self):
         """Bounds the lookups of estimates while 20 steps wait for full hosts."""
         hosts, per_host, waiting = 4, 6, 20
