--- a/rattanwing/batch/messages.py
+++ b/rattanwing/batch/messages.py
@@ -12,7 +12,14 @@
 
 import msgspec
 
-from rattanwing.batch.model import JobSpec, JobState  # noqa: TC001
+from rattanwing.batch.model import (  # noqa: TC001
+    Epoch,
+    Finite,
+    JobSpec,
+    JobState,
+    NonNegative,
+    Number,
+)
 from rattanwing.batch.ports import EndedRow, ExecutorView, RunningRow  # noqa: TC001
 from rattanwing.util.codec import MessageCodec
 
@@ -44,9 +51,9 @@
     :param target_ms: target tail latency of a serving task; 0 for none.
     """
 
-    cpu: int
-    memory_mb: int
-    accelerators: int
+    cpu: Number
+    memory_mb: Number
+    accelerators: Number
     best_effort: bool
     target_ms: int
     image: str
@@ -60,8 +67,8 @@
     :param owner: name of the owning entry.
     """
 
-    epoch: int
-    fence: int
+    epoch: Epoch
+    fence: Number
     owner: str
 
 
@@ -72,14 +79,16 @@
     :param lease_s: how long runs may continue, counted from that stamp.
     """
 
-    report_stamp: float
-    lease_s: float
+    report_stamp: Finite
+    lease_s: Finite
 
 
 class StartRun(Message, tag=3):
     """Order to start a run.
 
     :param number: sequence number of the order on this stream.
+    :param incarnation: incarnation of the executor that the run was placed on; no other
+        one may start it.
     :param text: the job's payload, which is passed unchanged to each of its tasks.
     :param checkpoint: checkpoint to resume from; empty for none.
     :param start_before: time on the agent's clock from which it must not start the
@@ -89,22 +98,23 @@
         owner sends none.
     """
 
-    number: int
+    number: Number
     task: str
-    attempt: int
+    attempt: Number
+    incarnation: str
     text: str
     checkpoint: str
     properties: TaskProperties
-    start_before: float
+    start_before: Finite
     ticket: str = ""
 
 
 class StopRun(Message, tag=4):
     """Order to stop a run, or to prevent its start if it has not started."""
 
-    number: int
+    number: Number
     task: str
-    attempt: int
+    attempt: Number
 
 
 class EndsStored(Message, tag=5):
@@ -117,7 +127,7 @@
     """
 
     incarnation: str
-    number: int
+    number: Number
 
 
 class HostReport(Message, tag=6):
@@ -132,15 +142,17 @@
         agent.
     :param failed_s: time since the first call that the executor did not answer;
         ``None`` if it answers or there is none.
+    :param survival_times_s: for each run, how long the executor is known to run it.
     """
 
-    stamp: float
-    last_order: int
+    stamp: Finite
+    last_order: Number
     executor: ExecutorView | None
     runs: list[RunningRow]
     complete: bool
     executor_unreachable: bool = False
-    failed_s: float | None = None
+    failed_s: Finite | None = None
+    survival_times_s: list[Finite] = []
 
 
 class RunsEnded(Message, tag=7):
@@ -154,7 +166,7 @@
     """The agent did not start a run and never will."""
 
     task: str
-    attempt: int
+    attempt: Number
     reason: str
 
 
@@ -165,7 +177,7 @@
     """
 
     task: str
-    attempt: int
+    attempt: Number
     properties: TaskProperties
 
 
@@ -177,7 +189,7 @@
         estimate yet for pairs that are not listed.
     """
 
-    rows: list[tuple[str, str, float]]
+    rows: list[tuple[str, str, NonNegative]]
 
 
 class CrashedRun(msgspec.Struct, array_like=True, frozen=True):
@@ -187,8 +199,8 @@
     """
 
     task: str
-    attempt: int
-    survived_s: float
+    attempt: Number
+    survived_s: Finite
 
 
 class ExecutorCrashed(Message, tag=16):
@@ -203,8 +215,8 @@
     """
 
     incarnation: str
-    stamp: float
-    failed_s: float
+    stamp: Finite
+    failed_s: Finite
     broken: bool
     runs: list[CrashedRun]
 
@@ -221,7 +233,7 @@
     :param epoch: highest epoch that the agent has seen.
     """
 
-    epoch: int
+    epoch: Epoch
 
 
 # The class names of relayed calls appear in log lines, as values of the field "call".
@@ -234,7 +246,7 @@
     """
 
     spec: JobSpec
-    wait_s: float
+    wait_s: Finite
 
 
 class RelayedCancel(Message, tag=12):
@@ -245,7 +257,7 @@
 
     job_id: str
     queue: str
-    wait_s: float
+    wait_s: Finite
 
 
 class RelayedFind(Message, tag=13):
--- a/rattanwing/batch/ports.py
+++ b/rattanwing/batch/ports.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import Protocol
+from typing import Annotated, Protocol
 
 import msgspec
 
+from rattanwing.batch.model import MAX_NUMBER, Number
+
 
 class StoredRecord(msgspec.Struct, frozen=True):
     """One record of a topic; ``value`` is ``None`` if the record deletes its key."""
@@ -112,16 +114,13 @@
     :param measurement: for a serving task its tail latency in ms, for any other task
         the CPU that it uses in thousandths of a core; an estimate over the last half
         second.
-    :param survived_s: time for which the executor is known to have run it, in seconds;
-        set by the agent in its reports.
     """
 
     task: str
-    attempt: int
+    attempt: Number
     checkpoint: str
-    progress_percent: int
-    measurement: int = 0
-    survived_s: float = 0.0
+    progress_percent: Number
+    measurement: Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)] = 0
 
 
 class EndedRow(msgspec.Struct, array_like=True):
@@ -134,9 +133,9 @@
     :param checkpoint: newest checkpoint; empty if there is none.
     """
 
-    number: int
+    number: Number
     task: str
-    attempt: int
+    attempt: Number
     reason: EndReason
     checkpoint: str
 
@@ -145,11 +144,13 @@
     """An executor's answer to a poll: all running runs and all unacknowledged ends.
 
     :param clock_ms: the executor's clock when it answered, in milliseconds.
+    :param incarnation: the incarnation that answered; empty if it is not known.
     """
 
     clock_ms: int
     running: list[RunningRow]
     ended: list[EndedRow]
+    incarnation: str = ""
 
 
 class OrderOutcome(Enum):
@@ -250,12 +251,12 @@
     failure_domain: str
     labels: list[str]
     rack: str
-    cpu: int
-    memory_mb: int
-    accelerators: int
+    cpu: Number
+    memory_mb: Number
+    accelerators: Number
     draining: bool = False
-    remaining_ms: int = 0
-    warmup_remaining_ms: int = 0
+    remaining_ms: Number = 0
+    warmup_remaining_ms: Number = 0
 
     def capacity(self) -> tuple[int, int, int]:
         """Return thousandths of a core, megabytes of memory and accelerators."""
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -281,11 +281,16 @@
                 run.checkpoint,
                 run.progress_percent,
                 run.measurement,
-                round(run.survived_s(self.answered_at), 3),
             )
             for (task, attempt), run in self.runs.items()
         ]
 
+    def survival_times_s(self) -> list[float]:
+        """Return for each row of :meth:`running_rows` how long it is known to run."""
+        return [
+            round(run.survived_s(self.answered_at), 3) for run in self.runs.values()
+        ]
+
     def crashed_runs(self) -> list[messages.CrashedRun]:
         """Return the runs that ended, or may have, if this incarnation has crashed."""
         exact = self.broken and self.failed_at is not None
@@ -446,6 +451,14 @@
             if result.outcome is OrderOutcome.ACCEPTED:
                 run.may_be_unlisted_until = self.clock()
                 run.confirm(self.clock())
+                events.write(
+                    events.EXECUTOR_STARTED_RUN,
+                    task=order.task,
+                    attempt=order.attempt,
+                    incarnation=self.view.incarnation,
+                    order_number=order.number,
+                    fence=fence,
+                )
                 if order.properties.best_effort:
                     await self.pace_best_effort_runs()
                 return
@@ -604,6 +617,7 @@
             attempt=attempt,
             before=run.pace,
             percent=pace_percent,
+            cause=self.pacer.causes.get(key, ""),
             tails=[(load.tail_ms, load.target_ms) for load in serving],
         )
         run.pace = pace_percent
--- a/rattanwing/platform/operator.py
+++ b/rattanwing/platform/operator.py
@@ -8,7 +8,9 @@
 
 from rattanwing import events
 from rattanwing.batch.configuration import Configuration, Queue
-from rattanwing.batch.model import QueueRules
+from rattanwing.batch.model import Finite, Number, QueueRules
+from rattanwing.errors import MalformedError
+from rattanwing.util.codec import decode
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,10 +41,10 @@
     host: str
     path_prefix: str
     backend: str
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    target_latency_ms: float = 0
+    priority: Number = 0
+    max_attempts: Number = 1
+    stretch: Finite = 1.0
+    target_latency_ms: Finite = 0
 
 
 class ConfigRecord(msgspec.Struct):
@@ -51,10 +53,13 @@
     :param version: increases with each change.
     """
 
-    version: int
+    version: Number
     routes: list[Route]
 
 
+_decoder = msgspec.json.Decoder(ConfigRecord, strict=False)
+
+
 class OperatorRecords:
     """Applies the records of the operators' topic to the current configuration.
 
@@ -83,8 +88,8 @@
         A malformed record is logged and changes nothing.
         """
         try:
-            found = msgspec.json.decode(record.value, type=ConfigRecord, strict=False)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            found = decode(_decoder, record.value)
+        except MalformedError as error:
             events.write(events.RECORD_MALFORMED, key=record.key, error=error)
             return
         queues = tuple(make_queue(route) for route in found.routes)
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -3,10 +3,12 @@
 import unittest
 
 import trio
+import trio.testing
 
 from rattanwing.batch import messages
 from rattanwing.batch.agent import BatchAgent, OwnerSession
-from rattanwing.batch.ports import PollResult, RunningRow
+from rattanwing.batch.ports import OrderOutcome, OrderResult, PollResult, RunningRow
+from rattanwing.batch.runs import ExecutorRuns
 from rattanwing.standin.runs import StandinBatchExecutor
 
 
@@ -33,7 +35,14 @@
 def start_order(number=1, cpu=100, start_before=12.0, accelerators=0):
     properties = messages.TaskProperties(cpu, 10, accelerators, False, 0, "")
     return messages.StartRun(
-        number, "job-1.0.0.0", 1, "text", "", properties, start_before
+        number,
+        "job-1.0.0.0",
+        1,
+        "executor-0@1",
+        "text",
+        "",
+        properties,
+        start_before,
     )
 
 
@@ -129,6 +138,103 @@
         self.assertEqual(self.owner.session.sent[-1].reason, "no-executor")
         self.assertEqual(self.agent.executor.running_rows(), [])
 
+    def test_refusal_by_another_incarnation_completes_no_report(self):
+        """A late announcement of an earlier incarnation reached a new process of the
+        agent; the runs that the earlier process had started were reported as gone.
+        """
+        refusal = OrderResult(OrderOutcome.OTHER_INCARNATION)
+        self.agent.executor.handle_poll_refusal(refusal)
+        self.assertFalse(self.report().complete)
+
+
+class SlowStartPort:
+    """Answers the first start call only when released, and then that it is fenced."""
+
+    def __init__(self, incarnation):
+        self.incarnation = incarnation
+        self.released = trio.Event()
+        self.calls = 0
+
+    async def poll(self, *_order):
+        return PollResult(1, [], [], self.incarnation)
+
+    async def start(self, *_order):
+        self.calls += 1
+        if self.calls > 1:
+            return OrderResult(OrderOutcome.ACCEPTED, 1)
+        await self.released.wait()
+        return OrderResult(OrderOutcome.FENCED, 1)
+
+
+class RepeatedOrderTests(unittest.TestCase):
+    def test_late_answer_to_an_earlier_owners_order_of_the_same_attempt(self):
+        """The run that the later owner had started was reported as refused, and the
+        owner started the next attempt on another host.
+        """
+        refused = []
+
+        async def start_for_two_owners():
+            executor = StandinBatchExecutor("executor-0", "domain-a", [], lambda _: 9.0)
+            view = executor.view()
+            port = SlowStartPort(view.incarnation)
+            runs = ExecutorRuns(
+                view,
+                port,
+                trio.current_time,
+                0.0,
+                lambda: None,
+                lambda *refusal: refused.append(refusal),
+            )
+            runs.extend_lease(trio.current_time() + 9)
+            order = start_order(start_before=trio.current_time() + 2)
+            async with trio.open_nursery() as nursery:
+                for fence in (1, 2):
+                    runs.set_fence(fence)
+                    await trio.sleep(0.1)
+                    await runs.poll(trio.current_time(), fence)
+                    run = runs.admit(order)
+                    nursery.start_soon(runs.start, order, run, order.start_before)
+                    await trio.sleep(0.1)
+                port.released.set()
+            return runs.running_rows()
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        rows = trio.run(start_for_two_owners, clock=clock)
+        self.assertEqual([row.task for row in rows], ["job-1.0.0.0"])
+        self.assertEqual(refused, [])
+
+
+class RebirthTests(unittest.TestCase):
+    def test_lease_on_the_clock_of_the_earlier_life(self):
+        """The clock starts anew, so the deadline was far beyond the owner's lease."""
+
+        async def poll_across_rebirth():
+            executor = StandinBatchExecutor("executor-0", "domain-a", [], lambda _: 9.0)
+            await trio.sleep(30)
+            view = executor.view()
+            runs = ExecutorRuns(
+                view,
+                executor.port(view),
+                trio.current_time,
+                0.0,
+                lambda: None,
+                lambda *_refusal: None,
+            )
+            runs.set_fence(1)
+            runs.extend_lease(trio.current_time() + 2)
+            await runs.poll(trio.current_time(), 1)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(runs.poll, trio.current_time(), 1)
+                await trio.sleep(0.1)
+                executor.crash()
+            executor.restart(same_id=True)
+            await runs.poll(trio.current_time(), 1)
+            return executor.deadline_ms - executor.clock_ms()
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        remaining_ms = trio.run(poll_across_rebirth, clock=clock)
+        self.assertLessEqual(remaining_ms, 2000)
+
 
 class CrashReportTests(unittest.TestCase):
     """An owner that died with what it knew of a crash let the count start again."""
--- a/tests/batch/test_crashes.py
+++ b/tests/batch/test_crashes.py
@@ -79,14 +79,14 @@
             self.assertIs(self.states[job_id], JobState.FAILED, job_id)
 
     def test_deadly_task_is_given_up_and_its_neighbours_complete(self):
-        for renames in (False, True):
-            with self.subTest(renames=renames):
+        for keeps_id in (False, True):
+            with self.subTest(keeps_id=keeps_id):
                 others = []
 
-                async def scenario(world, renames=renames, others=others):
+                async def scenario(world, keeps_id=keeps_id, others=others):
                     make_deadly(world, DEADLY)
                     for executor in world.executors:
-                        executor.renames = renames
+                        executor.keeps_id = keeps_id
                     await trio.sleep(1)
                     await submit(world, job("job-deadly", steps=(WIDE,)))
                     others += await submit_others(world, 8)
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -68,10 +68,15 @@
         """Report that a task has made progress for long enough."""
         host = self.host_of(task)
         rows = [
-            RunningRow(str(run.task.id), run.attempt, "", 10, 0, SURVIVAL_S)
+            RunningRow(str(run.task.id), run.attempt, "", 10)
             for run in host.runs.values()
         ]
-        self.report(host, rows, incarnation=host.executor.incarnation)
+        self.report(
+            host,
+            rows,
+            survival_times_s=[SURVIVAL_S] * len(rows),
+            incarnation=host.executor.incarnation,
+        )
 
     def keep_running(self):
         """Have every host report its runs, which have just started."""
