--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -10,6 +10,7 @@
 from rattanwing import events
 from rattanwing.batch import messages, records
 from rattanwing.batch.runs import ExecutorRuns
+from rattanwing.batch.suspicion import SURVIVAL_S
 from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
 from rattanwing.errors import PeerLostError, ProtocolError
 from rattanwing.peer.session import PeerSession
@@ -31,6 +32,12 @@
 because its record may have been deleted. The interval is a little longer than
 a change of owner usually takes."""
 
+MAX_CRASHES_KEPT = 32
+"""Most crashes of executors that are kept until the owner has stored them."""
+
+MAX_SUSPECTS_LOGGED = 20
+"""Most tasks that are named in the log line about a crash."""
+
 UNREGISTER_TIMEOUT_S = 1.0
 """Longest wait for the store when an agent stops. If it does not answer, the owner
 deletes the address later."""
@@ -55,6 +62,24 @@
         return self.epoch, self.fence
 
 
+class KeptCrash:
+    """The crash of an incarnation, kept until the owner has stored it.
+
+    :param failed_at: time of the first call that it did not answer.
+    :param broken: whether that call lost its connection, so that its time is exact.
+    :param sent: whether it was sent on the owner's current stream.
+    """
+
+    __slots__ = ("incarnation", "failed_at", "broken", "runs", "sent")
+
+    def __init__(self, executor: ExecutorRuns) -> None:
+        self.incarnation = executor.view.incarnation
+        self.failed_at = executor.failed_at or executor.answered_at
+        self.broken = executor.failed_at is not None and executor.broken
+        self.runs = executor.crashed_runs()
+        self.sent = False
+
+
 class BatchAgent:
     """Serves one owner and controls one executor at a time.
 
@@ -65,6 +90,7 @@
     :param last_end_sent: highest number of an end that was sent on the owner's
         stream.
     :param executor_exited: whether an executor has announced its exit.
+    :param crashes: crashes that the owner has not stored yet, by incarnation.
     """
 
     __slots__ = (
@@ -78,6 +104,7 @@
         "nursery",
         "last_end_sent",
         "executor_exited",
+        "crashes",
     )
 
     def __init__(
@@ -95,6 +122,7 @@
         self.nursery: trio.Nursery | None = None
         self.last_end_sent = 0
         self.executor_exited = False
+        self.crashes: dict[str, KeptCrash] = {}
 
     def request_report(self) -> None:
         """Have the next report sent at once."""
@@ -116,11 +144,23 @@
                     remaining_ms=view.remaining_ms,
                 )
                 self.request_report()
+            if view.capacity() != current.view.capacity():
+                events.write(
+                    events.EXECUTOR_CAPACITY_CHANGED,
+                    executor=view.executor_id,
+                    before=current.view.capacity(),
+                    cpu=view.cpu,
+                    memory_mb=view.memory_mb,
+                    accelerators=view.accelerators,
+                )
+                self.request_report()
             current.view = view
             return
         if current is not None:
             current.exited = True
+            current.reborn = current.view.executor_id == view.executor_id
             current.poll_scope.cancel()
+            self.keep_crash(current)
         leases_end_by = self.started_at + TASK_LEASE_S + LEASE_MARGIN_S
         self.executor = ExecutorRuns(
             view,
@@ -173,6 +213,42 @@
         self.executor_exited = True
         self.request_report()
 
+    def keep_crash(self, executor: ExecutorRuns) -> None:
+        """Keep the crash of an incarnation that ended without an announcement."""
+        view = executor.view
+        if view.draining or executor.crash_kept:
+            return
+        executor.crash_kept = True
+        crash = KeptCrash(executor)
+        suspects = [run.task for run in crash.runs if run.survived_s < SURVIVAL_S]
+        events.write(
+            events.EXECUTOR_CRASHED,
+            executor=view.executor_id,
+            incarnation=view.incarnation,
+            silent_s=round(self.clock() - executor.answered_at, 3),
+            runs=len(crash.runs),
+            just_started=len(suspects),
+            tasks=suspects[:MAX_SUSPECTS_LOGGED],
+        )
+        if not crash.runs:
+            return
+        self.crashes[view.incarnation] = crash
+        if len(self.crashes) > MAX_CRASHES_KEPT:
+            del self.crashes[next(iter(self.crashes))]
+
+    def send_crashes(self, now: float) -> None:
+        """Send the owner the crashes that were not yet sent on its stream."""
+        if self.executor is not None and self.executor.exited:
+            self.keep_crash(self.executor)
+        for crash in self.crashes.values():
+            if not crash.sent:
+                failed_s = round(now - crash.failed_at, 3)
+                crash.sent = self.send(
+                    messages.ExecutorCrashed(
+                        crash.incarnation, now, failed_s, crash.broken, crash.runs
+                    )
+                )
+
     async def run(self) -> None:
         """Poll the executor and send reports until cancelled."""
         try:
@@ -193,6 +269,7 @@
             self.changed = trio.Event()
             self.send_ends()
             reported_at = self.clock()
+            self.send_crashes(reported_at)
             self.send_report(reported_at)
 
     def send_ends(self) -> None:
@@ -240,6 +317,10 @@
                 [] if lapsed else executor.running_rows(),
                 executor.is_complete(now),
                 unreachable or executor.listed_fence != executor.fence,
+                None
+                if executor.failed_at is None
+                else round(now - executor.failed_at, 3),
+                [] if lapsed else executor.survival_times_s(),
             )
         self.send(report)
 
@@ -288,6 +369,8 @@
             messages,
         )
         self.last_end_sent = 0
+        for crash in self.crashes.values():
+            crash.sent = False
         self.last_contact_at = self.clock()
         events.write(
             events.OWNER_ACCEPTED,
@@ -322,6 +405,8 @@
             case messages.EndsStored() if executor is not None:
                 if executor.view.incarnation == message.incarnation:
                     executor.drop_stored_ends(message.number)
+            case messages.CrashStored():
+                self.crashes.pop(message.incarnation, None)
             case messages.RunProperties() if executor is not None:
                 run = executor.runs.get((message.task, message.attempt))
                 if run is not None and run.properties is None:
--- a/rattanwing/batch/jobs.py
+++ b/rattanwing/batch/jobs.py
@@ -13,6 +13,11 @@
     from rattanwing.batch.model import JobSpec, StepSpec
 
 
+SUSPECT_WAIT_S = 3.0
+"""Time in seconds for which suspected tasks that find no host hold up the other tasks
+of their job."""
+
+
 class Task:
     """One task of an unfinished job.
 
@@ -26,6 +31,8 @@
     :param failed_on: names of the hosts on which the task has failed.
     :param refused_on: names of the hosts that have refused its start since its last
         run.
+    :param crashed_on: incarnations of executors that crashed soon after starting the
+        task, which is suspected of having caused it; empty once it is cleared.
     """
 
     __slots__ = (
@@ -41,6 +48,7 @@
         "runs",
         "failed_on",
         "refused_on",
+        "crashed_on",
     )
 
     def __init__(self, job: OwnedJob, task_id: TaskId, step: StepSpec) -> None:
@@ -56,6 +64,7 @@
         self.runs: list[Run] = []
         self.failed_on: set[str] = set()
         self.refused_on: set[str] = set()
+        self.crashed_on: set[str] = set()
 
     @property
     def key(self) -> str:
@@ -72,6 +81,10 @@
         """Return whether the task is waiting for a run."""
         return not self.done and not self.runs
 
+    def is_suspect(self) -> bool:
+        """Return whether the task is suspected of crashing executors."""
+        return bool(self.crashed_on)
+
 
 class StepTasks:
     """The tasks of one step in one occurrence.
@@ -115,6 +128,12 @@
         """Return the step's key in the progress record of its job."""
         return f"{self.occurrence}.{self.number}"
 
+    def has_waited_long(self, now: float) -> bool:
+        """Return whether a task has found no host for ``SUSPECT_WAIT_S``."""
+        return (
+            self.waiting_since is not None and now - self.waiting_since > SUSPECT_WAIT_S
+        )
+
     def bitmap(self) -> bytes:
         """Return a little-endian bitmap of the tasks that are done."""
         value = sum(1 << i for i, task in enumerate(self.tasks) if task.done)
@@ -144,6 +163,8 @@
         placement has failed with an unexpected error.
     :param running: number of runs of its tasks.
     :param stored: progress that an earlier owner stored, ``None`` if there is none.
+    :param suspects: its tasks that are suspected of crashing executors.
+    :param tests_suspects: whether it starts nothing but suspects at present.
     """
 
     __slots__ = (
@@ -159,6 +180,8 @@
         "last_run_ended_at",
         "running",
         "stored",
+        "suspects",
+        "tests_suspects",
     )
 
     def __init__(self, spec: JobSpec, received_at: float, inherited: bool) -> None:
@@ -174,6 +197,8 @@
         self.last_run_ended_at = received_at
         self.running = 0
         self.stored: Progress | None = None
+        self.suspects: set[Task] = set()
+        self.tests_suspects = False
 
     def create_due_occurrences(self, now_ms: int) -> None:
         """Create the tasks of every occurrence that is due."""
@@ -208,6 +233,8 @@
                 task.attempt = task.ended_attempt
                 task.checkpoint = progress.checkpoints.get(task.key, "")
                 task.checkpoint_attempt = task.ended_attempt
+                for incarnation in progress.crashes.get(task.key, ()):
+                    self.suspect(task, incarnation)
 
     def task(self, task_id: TaskId) -> Task | None:
         """Return a task, ``None`` if the job has no task of that id."""
@@ -250,6 +277,43 @@
         """Return whether the job has had no run for more than ``limit_s``."""
         return self.running == 0 and now - self.last_run_ended_at > limit_s
 
+    def suspect(self, task: Task, incarnation: str) -> None:
+        """Record that an executor crashed soon after starting a task."""
+        task.crashed_on.add(incarnation)
+        self.suspects.add(task)
+
+    def clear(self, task: Task) -> None:
+        """Clear a task of the suspicion of crashing executors."""
+        task.crashed_on.clear()
+        self.suspects.discard(task)
+        self.unsettled = True
+
+    def has_suspects_to_test(self, ready: list[StepTasks], now: float) -> bool:
+        """Return whether suspects are to be started before all other tasks.
+
+        Suspects that find no host, or whose step is not ready, do not hold up the rest
+        of the job.
+
+        :param ready: the steps that are ready.
+        """
+        return any(
+            not step.has_waited_long(now) and not self.suspects.isdisjoint(step.tasks)
+            for step in (ready if self.suspects else ())
+        )
+
+    def may_start(self, task: Task) -> bool:
+        """Return whether a suspicion of other tasks lets a waiting task start.
+
+        A job starts its suspected tasks before all others, and one at a time.
+        """
+        if task in self.suspects:
+            return not self.has_unproven_run()
+        return not self.tests_suspects
+
+    def has_unproven_run(self) -> bool:
+        """Return whether a task has a run that may still crash its executor."""
+        return any(not run.proven for task in self.tasks() for run in task.runs)
+
     def finish_task(self, task: Task) -> None:
         """Mark a task as done, and with it all tasks of its gang."""
         step = self.steps_by_occurrence[task.id.occurrence][task.id.step]
@@ -258,6 +322,7 @@
             if not member.done:
                 member.done = True
                 step.unfinished -= 1
+            self.clear(member)
         self.unsettled = True
 
     def tasks(self) -> list[Task]:
@@ -271,7 +336,7 @@
 
     def progress(self, epoch: int) -> Progress:
         """Return the progress record to store for the job."""
-        done, failures, attempts, checkpoints = {}, {}, {}, {}
+        done, failures, attempts, checkpoints, crashes = {}, {}, {}, {}, {}
         for steps in self.steps_by_occurrence.values():
             for step in steps:
                 if step.unfinished < len(step.tasks):
@@ -285,6 +350,8 @@
                         attempts[task.key] = task.ended_attempt
                     if task.checkpoint:
                         checkpoints[task.key] = task.checkpoint
+                    if task.crashed_on:
+                        crashes[task.key] = sorted(task.crashed_on)
         return Progress(
             epoch,
             self.state,
@@ -293,4 +360,5 @@
             attempts,
             checkpoints,
             self.finished_at_ms,
+            crashes,
         )
--- a/rattanwing/batch/messages.py
+++ b/rattanwing/batch/messages.py
@@ -1,8 +1,9 @@
 """Messages between entries and agents and among entries, and their codec.
 
 Messages are MessagePack arrays with a numeric tag. A monotonic time in a message is
-interpreted only by the process whose clock produced it. All other times are durations,
-except the Unix times in a ``JobSpec``, which the owner compares with its own clock.
+interpreted only by the process whose clock produced it, or compared with other times
+of that process. All other times are durations, except the Unix times in a ``JobSpec``,
+which the owner compares with its own clock.
 """
 
 from __future__ import annotations
@@ -139,6 +140,9 @@
         answered under this stream's fence, or every lease on it has lapsed.
     :param executor_unreachable: whether there is no executor, or it does not answer the
         agent.
+    :param failed_s: time since the first call that the executor did not answer;
+        ``None`` if it answers or there is none.
+    :param survival_times_s: for each run, how long the executor is known to run it.
     """
 
     stamp: Finite
@@ -147,6 +151,8 @@
     runs: list[RunningRow]
     complete: bool
     executor_unreachable: bool = False
+    failed_s: Finite | None = None
+    survival_times_s: list[Finite] = []
 
 
 class RunsEnded(Message, tag=7):
@@ -186,6 +192,44 @@
     rows: list[tuple[str, str, NonNegative]]
 
 
+class CrashedRun(msgspec.Struct, array_like=True, frozen=True):
+    """A run that was or may have been running when its executor crashed.
+
+    :param survived_s: time for which the executor is known to have run it.
+    :param ended: whether it has surely ended; otherwise the executor's next incarnation
+        may have started it.
+    """
+
+    task: str
+    attempt: Number
+    survived_s: Finite
+    ended: bool = True
+
+
+class ExecutorCrashed(Message, tag=16):
+    """An incarnation of an executor has ended without an announcement.
+
+    The agent sends it on each stream until it is acknowledged by ``CrashStored``.
+
+    :param stamp: the agent's clock when it sent this message.
+    :param failed_s: time since the first call that it did not answer.
+    :param broken: whether that call lost its connection, so that the time is exact.
+    :param runs: the runs that ended with it.
+    """
+
+    incarnation: str
+    stamp: Finite
+    failed_s: Finite
+    broken: bool
+    runs: list[CrashedRun]
+
+
+class CrashStored(Message, tag=17):
+    """Acknowledges a crash once the store holds what the owner concluded from it."""
+
+    incarnation: str
+
+
 class Superseded(Message, tag=15):
     """Tells an owner that the agent has seen a later epoch.
 
@@ -247,6 +291,8 @@
     | RunRefused
     | RunProperties
     | InterferenceEstimates
+    | ExecutorCrashed
+    | CrashStored
     | Superseded
     | RelayedSubmit
     | RelayedCancel
--- a/rattanwing/batch/placement.py
+++ b/rattanwing/batch/placement.py
@@ -75,6 +75,15 @@
 core."""
 
 
+SUSPECT_HOST_WEIGHT = 100_000
+"""Cost of a host that runs a task suspected of crashing executors, in thousandths of a
+core: it is avoided while there is room elsewhere."""
+
+UNPROVEN_WEIGHT = 10_000
+"""Cost for a suspected task of each run that has just started on a host, in thousandths
+of a core. If the host crashes, such runs are suspected as well."""
+
+
 class Constraints:
     """Placement limits set by the current configuration.
 
@@ -180,6 +189,10 @@
         reason = rejection_reason(host, job, task.step, constraints, now)
         if not reason and 0 < task.step.spread_limit <= count_runs_on(host, task):
             reason = "spread"
+        if not reason and task.is_suspect() and host.runs_suspect_of_other_job(job):
+            reason = "runs-suspect"
+        if not reason and not task.is_suspect() and host.is_held(now):
+            reason = "tests-suspect"
         if not reason:
             reason = unsuitable_reason(host, task.step, interference, now)
         if reason:
@@ -277,6 +290,10 @@
         total += FAILED_HERE_WEIGHT
     if host.name in task.refused_on or host.health.has_refused_lately(now):
         total += REFUSED_WEIGHT
+    if task.is_suspect():
+        total += UNPROVEN_WEIGHT * host.count_unproven()
+    elif host.tests_suspect():
+        total += SUSPECT_HOST_WEIGHT
     return total
 
 
@@ -315,6 +332,10 @@
     limit = task.step.spread_limit
     if limit:
         fitting = [host for host in fitting if count_runs_on(host, task) < limit]
+    if task.is_suspect():
+        fitting = [h for h in fitting if not h.runs_suspect_of_other_job(job)]
+    else:
+        fitting = [h for h in fitting if not h.is_held(now)]
     candidates = [
         host
         for host in fitting
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -12,6 +12,7 @@
 import trio
 
 from rattanwing import events
+from rattanwing.batch import messages
 from rattanwing.batch.pacing import (
     FULL_PERCENT,
     BestEffortPacer,
@@ -33,7 +34,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from rattanwing.batch import messages
     from rattanwing.batch.ports import ExecutorPort
 
 POLL_WAIT_S = 0.5
@@ -57,6 +57,10 @@
 LATE_CALL_S = 15.0
 """Time in seconds for which a start call without an answer may still take effect."""
 
+BROKEN_WITHIN_S = 0.3
+"""A poll that fails within this time in seconds after the end of its wait has lost its
+connection; one that times out takes longer."""
+
 RunKey = tuple[str, int]
 """Task and attempt."""
 
@@ -73,8 +77,10 @@
     :param may_be_unlisted_until: a poll sent up to this time may not list the run yet.
     :param known_to_executor: whether an answer or a listing of the executor has shown
         that it received the run's start or stop.
-    :param sent: whether a start call for it may have reached an executor.
+    :param maybe_sent: whether a call may have brought its start to an executor.
     :param listed: whether this incarnation of the executor has listed it.
+    :param known_since: when the executor first answered that it runs, or listed it;
+        ``None`` before.
     :param first_seen_at: when the agent first recorded it.
     :param pace_decided: whether a best-effort run has been given its first pace.
     """
@@ -88,8 +94,9 @@
         "pace",
         "may_be_unlisted_until",
         "known_to_executor",
-        "sent",
+        "maybe_sent",
         "listed",
+        "known_since",
         "first_seen_at",
         "pace_decided",
     )
@@ -109,11 +116,27 @@
         self.pace = FULL_PERCENT
         self.may_be_unlisted_until = now
         self.known_to_executor = known_to_executor
-        self.sent = False
+        self.maybe_sent = known_to_executor
         self.listed = False
+        self.known_since: float | None = None
         self.first_seen_at = now
         self.pace_decided = False
 
+    def confirm(self, now: float) -> None:
+        """Record an answer which shows that the executor runs it."""
+        self.known_to_executor = True
+        if self.known_since is None:
+            self.known_since = now
+
+    def survived_s(self, alive_at: float) -> float:
+        """Return for how long the executor is known to have run it, in seconds.
+
+        :param alive_at: latest time at which the executor is known to have been up.
+        """
+        if self.known_since is None:
+            return 0.0
+        return max(0.0, alive_at - self.known_since)
+
 
 class ExecutorRuns:
     """Carries out orders on one incarnation of an executor.
@@ -130,7 +153,12 @@
     :param confirmed_at: when this incarnation last answered a poll; negative infinity
         after a call has failed.
     :param unanswered: runs whose start call had no answer, and when it was sent.
+    :param failed_at: time of the first call that failed after the last answer, ``None``
+        if there was none.
+    :param broken: whether that call failed because its connection broke.
     :param exited: whether this incarnation of the executor has exited.
+    :param reborn: whether an incarnation with the same id has taken its place.
+    :param crash_kept: whether its crash has been recorded for the owner.
     :param replaces_listed: whether it has replaced an incarnation that this process
         of the agent has had a listing of.
     :param on_change: called when runs have ended or the set of runs has changed.
@@ -153,7 +181,11 @@
         "answered_at",
         "confirmed_at",
         "unanswered",
+        "failed_at",
+        "broken",
         "exited",
+        "reborn",
+        "crash_kept",
         "replaces_listed",
         "on_change",
         "on_refused",
@@ -185,7 +217,11 @@
         self.answered_at = clock()
         self.confirmed_at = float("-inf")
         self.unanswered: dict[RunKey, tuple[AgentRun, float]] = {}
+        self.failed_at: float | None = None
+        self.broken = False
         self.exited = False
+        self.reborn = False
+        self.crash_kept = False
         self.replaces_listed = False
         self.on_change = on_change
         self.on_refused = on_refused
@@ -251,11 +287,11 @@
         taken |= {
             key: run
             for key, run in previous.runs.items()
-            if run.sent and not run.listed
+            if run.maybe_sent and not run.listed
         }
         for key, run in taken.items():
             copy = AgentRun(run.properties, run.fence, now, known_to_executor=False)
-            copy.sent = True
+            copy.maybe_sent = True
             self.runs[key] = copy
         return list(taken)
 
@@ -284,9 +320,25 @@
             self.clock_sample = (clock_ms, now)
         self.answered_at = now
         self.silence_logged = False
+        if self.failed_at is not None:
+            self.failed_at = None
+            self.on_change()
+
+    def record_failure(self, now: float, broken: bool) -> None:
+        """Record a call that failed; the first one since the last answer is reported.
+
+        :param broken: whether its connection broke, as it does when the executor
+            crashes.
+        """
+        if self.failed_at is None:
+            self.failed_at = now
+            self.broken = broken
+            self.on_change()
+
+    def used_resources(self) -> tuple[int, int, int]:
+        """Return the thousandths of a core, megabytes and accelerators in use.
 
-    def used_resources(self) -> tuple[int, int]:
-        """Return the thousandths of a core and the megabytes that runs reserve.
+        All runs reserve them, also those that are being stopped.
 
         Best-effort runs reserve memory, but no CPU.
         """
@@ -294,15 +346,42 @@
             run.properties for run in self.runs.values() if run.properties is not None
         ]
         cpu = sum(properties.cpu for properties in known if not properties.best_effort)
-        return cpu, sum(properties.memory_mb for properties in known)
+        memory_mb = sum(properties.memory_mb for properties in known)
+        accelerators = sum(properties.accelerators for properties in known)
+        return cpu, memory_mb, accelerators
 
     def running_rows(self) -> list[RunningRow]:
         """Return a row for each run that is or may be running."""
         return [
             RunningRow(
-                task, attempt, run.checkpoint, run.progress_percent, run.measurement
+                task,
+                attempt,
+                run.checkpoint,
+                run.progress_percent,
+                run.measurement,
+            )
+            for (task, attempt), run in self.runs.items()
+        ]
+
+    def survival_times_s(self) -> list[float]:
+        """Return for each row of :meth:`running_rows` how long it is known to run."""
+        return [
+            round(run.survived_s(self.answered_at), 3) for run in self.runs.values()
+        ]
+
+    def crashed_runs(self) -> list[messages.CrashedRun]:
+        """Return the runs that ended, or may have, if this incarnation has crashed."""
+        exact = self.broken and self.failed_at is not None
+        ended_at = self.failed_at if exact else self.answered_at
+        return [
+            messages.CrashedRun(
+                task,
+                attempt,
+                round(run.survived_s(ended_at), 3),
+                run.listed or not self.reborn,
             )
             for (task, attempt), run in self.runs.items()
+            if run.maybe_sent
         ]
 
     def drop_stored_ends(self, number: int) -> None:
@@ -347,6 +426,8 @@
                 events.write(
                     events.EXECUTOR_SILENT, executor=self.view.executor_id, error=error
                 )
+            now = self.clock()
+            self.record_failure(now, now - sent_at <= wait_s + BROKEN_WITHIN_S)
             await trio.sleep(RETRY_PAUSE_S)
             return False
         if isinstance(result, OrderResult):
@@ -354,6 +435,7 @@
             await trio.sleep(RETRY_PAUSE_S)
             return False
         if result.incarnation not in ("", self.view.incarnation):
+            self.reborn = True
             self.handle_poll_refusal(OrderResult(OrderOutcome.OTHER_INCARNATION))
             return False
         self.confirmed_at = self.clock()
@@ -368,9 +450,10 @@
 
     def handle_poll_refusal(self, result: OrderResult) -> None:
         """Handle a refused poll; ``OTHER_INCARNATION`` shows that this one exited."""
-        self.answered_at = self.clock()
         if result.outcome is OrderOutcome.OTHER_INCARNATION:
             self.record_exit()
+        else:
+            self.answered_at = self.clock()
         events.write(
             events.ORDER_REFUSED,
             executor=self.view.executor_id,
@@ -393,7 +476,8 @@
             run = self.runs.setdefault(
                 key, AgentRun(None, self.fence, now, known_to_executor=True)
             )
-            run.known_to_executor = run.listed = True
+            run.listed = run.maybe_sent = True
+            run.confirm(now)
             run.checkpoint, run.progress_percent, run.measurement = (
                 row.checkpoint,
                 row.progress_percent,
@@ -432,17 +516,17 @@
         """
         key = (order.task, order.attempt)
         fence = run.fence
-        maybe_sent = False
         while fence == self.fence and not self.exited and not run.known_to_executor:
             now = self.clock()
             deadline_ms = self.deadline_ms()
             if now >= expires_at or deadline_ms is None:
-                await self.abandon_start(order, maybe_sent)
+                await self.abandon_start(order, run.maybe_sent)
                 return
             if not self.is_confirmed(now):
                 await trio.sleep(POLL_PAUSE_S)
                 continue
-            run.sent = True
+            sent_before = run.maybe_sent
+            run.maybe_sent = True
             try:
                 result = await self.executor.start(
                     order.task,
@@ -455,17 +539,19 @@
                 )
             except HttpCallError as error:
                 self.record_failed_call()
-                if error.verdict is not Verdict.NOT_RUN:
-                    maybe_sent = True
+                if error.verdict is Verdict.NOT_RUN:
+                    run.maybe_sent = sent_before
+                else:
                     self.record_unanswered(key, run, now)
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
-            self.record_clock(result.clock_ms, self.clock())
+            if result.outcome is not OrderOutcome.OTHER_INCARNATION:
+                self.record_clock(result.clock_ms, self.clock())
             if fence != self.fence or self.runs.get(key) is not run:
                 return
             if result.outcome is OrderOutcome.ACCEPTED:
                 run.may_be_unlisted_until = self.clock()
-                run.known_to_executor = True
+                run.confirm(self.clock())
                 events.write(
                     events.EXECUTOR_STARTED_RUN,
                     task=order.task,
@@ -477,9 +563,9 @@
                 if order.properties.best_effort:
                     await self.pace_best_effort_runs()
                 return
-            if self.earlier_try_started(result, key, maybe_sent):
+            if self.earlier_try_started(result, key, sent_before):
                 return
-            if maybe_sent and result.outcome is not OrderOutcome.OTHER_INCARNATION:
+            if sent_before and result.outcome is not OrderOutcome.OTHER_INCARNATION:
                 # The unanswered call may take effect after this refusal.
                 await self.stop(order.task, order.attempt)
                 return
@@ -488,7 +574,7 @@
             if result.outcome is OrderOutcome.OTHER_INCARNATION:
                 self.record_exit()
             return
-        if self.exited and fence == self.fence and not run.sent:
+        if self.exited and fence == self.fence and not run.maybe_sent:
             self.refuse(order, "executor-gone")
 
     def record_unanswered(self, key: RunKey, run: AgentRun, now: float) -> None:
@@ -510,7 +596,7 @@
         if result.outcome is not OrderOutcome.OLD_ATTEMPT or not maybe_sent:
             return False
         if key in self.runs:
-            self.runs[key].known_to_executor = True
+            self.runs[key].confirm(self.clock())
             self.runs[key].may_be_unlisted_until = self.clock()
         return True
 
@@ -522,7 +608,7 @@
             return "unclean"
         if any(run.properties is None for run in self.runs.values()):
             return "unknown-room"
-        cpu, memory_mb = self.used_resources()
+        cpu, memory_mb, accelerators = self.used_resources()
         if (
             not order.properties.best_effort
             and cpu + order.properties.cpu > self.view.cpu
@@ -530,6 +616,8 @@
             return "no-cpu"
         if memory_mb + order.properties.memory_mb > self.view.memory_mb:
             return "no-memory"
+        if accelerators + order.properties.accelerators > self.view.accelerators:
+            return "no-accelerator"
         return ""
 
     def refuse(self, order: messages.StartRun, reason: str) -> None:
@@ -565,7 +653,8 @@
                 self.record_failed_call()
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
-            self.record_clock(result.clock_ms, self.clock())
+            if result.outcome is not OrderOutcome.OTHER_INCARNATION:
+                self.record_clock(result.clock_ms, self.clock())
             if result.outcome is OrderOutcome.ACCEPTED:
                 run = self.runs.get((task, attempt))
                 if run is not None and not run.known_to_executor:
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -23,6 +23,14 @@
     count_rejections,
 )
 from rattanwing.batch.ports import EndedRow, EndReason, RunningRow
+from rattanwing.batch.suspicion import (
+    HOLD_S,
+    SURVIVAL_S,
+    has_survived,
+    is_deadly,
+    is_isolated,
+    may_hold,
+)
 from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
 from rattanwing.batch.urgency import sort_by_urgency
 
@@ -65,6 +73,9 @@
 )
 """Reasons of refusals that don't tell against the host: the order came too late, or
 its executor has been replaced."""
+CRASH_MEMORY_S = 30.0
+"""Time in seconds for which crashes of executors are remembered, so that others are
+compared with them; more than an executor takes to come back."""
 
 STOP_RETRY_S = 2.0
 """Time in seconds after which a stop is ordered again if the run is still reported."""
@@ -77,6 +88,9 @@
     :param unstored: jobs whose progress must be stored, by id.
     :param unacked: by host, the executor incarnation and number of the newest end
         of a run that may be acknowledged once the jobs' progress is stored.
+    :param unacked_crashes: host and executor incarnation of each crash that may be
+        acknowledged once the jobs' progress is stored.
+    :param crash_times: time of each recent crash, by executor incarnation.
     :param takeover_complete: whether tasks of inherited jobs may be started; see
         :meth:`check_takeover`.
     :param directory_known: whether every registered agent is in ``cluster``.
@@ -90,6 +104,8 @@
         "constraints",
         "unstored",
         "unacked",
+        "unacked_crashes",
+        "crash_times",
         "takeover_complete",
         "directory_known",
         "interference",
@@ -105,6 +121,8 @@
         self.constraints = Constraints()
         self.unstored: dict[str, OwnedJob] = {}
         self.unacked: dict[str, tuple[str, int]] = {}
+        self.unacked_crashes: list[tuple[str, str]] = []
+        self.crash_times: dict[str, float] = {}
         self.takeover_complete = False
         self.directory_known = False
         self.interference = InterferenceModel()
@@ -223,6 +241,10 @@
         host.report_stamp = report.stamp
         host.executor_unreachable = report.executor_unreachable
         host.colocation = None
+        host.record_stamp(report.stamp, now)
+        host.failed_at = None
+        if report.failed_s is not None:
+            host.failed_at = report.stamp + host.clock_offset - report.failed_s
         executor = report.executor
         previous = host.executor
         # A report without an executor shows that the previous one is gone only if the
@@ -233,18 +255,31 @@
             else report.complete
         )
         if replaced:
+            if executor is not None and not previous.draining:
+                self.suspect_forgotten_runs(host, previous.incarnation, now, now_ms)
             self.cluster.mark_all_lost(host, "executor-gone", now)
             host.health.forget_refusals()
         if executor is not None or report.complete:
             host.executor = executor
+        grown = (
+            previous is not None
+            and executor is not None
+            and any(
+                after > before
+                for after, before in zip(
+                    executor.capacity(), previous.capacity(), strict=True
+                )
+            )
+        )
         first_complete = report.complete and not host.fully_reported
         host.fully_reported = host.fully_reported or report.complete
         listed = {(row.task, row.attempt): row for row in report.runs}
         host.unknown_runs = 0
+        survived = dict(zip(listed, report.survival_times_s, strict=False))
         for key, row in listed.items():
             run = host.runs.get(key) or self.adopt(host, row, now)
             if run is not None:
-                self.update_run(run, row, now)
+                self.update_run(run, row, survived.get(key, 0.0), now)
             else:
                 host.unknown_runs += 1
         if report.complete:
@@ -253,12 +288,14 @@
                     self.cluster.mark_lost(run, "not-reported", now)
         if first_complete:
             self.cluster.send_properties(list(host.runs.values()))
-        host.freed = host.freed or not was_open or replaced
+        host.freed = host.freed or not was_open or replaced or grown
         self.interference.observe(list(host.runs.values()), now)
         if executor is not None and executor.draining:
             self.stop_runs_on_draining_host(host, executor.remaining_ms, now)
 
-    def update_run(self, run: Run, row: RunningRow, now: float) -> None:
+    def update_run(
+        self, run: Run, row: RunningRow, survived_s: float, now: float
+    ) -> None:
         """Apply the reported state of a run, and repeat a stop that had no effect."""
         if row.progress_percent != run.progress_percent or not run.reported:
             run.progressed_at = now
@@ -266,6 +303,8 @@
         run.progress_percent = row.progress_percent
         run.record_use(row.measurement, now)
         run.checkpoint = row.checkpoint or run.checkpoint
+        if not run.proven and has_survived(survived_s, row.progress_percent):
+            self.handle_survival(run)
         if (
             run.last_stop_ordered_at is not None
             and now - run.last_stop_ordered_at > STOP_RETRY_S
@@ -452,6 +491,131 @@
             run.task.refused_on.add(host.name)
             host.health.record_refusal(now)
 
+    # Crashes
+
+    def handle_crash(
+        self, host: Host, crash: messages.ExecutorCrashed, now: float, now_ms: int
+    ) -> None:
+        """Apply the crash of an executor; the agent may report it on several streams.
+
+        Its runs are lost. The tasks that it had just started are suspected of having
+        crashed it.
+        """
+        self.unacked_crashes.append((host.name, crash.incarnation))
+        host.record_stamp(crash.stamp, now)
+        crashed_at = crash.stamp + host.clock_offset - crash.failed_s
+        self.crash_times = {
+            incarnation: at
+            for incarnation, at in self.crash_times.items()
+            if now - at < CRASH_MEMORY_S
+        }
+        self.crash_times.pop(crash.incarnation, None)
+        others = [*self.crash_times.values()]
+        others += [
+            other.failed_at
+            for other in self.cluster.hosts.values()
+            if other is not host and other.failed_at is not None
+        ]
+        self.crash_times[crash.incarnation] = crashed_at
+        started = []
+        for row in crash.runs:
+            run = host.runs.get((row.task, row.attempt))
+            if run is not None and row.ended:
+                self.cluster.mark_lost(run, "executor-crashed", now)
+            task = self.find_task(row.task)
+            if task is not None:
+                task.attempt = max(task.attempt, row.attempt)
+                if row.survived_s < SURVIVAL_S:
+                    started.append(task)
+        only_suspect = len({task.id.job_id for task in started}) == 1
+        isolated = crash.broken and is_isolated(crashed_at, others)
+        self.suspect(started, crash.incarnation, only_suspect, isolated, now, now_ms)
+
+    def suspect_forgotten_runs(
+        self, host: Host, incarnation: str, now: float, now_ms: int
+    ) -> None:
+        """Suspect runs of an earlier stream whose executor was replaced.
+
+        An agent that was restarted meanwhile does not report the crash.
+        """
+        started = [
+            run.task
+            for run in host.runs.values()
+            if run.order_number == 0 and run.reported and not run.proven
+        ]
+        self.suspect(started, incarnation, False, False, now, now_ms)
+
+    def find_task(self, name: str) -> Task | None:
+        """Return the task of a reported name; ``None`` if there is none."""
+        try:
+            task_id = parse_task_id(name)
+        except ValueError:
+            return None
+        job = self.jobs.get(task_id.job_id)
+        return job.task(task_id) if job is not None else None
+
+    def suspect(
+        self,
+        tasks: list[Task],
+        incarnation: str,
+        only_suspect: bool,
+        isolated: bool,
+        now: float,
+        now_ms: int,
+    ) -> None:
+        """Suspect tasks that an executor started just before it crashed.
+
+        The job of a task is given up if the task is found to be deadly.
+
+        :param only_suspect: see :func:`rattanwing.batch.suspicion.is_deadly`.
+        :param isolated: see :func:`rattanwing.batch.suspicion.is_deadly`.
+        """
+        for task in tasks:
+            job = task.job
+            if task.done or job.state.final or any(run.proven for run in task.runs):
+                continue
+            if incarnation in task.crashed_on:
+                continue
+            job.suspect(task, incarnation)
+            self.mark_unstored(job)
+            crashes = len(task.crashed_on)
+            events.write(
+                events.TASK_SUSPECTED,
+                task=str(task.id),
+                incarnation=incarnation,
+                crashes=crashes,
+                only_suspect=only_suspect,
+                isolated=isolated,
+                epoch=self.epoch,
+            )
+            if is_deadly(crashes, only_suspect, isolated):
+                events.write(
+                    events.JOB_GIVEN_UP,
+                    job=job.spec.job_id,
+                    task=str(task.id),
+                    crashed=sorted(task.crashed_on),
+                    epoch=self.epoch,
+                )
+                self.finish_job(job, JobState.FAILED, now, now_ms)
+
+    def hold(self, host: Host, run: Run, now: float) -> None:
+        """Keep other starts off a host where a suspected task starts, if possible."""
+        hosts = self.cluster.hosts.values()
+        host.suspect_run = run
+        if may_hold(sum(other.is_held(now) for other in hosts), len(hosts)):
+            host.held_until = now + HOLD_S
+
+    def handle_survival(self, run: Run) -> None:
+        """Clear the task of a run that has not crashed its executor."""
+        run.proven = True
+        run.host.freed = run.host.freed or run.host.suspect_run is run
+        task = run.task
+        if not task.is_suspect():
+            return
+        task.job.clear(task)
+        self.mark_unstored(task.job)
+        events.write(events.TASK_CLEARED, task=str(task.id), host=run.host.name)
+
     # Placement
 
     def place_waiting_tasks(self, now: float, now_ms: int) -> None:
@@ -488,7 +652,9 @@
         :returns: whether no task of the job is left waiting.
         """
         settled = True
-        for step in job.ready_steps():
+        ready = job.ready_steps()
+        job.tests_suspects = job.has_suspects_to_test(ready, now)
+        for step in ready:
             everywhere = now - step.checked_at >= RECHECK_INTERVAL_S
             hosts = open_hosts.list(job.spec.queue.service, everywhere)
             if not hosts and not everywhere:
@@ -509,16 +675,21 @@
 
         :returns: whether no task of the step is left waiting.
         """
+        held_back = False
         for task in step.tasks:
             if not task.is_waiting():
                 continue
+            if not job.may_start(task):
+                held_back = True
+                continue
             host = choose_host(hosts, job, task, self.interference, now)
             if host is None:
                 self.record_wait(job, step, task, now)
                 return False
             self.start(job, task, task.attempt + 1, host, now)
-        step.waiting_since = None
-        return True
+        if not held_back:
+            step.waiting_since = None
+        return not held_back
 
     def record_wait(
         self,
@@ -565,6 +736,8 @@
                     if run.last_stop_ordered_at is None:
                         self.cluster.stop(run, "gang-broken", now)
             return True
+        if not any(job.may_start(task) for task in step.tasks):
+            return False
         attempt = max(task.attempt for task in step.tasks) + 1
         checkpoint = next(
             (task.checkpoint for task in step.tasks if task.checkpoint), ""
@@ -592,6 +765,8 @@
         task.attempt = attempt
         run = self.cluster.add_run(task, attempt, host, now)
         run.order_number = host.allocate_order_number()
+        if task.is_suspect():
+            self.hold(host, run, now)
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
             self.mark_unstored(job)
--- /dev/null
+++ b/rattanwing/batch/suspicion.py
@@ -0,0 +1,82 @@
+"""Finds out which task crashes the executors that start it.
+
+A deadly task crashes every executor soon after its start, and with it all runs there.
+A task is suspected after an executor has crashed soon after starting it, and cleared
+once it has run for longer. Suspected tasks of different jobs never run on one host, and
+a job with suspected tasks starts them one at a time, so that the next crash shows which
+task is deadly. The job of a deadly task is given up.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+SURVIVAL_S = 0.25
+"""Time in seconds for which an executor must have run a task for its crash not to be
+due to the task; deadly tasks take effect some 10 ms after their start."""
+
+CLEARED_WITHOUT_PROGRESS_S = 3.0
+"""Time in seconds after which a run that makes no progress clears its task too. The
+run of a deadly task may stand still on a defective host."""
+
+HOLD_S = 1.0
+"""Longest time in seconds for which a host starts nothing beside a suspected task that
+has just started there, so that only this task can be the cause of a crash."""
+
+HELD_SHARE = 0.25
+"""Largest share of the hosts that are held at the same time, but at least one."""
+
+SAME_TIME_S = 0.1
+"""Crashes of executors that are no further apart than this, in seconds, may have one
+cause outside the tasks. Agents notice a crash within some 10 ms, by the connection that
+breaks."""
+
+ENOUGH_CRASHES = 2
+"""Number of crashes from which a task may be given up."""
+
+MAX_CRASHES = 3
+"""Number of crashes after which a task is given up however they came about."""
+
+
+def has_survived(survived_s: float, progress_percent: int) -> bool:
+    """Return whether a run shows that its task is not deadly.
+
+    :param survived_s: time for which the executor is known to have run it.
+    """
+    if progress_percent > 0:
+        return survived_s >= SURVIVAL_S
+    return survived_s >= CLEARED_WITHOUT_PROGRESS_S
+
+
+def is_deadly(crashes: int, only_suspect: bool, isolated: bool) -> bool:
+    """Return whether a task is to be given up after a crash.
+
+    :param crashes: number of executors that crashed soon after starting the task.
+    :param only_suspect: whether the last of them had started no task of another job
+        shortly before.
+    :param isolated: whether no other executor is known to have failed at about the same
+        time.
+    """
+    if crashes >= MAX_CRASHES:
+        return True
+    return crashes >= ENOUGH_CRASHES and only_suspect and isolated
+
+
+def may_hold(held: int, hosts: int) -> bool:
+    """Return whether one more host may be held.
+
+    :param held: number of hosts that are held now.
+    :param hosts: number of all hosts.
+    """
+    return held < max(1, int(hosts * HELD_SHARE))
+
+
+def is_isolated(crashed_at: float, others: Iterable[float]) -> bool:
+    """Return whether a crash is apart from the failures of other executors.
+
+    :param others: times at which other executors stopped answering.
+    """
+    return all(abs(at - crashed_at) > SAME_TIME_S for at in others)
--- a/rattanwing/standin/runs.py
+++ b/rattanwing/standin/runs.py
@@ -1,7 +1,8 @@
 """In-memory stand-in for an executor that runs batch tasks under leases and fences.
 
 It can crash and restart under the same or another id, carry out starts late and without
-an answer, fail tasks, become unreachable, and drain.
+an answer, fail tasks, become unreachable, drain, and change its capacity. Some tasks
+can crash each executor that starts them.
 """
 
 from __future__ import annotations
@@ -33,6 +34,13 @@
 KILL_GRACE_S = 0.2
 """Time that a stopped run takes to end."""
 
+DEADLY_AFTER_S = 0.01
+"""Time in seconds after which a deadly task crashes the executor that has started
+it."""
+
+RESTART_AFTER_S = 3.0
+"""Time in seconds after which an executor that a task has crashed starts again."""
+
 CALL_DURATION_S = 0.001
 """Time that a call takes to reach the executor."""
 
@@ -44,6 +52,7 @@
     :param ended_at: when it ended; ``None`` while it runs.
     :param end_reason: why it ended; ``None`` while it runs.
     :param acknowledged_at: when its end was acknowledged; ``None`` before.
+    :param crashed: whether the executor crashed while it ran.
     """
 
     __slots__ = (
@@ -54,6 +63,7 @@
         "ended_at",
         "end_reason",
         "acknowledged_at",
+        "crashed",
     )
 
     def __init__(self, task: str, attempt: int, executor: str, now: float) -> None:
@@ -64,6 +74,7 @@
         self.ended_at: float | None = None
         self.end_reason: EndReason | None = None
         self.acknowledged_at: float | None = None
+        self.crashed = False
 
 
 class LateStarts:
@@ -107,6 +118,10 @@
     :param draining: whether the executor announces that it will stop.
     :param end_added: set, and replaced by a new event, when a run ends.
     :param lapse_times: when leases lapsed, in seconds of trio's clock.
+    :param deadly: returns whether a task crashes each executor that starts it.
+    :param keeps_id: whether it has the same id after a deadly task has crashed it.
+    :param capacity_changes: time, thousandths of a core and megabytes of memory of
+        each change of the capacity.
     """
 
     __slots__ = (
@@ -138,6 +153,9 @@
         "nursery",
         "reachable",
         "lapse_times",
+        "deadly",
+        "keeps_id",
+        "capacity_changes",
     )
 
     def __init__(
@@ -165,6 +183,9 @@
         self.draining = False
         self.nursery: trio.Nursery | None = None
         self.lapse_times: list[float] = []
+        self.deadly: Callable[[str], bool] = lambda _task: False
+        self.keeps_id = False
+        self.capacity_changes: list[tuple[float, int, int]] = []
         self.restart()
 
     def restart(self, same_id: bool = False) -> None:
@@ -195,8 +216,27 @@
         for record in self.running.values():
             record.ended_at = trio.current_time()
             record.end_reason = EndReason.LAPSED
+            record.crashed = True
         self.running = {}
         self.up = False
+        # A poll that waits for an end loses its connection at once.
+        self.end_added.set()
+
+    async def crash_later(self, incarnation: int) -> None:
+        """Crash soon, as after the start of a deadly task, and start again later."""
+        await trio.sleep(DEADLY_AFTER_S)
+        if not self.up or incarnation != self.incarnation:
+            return
+        self.crash()
+        await trio.sleep(RESTART_AFTER_S)
+        if not self.up:
+            self.restart(same_id=self.keeps_id)
+
+    def set_capacity(self, cpu: int, memory_mb: int) -> None:
+        """Change the capacity while the executor runs; announcements then show it."""
+        self.cpu = cpu
+        self.memory_mb = memory_mb
+        self.capacity_changes.append((trio.current_time(), cpu, memory_mb))
 
     def executor_id(self) -> str:
         """Return the current id."""
@@ -307,6 +347,8 @@
         self.running[key] = record
         self.last_attempts[task] = max(attempt, self.last_attempts.get(task, 0))
         self.nursery.start_soon(self.run_task, key, self.incarnation)
+        if self.deadly(task):
+            self.nursery.start_soon(self.crash_later, self.incarnation)
         return self.make_result(OrderOutcome.ACCEPTED)
 
     async def stop(self, task: str, attempt: int, fence: int) -> OrderResult:
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -32,8 +32,8 @@
         self.tasks.append((task, args))
 
 
-def start_order(number=1, cpu=100, start_before=12.0):
-    properties = messages.TaskProperties(cpu, 10, 0, False, 0, "")
+def start_order(number=1, cpu=100, start_before=12.0, accelerators=0):
+    properties = messages.TaskProperties(cpu, 10, accelerators, False, 0, "")
     return messages.StartRun(
         number,
         "job-1.0.0.0",
@@ -48,7 +48,9 @@
 
 class ReportTests(unittest.TestCase):
     def setUp(self):
-        executor = StandinBatchExecutor("executor-0", "domain-a", [], lambda _task: 1.0)
+        self.executor = executor = StandinBatchExecutor(
+            "executor-0", "domain-a", [], lambda _task: 1.0
+        )
         self.now = 10.0
         self.agent = BatchAgent(lambda: self.now, executor.port)
         self.agent.nursery = RecordingNursery()
@@ -73,6 +75,29 @@
         self.assertEqual(self.owner.session.sent[-1].reason, "no-cpu")
         self.assertEqual(self.report().runs, [])
 
+    def test_orders_beyond_the_accelerators_are_refused(self):
+        self.agent.handle_message(self.owner, start_order(accelerators=1))
+        self.assertEqual(self.owner.session.sent[-1].reason, "no-accelerator")
+        self.assertEqual(self.report().runs, [])
+
+    def test_change_of_capacity_is_reported_at_once_and_limits_starts(self):
+        """The owner learned of it up to half a second later."""
+        for cpu, memory_mb in ((4000, 5), (50, 5), (4000, 8000)):
+            with self.subTest(cpu=cpu, memory_mb=memory_mb):
+                self.agent.changed = trio.Event()
+                self.executor.cpu = cpu
+                self.executor.memory_mb = memory_mb
+                self.agent.handle_announcement(self.executor.view())
+                self.assertTrue(self.agent.changed.is_set())
+                view = self.report().executor
+                self.assertEqual((view.cpu, view.memory_mb), (cpu, memory_mb))
+                self.agent.changed = trio.Event()
+                self.agent.handle_announcement(self.executor.view())
+                self.assertFalse(self.agent.changed.is_set())
+                self.agent.handle_message(self.owner, start_order())
+                fits = memory_mb == 8000
+                self.assertEqual(len(self.agent.executor.runs), int(fits))
+
     def test_start_is_refused_while_a_run_of_unknown_size_is_listed(self):
         """After a restart an agent gets its runs' properties from the owner, but not
         those of a run whose job was cancelled in the meantime.
@@ -209,3 +234,84 @@
         clock = trio.testing.MockClock(autojump_threshold=0)
         remaining_ms = trio.run(poll_across_rebirth, clock=clock)
         self.assertLessEqual(remaining_ms, 2000)
+
+
+class CrashReportTests(unittest.TestCase):
+    """An owner that died with what it knew of a crash let the count start again."""
+
+    def setUp(self):
+        self.executor = StandinBatchExecutor(
+            "executor-0", "domain-a", [], lambda _task: 1.0
+        )
+        self.now = 10.0
+        self.agent = BatchAgent(lambda: self.now, self.executor.port)
+        self.agent.nursery = RecordingNursery()
+        self.owner = self.agent.owner = OwnerSession(1, 1)
+        self.owner.session = RecordingSession()
+        self.agent.handle_announcement(self.executor.view())
+        self.agent.executor.listed_fence = 1
+        self.agent.handle_message(self.owner, start_order())
+        self.run = self.agent.executor.runs["job-1.0.0.0", 1]
+
+    def replace_executor(self):
+        self.executor.restart()
+        self.agent.handle_announcement(self.executor.view())
+
+    def crashes(self):
+        """Return the crashes that the agent sends with its next report."""
+        self.owner.session.sent.clear()
+        self.agent.send_crashes(self.now)
+        return self.owner.session.sent
+
+    def test_crash_lists_runs_with_the_time_that_they_survived(self):
+        self.run.maybe_sent = True
+        self.run.confirm(10.0)
+        self.agent.executor.answered_at = 10.2
+        self.agent.executor.record_failure(10.4, broken=True)
+        self.now = 13.0
+        self.replace_executor()
+        row = messages.CrashedRun("job-1.0.0.0", 1, 0.4)
+        crash = messages.ExecutorCrashed("executor-0@1", 13.0, 2.6, True, [row])
+        self.assertEqual(self.crashes(), [crash])
+
+    def test_crash_that_is_found_by_a_timeout_proves_no_longer_survival(self):
+        self.run.maybe_sent = True
+        self.run.confirm(10.0)
+        self.agent.executor.answered_at = 10.2
+        self.agent.executor.record_failure(11.4, broken=False)
+        self.now = 13.0
+        self.replace_executor()
+        row = messages.CrashedRun("job-1.0.0.0", 1, 0.2)
+        crash = messages.ExecutorCrashed("executor-0@1", 13.0, 1.6, False, [row])
+        self.assertEqual(self.crashes(), [crash])
+
+    def test_crash_is_sent_to_each_owner_until_it_is_stored(self):
+        self.run.maybe_sent = True
+        self.replace_executor()
+        self.assertEqual(len(self.crashes()), 1)
+        self.assertEqual(self.crashes(), [])
+        for crash in self.agent.crashes.values():
+            crash.sent = False
+        self.assertEqual(len(self.crashes()), 1)
+        self.agent.handle_message(self.owner, messages.CrashStored("executor-0@1"))
+        self.assertEqual(self.agent.crashes, {})
+
+    def test_crash_is_reported_once_until_the_next_executor_announces_itself(self):
+        self.run.maybe_sent = True
+        self.agent.executor.exited = True
+        self.assertEqual(len(self.crashes()), 1)
+        self.agent.handle_message(self.owner, messages.CrashStored("executor-0@1"))
+        self.assertEqual(self.crashes(), [])
+        self.replace_executor()
+        self.assertEqual(self.crashes(), [])
+
+    def test_run_whose_start_was_never_called_is_not_part_of_a_crash(self):
+        self.replace_executor()
+        self.assertEqual(self.crashes(), [])
+
+    def test_executor_that_drained_did_not_crash(self):
+        self.run.maybe_sent = True
+        self.executor.draining = True
+        self.agent.handle_announcement(self.executor.view())
+        self.replace_executor()
+        self.assertEqual(self.crashes(), [])
