Use an executor with an earlier start after a departure

Callers' view: none; found by reading. The order of announcements was kept after an executor had announced its end, so a successor whose clock had been set back was answered and ignored for good. The departure now ends the order, and the departed incarnation stays barred. Ruled out: nothing.

--- a/rattanwing/platform/executor.py
+++ b/rattanwing/platform/executor.py
@@ -333,8 +333,16 @@
             self.newest_announcement = (0, 0)
 
     async def handle_departure(self, request: Request) -> Response:
-        """Tell the agent that the executor has ended."""
-        self.agent.handle_exit(request.match["executor_id"])
+        """Tell the agent that the executor has ended.
+
+        Its successor may have an earlier start, if the clock has been set back.
+        """
+        executor_id = request.match["executor_id"]
+        current = self.agent.executor
+        if current is not None and current.view.executor_id == executor_id:
+            self.exited.append(current.view.incarnation)
+            self.newest_announcement = (0, 0)
+        self.agent.handle_exit(executor_id)
         return json_response(200, {})
 
 
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -83,6 +83,10 @@
         body = msgspec.json.encode({**ANNOUNCEMENT, **changes})
         return self.send(body, executor_id)
 
+    def leave(self, executor_id):
+        made = request("DELETE", "/x", b"", match={"executor_id": executor_id})
+        trio.run(self.routes.handle_departure, made)
+
 
 class RecordingSession:
     """Encodes the agent's messages, as a stream to the owner does."""
@@ -527,6 +531,16 @@
         run.announce("i-odd", born=2000, seq=2)
         self.assertEqual(run.agent.executor.view.incarnation, "i-1@1000")
 
+    def test_successor_with_an_earlier_start_is_used_after_a_departure(self):
+        """Its clock had been set back; it was ignored for good."""
+        run = AnnouncementRun()
+        run.announce("i-1", born=2000, seq=7)
+        run.leave("i-1")
+        run.announce("i-2", born=1000, seq=1)
+        self.assertEqual(run.agent.executor.view.incarnation, "i-2@1000")
+        run.announce("i-1", born=2000, seq=8)
+        self.assertEqual(run.agent.executor.view.incarnation, "i-2@1000")
+
     def test_late_announcement_of_an_earlier_executor_changes_nothing(self):
         run = AnnouncementRun()
         run.announce("i-1", born=1000, seq=7)
