Count an answer only if it surely comes from the confirmed incarnation

An answer to a stop by an executor that had started again under its id counted as a sign of life of the earlier one, so that a task which had crashed it seemed to have survived; a poll sent before a failed call and answered after it confirmed the incarnation again; a start without an answer was remembered for one later incarnation only; event 546 could name the cause of a later adjustment; a lease was reckoned with although no start was sent.

The three tests in tests.batch.test_agent.RebirthTests failed before (two by their assertion, one for the renamed method). Ruled out: crossing messages.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -209,6 +209,7 @@
             return
         events.write(events.EXECUTOR_LEFT, executor=executor_id)
         current.exited = True
+        current.poll_scope.cancel()
         self.executor = None
         self.executor_exited = True
         self.request_report()
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -152,6 +152,7 @@
     :param ends: listed ends that are not stored yet, by number.
     :param confirmed_at: when this incarnation last answered a poll; negative infinity
         after a call has failed.
+    :param failed_call_at: when a call last failed.
     :param unanswered: runs whose start call had no answer, and when it was sent.
     :param failed_at: time of the first call that failed after the last answer, ``None``
         if there was none.
@@ -180,6 +181,7 @@
         "ends",
         "answered_at",
         "confirmed_at",
+        "failed_call_at",
         "unanswered",
         "failed_at",
         "broken",
@@ -216,6 +218,7 @@
         self.ends: dict[int, EndedRow] = {}
         self.answered_at = clock()
         self.confirmed_at = float("-inf")
+        self.failed_call_at = float("-inf")
         self.unanswered: dict[RunKey, tuple[AgentRun, float]] = {}
         self.failed_at: float | None = None
         self.broken = False
@@ -262,9 +265,10 @@
         """
         return now - self.confirmed_at <= CONFIRMED_FOR_S
 
-    def record_failed_call(self) -> None:
-        """Note that the executor may have been replaced since its last answer."""
+    def record_unconfirmed(self) -> None:
+        """Note after a failed call that the executor may have been replaced."""
         self.confirmed_at = float("-inf")
+        self.failed_call_at = self.clock()
 
     def record_exit(self) -> None:
         """Note that another incarnation is there."""
@@ -291,8 +295,9 @@
         }
         for key, run in taken.items():
             copy = AgentRun(run.properties, run.fence, now, known_to_executor=False)
-            copy.maybe_sent = True
             self.runs[key] = copy
+            _run, sent_at = previous.unanswered.get(key, (run, now))
+            self.unanswered[key] = copy, sent_at
         return list(taken)
 
     def is_unreachable(self, now: float) -> bool:
@@ -335,6 +340,13 @@
             self.broken = broken
             self.on_change()
 
+    def record_order_answer(self, result: OrderResult) -> None:
+        """Record an answer to an order, if it surely comes from this incarnation."""
+        now = self.clock()
+        refused = result.outcome is OrderOutcome.OTHER_INCARNATION
+        if not refused and self.is_confirmed(now):
+            self.record_clock(result.clock_ms, now)
+
     def used_resources(self) -> tuple[int, int, int]:
         """Return the thousandths of a core, megabytes and accelerators in use.
 
@@ -420,7 +432,7 @@
                 wait_s,
             )
         except HttpCallError as error:
-            self.record_failed_call()
+            self.record_unconfirmed()
             if not self.silence_logged:
                 self.silence_logged = True
                 events.write(
@@ -430,6 +442,8 @@
             self.record_failure(now, now - sent_at <= wait_s + BROKEN_WITHIN_S)
             await trio.sleep(RETRY_PAUSE_S)
             return False
+        if self.exited:
+            return False
         if isinstance(result, OrderResult):
             self.handle_poll_refusal(result)
             await trio.sleep(RETRY_PAUSE_S)
@@ -438,7 +452,8 @@
             self.reborn = True
             self.handle_poll_refusal(OrderResult(OrderOutcome.OTHER_INCARNATION))
             return False
-        self.confirmed_at = self.clock()
+        if sent_at > self.failed_call_at:
+            self.confirmed_at = self.clock()
         first = self.listed_fence != fence and fence == self.fence
         if fence == self.fence:
             self.listed_fence = fence
@@ -450,10 +465,11 @@
 
     def handle_poll_refusal(self, result: OrderResult) -> None:
         """Handle a refused poll; ``OTHER_INCARNATION`` shows that this one exited."""
+        now = self.clock()
         if result.outcome is OrderOutcome.OTHER_INCARNATION:
             self.record_exit()
-        else:
-            self.answered_at = self.clock()
+        elif self.is_confirmed(now):
+            self.answered_at = now
         events.write(
             events.ORDER_REFUSED,
             executor=self.view.executor_id,
@@ -518,11 +534,11 @@
         fence = run.fence
         while fence == self.fence and not self.exited and not run.known_to_executor:
             now = self.clock()
-            deadline_ms = self.deadline_ms()
-            if now >= expires_at or deadline_ms is None:
+            if now >= expires_at:
                 await self.abandon_start(order, run.maybe_sent)
                 return
-            if not self.is_confirmed(now):
+            deadline_ms = self.deadline_ms() if self.is_confirmed(now) else None
+            if deadline_ms is None:
                 await trio.sleep(POLL_PAUSE_S)
                 continue
             sent_before = run.maybe_sent
@@ -538,15 +554,14 @@
                     fence,
                 )
             except HttpCallError as error:
-                self.record_failed_call()
+                self.record_unconfirmed()
                 if error.verdict is Verdict.NOT_RUN:
                     run.maybe_sent = sent_before
                 else:
                     self.record_unanswered(key, run, now)
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
-            if result.outcome is not OrderOutcome.OTHER_INCARNATION:
-                self.record_clock(result.clock_ms, self.clock())
+            self.record_order_answer(result)
             if fence != self.fence or self.runs.get(key) is not run:
                 return
             if result.outcome is OrderOutcome.ACCEPTED:
@@ -650,11 +665,10 @@
             try:
                 result = await self.executor.stop(task, attempt, fence)
             except HttpCallError:
-                self.record_failed_call()
+                self.record_unconfirmed()
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
-            if result.outcome is not OrderOutcome.OTHER_INCARNATION:
-                self.record_clock(result.clock_ms, self.clock())
+            self.record_order_answer(result)
             if result.outcome is OrderOutcome.ACCEPTED:
                 run = self.runs.get((task, attempt))
                 if run is not None and not run.known_to_executor:
@@ -712,22 +726,30 @@
         )
         cpu = self.view.cpu - others_cpu
         paces = self.pacer.decide(serving, best_effort, now, cpu)
+        causes = self.pacer.causes
         for key in best_effort:
             self.runs[key].pace_decided = True
         for key, percent in paces.items():
-            await self.set_pace(key, percent, serving)
+            await self.set_pace(key, percent, serving, causes.get(key, ""))
 
     async def set_pace(
-        self, key: RunKey, pace_percent: int, serving: list[ServingLatency]
+        self,
+        key: RunKey,
+        pace_percent: int,
+        serving: list[ServingLatency],
+        cause: str,
     ) -> None:
-        """Set the pace of one best-effort run."""
+        """Set the pace of one best-effort run.
+
+        :param cause: what reduced the pace, empty if nothing did.
+        """
         task, attempt = key
         try:
             result = await self.executor.set_pace(
                 task, attempt, pace_percent, self.fence
             )
         except HttpCallError as error:
-            self.record_failed_call()
+            self.record_unconfirmed()
             events.write(events.EXECUTOR_SILENT, task=task, error=error)
             return
         run = self.runs.get(key)
@@ -739,7 +761,7 @@
             attempt=attempt,
             before=run.pace,
             percent=pace_percent,
-            cause=self.pacer.causes.get(key, ""),
+            cause=cause,
             tails=[(load.tail_ms, load.target_ms) for load in serving],
         )
         run.pace = pace_percent
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -205,6 +205,82 @@
 
 
 class RebirthTests(unittest.TestCase):
+    def run_with_executor(self, scenario):
+        """Run a scenario with an executor and the agent's view of it."""
+
+        async def main():
+            executor = StandinBatchExecutor("executor-0", "domain-a", [], lambda _: 9.0)
+            view = executor.view()
+            runs = ExecutorRuns(
+                view,
+                executor.port(view),
+                trio.current_time,
+                0.0,
+                lambda: None,
+                lambda *_refusal: None,
+            )
+            runs.set_fence(1)
+            runs.extend_lease(trio.current_time() + 9)
+            await runs.poll(trio.current_time(), 1)
+            await scenario(executor, runs)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_answer_to_a_stop_by_the_next_incarnation_is_no_sign_of_life(self):
+        """It hid for how long the earlier incarnation had been gone."""
+
+        async def stop_after_restart(executor, runs):
+            answered_at = runs.answered_at
+            await trio.sleep(1)
+            executor.crash()
+            await runs.poll(trio.current_time(), 1)
+            failed_at = runs.failed_at
+            executor.restart(same_id=True)
+            await runs.stop("job-1.0.0.0", 1)
+            self.assertEqual(
+                (runs.answered_at, runs.failed_at), (answered_at, failed_at)
+            )
+
+        self.run_with_executor(stop_after_restart)
+
+    def test_poll_sent_before_a_failed_call_confirms_nothing(self):
+        """Its answer allowed starts although a later call had failed."""
+
+        async def fail_during_poll(executor, runs):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(runs.poll, trio.current_time(), 1)
+                await trio.sleep(0.1)
+                runs.record_unconfirmed()
+            self.assertFalse(runs.is_confirmed(trio.current_time()))
+
+        self.run_with_executor(fail_during_poll)
+
+    def test_unanswered_start_is_stopped_on_each_later_incarnation(self):
+        async def restart_twice(executor, runs):
+            now = trio.current_time()
+            run = runs.admit(start_order(start_before=now + 2))
+            runs.record_unanswered(("job-1.0.0.0", 1), run, now)
+            taken = []
+            previous = runs
+            for _restart in range(2):
+                executor.crash()
+                executor.restart(same_id=True)
+                view = executor.view()
+                following = ExecutorRuns(
+                    view,
+                    executor.port(view),
+                    trio.current_time,
+                    0.0,
+                    lambda: None,
+                    lambda *_refusal: None,
+                )
+                taken.append(following.take_over_runs(previous, trio.current_time()))
+                following.runs.clear()
+                previous = following
+            self.assertEqual(taken, [[("job-1.0.0.0", 1)]] * 2)
+
+        self.run_with_executor(restart_twice)
+
     def test_lease_on_the_clock_of_the_earlier_life(self):
         """The clock starts anew, so the deadline was far beyond the owner's lease."""
 
