Let suspects hold up only steps that are ready, and report each crash once

The random schedules now also play jobs with a deadly task (python -m tests.batch.schedules FIRST LAST deadly), and find a task that is started three times after three crashes. Suspects now hold up the others only if their step is ready, and for at most 3 s if they find no host.

The three tests of this failed before.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -197,8 +197,9 @@
     def keep_crash(self, executor: ExecutorRuns) -> None:
         """Keep the crash of an incarnation that ended without an announcement."""
         view = executor.view
-        if view.draining or view.incarnation in self.crashes:
+        if view.draining or executor.crash_kept:
             return
+        executor.crash_kept = True
         crash = KeptCrash(executor)
         suspects = [run.task for run in crash.runs if run.survived_s < SURVIVAL_S]
         events.write(
--- a/rattanwing/batch/jobs.py
+++ b/rattanwing/batch/jobs.py
@@ -13,6 +13,11 @@
     from rattanwing.batch.model import JobSpec, StepSpec
 
 
+SUSPECT_WAIT_S = 3.0
+"""Time in seconds for which suspected tasks that find no host hold up the other tasks
+of their job."""
+
+
 class Task:
     """One task of an unfinished job.
 
@@ -119,6 +124,12 @@
         """Return the step's key in the progress record of its job."""
         return f"{self.occurrence}.{self.number}"
 
+    def has_waited_long(self, now: float) -> bool:
+        """Return whether a task has found no host for ``SUSPECT_WAIT_S``."""
+        return (
+            self.waiting_since is not None and now - self.waiting_since > SUSPECT_WAIT_S
+        )
+
     def bitmap(self) -> bytes:
         """Return a little-endian bitmap of the tasks that are done."""
         value = sum(1 << i for i, task in enumerate(self.tasks) if task.done)
@@ -149,6 +160,7 @@
     :param running: number of runs of its tasks.
     :param stored: progress that an earlier owner stored, ``None`` if there is none.
     :param suspects: its tasks that are suspected of crashing executors.
+    :param tests_suspects: whether it starts nothing but suspects at present.
     """
 
     __slots__ = (
@@ -165,6 +177,7 @@
         "running",
         "stored",
         "suspects",
+        "tests_suspects",
     )
 
     def __init__(self, spec: JobSpec, received_at: float, inherited: bool) -> None:
@@ -181,6 +194,7 @@
         self.running = 0
         self.stored: Progress | None = None
         self.suspects: set[Task] = set()
+        self.tests_suspects = False
 
     def create_due_occurrences(self, now_ms: int) -> None:
         """Create the tasks of every occurrence that is due."""
@@ -266,14 +280,27 @@
         self.suspects.discard(task)
         self.unsettled = True
 
+    def has_suspects_to_test(self, ready: list[StepTasks], now: float) -> bool:
+        """Return whether suspects are to be started before all other tasks.
+
+        Suspects that find no host, or whose step is not ready, do not hold up the rest
+        of the job.
+
+        :param ready: the steps that are ready.
+        """
+        return any(
+            not step.has_waited_long(now) and not self.suspects.isdisjoint(step.tasks)
+            for step in (ready if self.suspects else ())
+        )
+
     def may_start(self, task: Task) -> bool:
         """Return whether a suspicion of other tasks lets a waiting task start.
 
         A job starts its suspected tasks before all others, and one at a time.
         """
-        if not self.suspects:
-            return True
-        return task in self.suspects and not self.has_unproven_run()
+        if task in self.suspects:
+            return not self.has_unproven_run()
+        return not self.tests_suspects
 
     def has_unproven_run(self) -> bool:
         """Return whether a task has a run that may still crash its executor."""
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -144,6 +144,7 @@
         if there was none.
     :param broken: whether that call failed because its connection broke.
     :param exited: whether this incarnation of the executor has exited.
+    :param crash_kept: whether its crash has been recorded for the owner.
     :param on_change: called when runs have ended or the set of runs has changed.
     :param on_refused: called with task, attempt and reason of a refused start.
     :param silence_logged: whether the executor's current silence has been logged.
@@ -165,6 +166,7 @@
         "failed_at",
         "broken",
         "exited",
+        "crash_kept",
         "on_change",
         "on_refused",
         "pacer",
@@ -196,6 +198,7 @@
         self.failed_at: float | None = None
         self.broken = False
         self.exited = False
+        self.crash_kept = False
         self.on_change = on_change
         self.on_refused = on_refused
         self.pacer = BestEffortPacer()
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -489,6 +489,7 @@
             for incarnation, at in self.crash_times.items()
             if now - at < CRASH_MEMORY_S
         }
+        self.crash_times.pop(crash.incarnation, None)
         others = [*self.crash_times.values()]
         others += [
             other.failed_at
@@ -553,6 +554,8 @@
             job = task.job
             if task.done or job.state.final or any(run.proven for run in task.runs):
                 continue
+            if incarnation in task.crashed_on:
+                continue
             job.suspect(task, incarnation)
             self.mark_unstored(job)
             crashes = len(task.crashed_on)
@@ -629,7 +632,9 @@
         :returns: whether no task of the job is left waiting.
         """
         settled = True
-        for step in job.ready_steps():
+        ready = job.ready_steps()
+        job.tests_suspects = job.has_suspects_to_test(ready, now)
+        for step in ready:
             everywhere = now - step.checked_at >= RECHECK_INTERVAL_S
             hosts = open_hosts.list(job.spec.queue.service, everywhere)
             if not hosts and not everywhere:
--- a/tests/batch/schedules.py
+++ b/tests/batch/schedules.py
@@ -19,6 +19,11 @@
 FAULT_COUNT = 25
 MEAN_JOB_INTERVAL_S = 0.7
 RECOVERY_LIMIT_S = 60.0
+DEADLY_PREFIX = "deadly-"
+DEADLY_JOBS = 4
+DEADLY_INTERVAL_S = 4.0
+DEADLY_STARTS_LIMIT = 3
+"""A deadly task must not be started this often after three executors have crashed."""
 
 
 class FaultScenario:
@@ -27,18 +32,35 @@
     :param faults: time in seconds and name of each fault that was injected.
     :param kinds: names of the faults to choose from.
     :param same_id: whether executors may restart under the id that they had.
+    :param deadly: whether some jobs have a task that crashes its executors.
     """
 
-    def __init__(self, world, seed, kinds, same_id):
+    def __init__(self, world, seed, kinds, same_id, deadly=False):
         self.world = world
         self.kinds = kinds
         self.same_id = same_id
+        self.deadly = deadly
         self.random = Random(seed)
         self.accepted = set()
         self.cancelled = set()
         self.faults = []
         self.number = 0
 
+    async def submit_deadly_jobs(self):
+        """Submit jobs of which the first task crashes each executor that starts it."""
+        for executor in self.world.executors:
+            executor.deadly = is_deadly_task
+        step = StepSpec(2, cpu=700, memory_mb=50)
+        for number in range(DEADLY_JOBS):
+            spec = job(f"{DEADLY_PREFIX}{number}", steps=(step,))
+            await trio.sleep(DEADLY_INTERVAL_S)
+            for entry in list(self.world.entries.values()):
+                with trio.move_on_after(3):
+                    if await entry.relaying_service.submit(spec, 2.0) is (
+                        Answer.ACCEPTED
+                    ):
+                        break
+
     def make_job(self):
         """Return a random job."""
         self.number += 1
@@ -233,6 +255,8 @@
         await trio.sleep(2)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.submit_jobs)
+            if self.deadly:
+                nursery.start_soon(self.submit_deadly_jobs)
             async with trio.open_nursery() as faults:
                 for _ in range(FAULT_COUNT):
                     faults.start_soon(self.inject_fault)
@@ -310,17 +334,36 @@
     return found
 
 
-def play_seed(seed, latency=False, same_id=False):
+def is_deadly_task(task):
+    return task.startswith(DEADLY_PREFIX) and task.endswith(".0.0.0")
+
+
+def started_too_often(world):
+    """Return the deadly tasks that were started too often after three crashes."""
+    found = []
+    for task in sorted({run.task for run in world.history if is_deadly_task(run.task)}):
+        runs = [run for run in world.history if run.task == task]
+        crashed_at = sorted(run.ended_at for run in runs if run.crashed)
+        later = [
+            run for run in runs if run.started_at > [*crashed_at, 1e9, 1e9, 1e9][2]
+        ]
+        if len(later) >= DEADLY_STARTS_LIMIT:
+            found.append(task)
+    return found
+
+
+def play_seed(seed, latency=False, same_id=False, deadly=False):
     """Play one seed; return the violated guarantees and the scenario.
 
     :param latency: whether messages take time, and cross.
     :param same_id: whether executors may restart under the id that they had.
+    :param deadly: whether some jobs have a task that crashes its executors.
     """
     fault_scenarios = []
     kinds = REPLACING_FAULTS if latency or same_id else FAULTS
 
     async def scenario(world):
-        fault_scenario = FaultScenario(world, seed, kinds, same_id)
+        fault_scenario = FaultScenario(world, seed, kinds, same_id, deadly)
         fault_scenarios.append(fault_scenario)
         await fault_scenario.run()
 
@@ -335,6 +378,8 @@
         violations.append(f"not finished: {sorted(fault_scenario.unfinished)[:5]}")
     if overcommitted(world):
         violations.append(f"overcommitted: {overcommitted(world)[:3]}")
+    if started_too_often(world):
+        violations.append(f"started too often: {started_too_often(world)[:3]}")
     return violations, fault_scenario
 
 
@@ -344,7 +389,10 @@
     failed = 0
     for seed in range(first, last + 1):
         violations, fault_scenario = play_seed(
-            seed, latency="latency" in options, same_id="same-id" in options
+            seed,
+            latency="latency" in options,
+            same_id="same-id" in options,
+            deadly="deadly" in options,
         )
         print(
             seed, len(fault_scenario.accepted), "jobs", violations or "ok", flush=True
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -296,6 +296,15 @@
         self.agent.handle_message(self.owner, messages.CrashStored("executor-0@1"))
         self.assertEqual(self.agent.crashes, {})
 
+    def test_crash_is_reported_once_until_the_next_executor_announces_itself(self):
+        self.run.maybe_sent = True
+        self.agent.executor.exited = True
+        self.assertEqual(len(self.crashes()), 1)
+        self.agent.handle_message(self.owner, messages.CrashStored("executor-0@1"))
+        self.assertEqual(self.crashes(), [])
+        self.replace_executor()
+        self.assertEqual(self.crashes(), [])
+
     def test_run_whose_start_was_never_called_is_not_part_of_a_crash(self):
         self.replace_executor()
         self.assertEqual(self.crashes(), [])
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -3,6 +3,7 @@
 import unittest
 
 from rattanwing.batch import messages
+from rattanwing.batch.jobs import SUSPECT_WAIT_S
 from rattanwing.batch.model import JobState, StepSpec
 from rattanwing.batch.ports import RunningRow
 from rattanwing.batch.suspicion import (
@@ -235,6 +236,25 @@
         self.keep_running()
         self.assertEqual(len(self.place()), 2)
 
+    def test_suspect_of_a_step_that_is_not_ready_holds_up_nothing(self):
+        """A new owner that does not know of an earlier step's end started nothing."""
+        later = StepSpec(1, cpu=500, memory_mb=100, after=(0,))
+        owned = self.add_job(job(steps=(SMALL, later)))
+        owned.suspect(owned.tasks()[2], "old@1")
+        self.assertEqual(len(self.place()), 2)
+
+    def test_suspect_that_finds_no_host_does_not_hold_up_its_job_for_long(self):
+        steps = (
+            StepSpec(1, cpu=500, memory_mb=100, label="absent"),
+            StepSpec(1, cpu=500, memory_mb=100),
+        )
+        owned = self.add_job(job(steps=steps))
+        owned.suspect(owned.tasks()[0], "old@1")
+        self.assertEqual(self.place(), [])
+        self.now += SUSPECT_WAIT_S + 0.1
+        self.keep_running()
+        self.assertEqual([task for _, task in self.place()], ["job-1.0.1.0"])
+
     def test_gang_with_a_suspect_starts_as_a_whole(self):
         gang = StepSpec(3, cpu=500, memory_mb=100, gang=True)
         owned = self.add_job(job(steps=(gang,)))
