Start a suspected task again only once its crashes are stored

What can still be lost is the newest crash, if the owner and the agent die before it is stored, so a crash for each such death. A new test failed before.

--- a/rattanwing/batch/jobs.py
+++ b/rattanwing/batch/jobs.py
@@ -161,6 +161,9 @@
     :param stored: progress that an earlier owner stored, ``None`` if there is none.
     :param suspects: its tasks that are suspected of crashing executors.
     :param tests_suspects: whether it starts nothing but suspects at present.
+    :param suspicions: number of times that an executor crashed soon after starting one
+        of its tasks, as far as this owner knows.
+    :param stored_suspicions: value of ``suspicions`` that its stored progress covers.
     """
 
     __slots__ = (
@@ -178,6 +181,8 @@
         "stored",
         "suspects",
         "tests_suspects",
+        "suspicions",
+        "stored_suspicions",
     )
 
     def __init__(self, spec: JobSpec, received_at: float, inherited: bool) -> None:
@@ -195,6 +200,8 @@
         self.stored: Progress | None = None
         self.suspects: set[Task] = set()
         self.tests_suspects = False
+        self.suspicions = 0
+        self.stored_suspicions = 0
 
     def create_due_occurrences(self, now_ms: int) -> None:
         """Create the tasks of every occurrence that is due."""
@@ -231,6 +238,7 @@
                 task.checkpoint_attempt = task.ended_attempt
                 for incarnation in progress.crashes.get(task.key, ()):
                     self.suspect(task, incarnation)
+        self.stored_suspicions = self.suspicions
 
     def task(self, task_id: TaskId) -> Task | None:
         """Return a task, ``None`` if the job has no task of that id."""
@@ -273,6 +281,21 @@
         """Record that an executor crashed soon after starting a task."""
         task.crashed_on.add(incarnation)
         self.suspects.add(task)
+        self.suspicions += 1
+
+    def record_stored_suspicions(self, count: int) -> bool:
+        """Record that the first ``count`` suspicions are stored.
+
+        :returns: whether more of them are stored than before; the suspected tasks may
+            then be started.
+        """
+        if count <= self.stored_suspicions:
+            return False
+        self.stored_suspicions = count
+        for task in self.suspects:
+            step = self.steps_by_occurrence[task.id.occurrence][task.id.step]
+            step.checked_at = float("-inf")
+        return True
 
     def clear(self, task: Task) -> None:
         """Clear a task of the suspicion of crashing executors."""
@@ -296,10 +319,13 @@
     def may_start(self, task: Task) -> bool:
         """Return whether a suspicion of other tasks lets a waiting task start.
 
-        A job starts its suspected tasks before all others, and one at a time.
+        A job starts its suspected tasks before all others, and one at a time. Each
+        waits until the crashes so far are stored, so that no later owner starts the
+        count again.
         """
         if task in self.suspects:
-            return not self.has_unproven_run()
+            stored = self.stored_suspicions == self.suspicions
+            return stored and not self.has_unproven_run()
         return not self.tests_suspects
 
     def has_unproven_run(self) -> bool:
--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -297,12 +297,16 @@
                 )
                 for job_id, job in jobs.items()
             ]
+            suspicions = [(job, job.suspicions) for job in jobs.values()]
             if changed:
                 verdict = await self.writer.store_records(changed, None)
                 if verdict is not Verdict.RAN:
                     return
             for name, (incarnation, number) in acks.items():
                 self.connections.send(name, messages.EndsStored(incarnation, number))
+            for job, count in suspicions:
+                if job.record_stored_suspicions(count):
+                    self.wake()
             for name, incarnation in crashes:
                 self.connections.send(name, messages.CrashStored(incarnation))
             self.scheduler.drop_finished_jobs(self.replica.jobs)
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -59,6 +59,12 @@
         number = int(host.executor.incarnation.rpartition("@")[2]) + 1
         self.report(host, incarnation=f"{host.name}@{number}")
 
+    def place(self, stored=True):
+        """Place tasks after all progress has been stored, or before."""
+        for owned in self.scheduler.jobs.values() if stored else ():
+            owned.record_stored_suspicions(owned.suspicions)
+        return super().place()
+
     def attempt(self, task):
         return self.scheduler.find_task(task).attempt
 
@@ -255,6 +261,17 @@
         self.keep_running()
         self.assertEqual([task for _, task in self.place()], ["job-1.0.1.0"])
 
+    def test_suspect_waits_until_its_crash_is_stored(self):
+        """A crash during an outage of the store was forgotten when all processes died,
+        but the task had been started again.
+        """
+        owned = self.add_job(job(steps=(StepSpec(1, cpu=500, memory_mb=100),)))
+        self.place()
+        task = owned.tasks()[0]
+        self.crash(task.runs[0].host, str(task.id))
+        self.assertEqual(self.place(stored=False), [])
+        self.assertEqual(len(self.place()), 1)
+
     def test_gang_with_a_suspect_starts_as_a_whole(self):
         gang = StepSpec(3, cpu=500, memory_mb=100, gang=True)
         owned = self.add_job(job(steps=(gang,)))
