--- a/tests/batch/test_schedules.py
+++ b/tests/batch/test_schedules.py
@@ -11,6 +11,11 @@
     4: "ends of the new life were acknowledged unseen",
     7: "a start for the earlier life was carried out by the new one",
 }
+DEADLY_SEEDS = {
+    2: "no failure so far",
+    15: "three deaths of all processes, after each of which the count began anew",
+    19: "a suspect of a step that was not ready held up the earlier step",
+}
 REGRESSION_SEEDS = {
     37: "ends of a restarted executor were skipped, as their numbers restart at 1",
     236: "an owner started a job whose record followed a later claim in the same read",
@@ -32,6 +37,21 @@
                 self.assertGreater(len(fault_scenario.accepted), 10)
 
 
+class DeadlyScheduleTests(unittest.TestCase):
+    """Plays seeds in which some tasks crash each executor that starts them."""
+
+    def test_no_guarantee_is_violated(self):
+        for seed in DEADLY_SEEDS:
+            with self.subTest(seed=seed):
+                violations, fault_scenario = play_seed(seed, deadly=True)
+                self.assertEqual(violations, [], fault_scenario.faults)
+
+    def test_crashes_are_stored_before_the_next_start(self):
+        """Crashes during an outage of the store were forgotten with all processes."""
+        violations, fault_scenario = play_seed(6, deadly=True, latency=True)
+        self.assertEqual(violations, [], fault_scenario.faults)
+
+
 class LatencyScheduleTests(unittest.TestCase):
     """Plays seeds in which messages take time and cross."""
 
