--- a/rattanwing/batch/messages.py
+++ b/rattanwing/batch/messages.py
@@ -196,11 +196,14 @@
     """A run that was or may have been running when its executor crashed.
 
     :param survived_s: time for which the executor is known to have run it.
+    :param ended: whether it has surely ended; otherwise the executor's next incarnation
+        may have started it.
     """
 
     task: str
     attempt: Number
     survived_s: Finite
+    ended: bool = True
 
 
 class ExecutorCrashed(Message, tag=16):
--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -82,6 +82,7 @@
             survival_times_s=list(survival_times_s),
         )
         self.scheduler.handle_report(host, report, self.now, self.now_ms())
+        host.extend_lease(self.now, TASK_LEASE_S)
 
     def add_job(self, spec, inherited=False, progress=None):
         view = JobView(spec)
@@ -279,6 +280,26 @@
         self.add_job(job("second", [step]))
         self.assertEqual(self.place(), [])
 
+    def test_cpu_of_runs_that_wait_for_headroom_is_offered_to_others(self):
+        host = self.host("agent-1")
+        serving = StepSpec(
+            1, cpu=1000, memory_mb=100, long_running=True, target_ms=90, image="watch"
+        )
+        heavy = StepSpec(3, cpu=1000, memory_mb=100, best_effort=True, image="heavy")
+        light = StepSpec(1, cpu=1000, memory_mb=100, best_effort=True, image="light")
+        self.scheduler.interference.headroom_loss_per_core = {
+            ("watch", "heavy"): 0.3,
+            ("watch", "light"): 0.0,
+        }
+        self.add_job(job("serving", [serving]))
+        self.add_job(job("first", [heavy]))
+        self.assertEqual(len(self.place()), 4)
+        self.now += 1
+        rows = [RunningRow(*key, "", 10, 0) for key in host.runs]
+        self.report(host, rows)
+        self.add_job(job("second", [light]))
+        self.assertEqual(self.place(), [("agent-1", "second.0.0.0")])
+
     def test_each_host_is_summarized_once_per_round(self):
         """Bounds the lookups of estimates while 20 steps wait for full hosts."""
         hosts, per_host, waiting = 4, 6, 20
@@ -358,6 +379,22 @@
         self.assertEqual(self.scheduler.unacked["agent-1"][1], 1)
         self.assertIs(owned.progress(3).state, JobState.COMPLETED)
 
+    def test_ends_whose_acknowledgement_was_lost_are_acknowledged_again(self):
+        """The stream broke before EndsStored arrived; the next brings them again."""
+        host, owned, task = self.started()
+        self.end(host, "job-1.0.0.0", reason=EndReason.FAILED)
+        self.end(host, "job-1.0.0.0", 2, EndReason.FAILED, number=2)
+        self.scheduler.unacked.clear()
+        self.scheduler.unstored.clear()
+        self.scheduler.cluster.end_stream(host)
+        self.scheduler.cluster.begin_stream(host)
+        self.report(host)
+        self.end(host, "job-1.0.0.0", reason=EndReason.FAILED)
+        self.assertEqual(self.scheduler.unacked, {"agent-1": ("agent-1@1", 2)})
+        self.assertEqual(self.scheduler.unstored, {})
+        self.assertEqual(task.failed_attempts, {1, 2})
+        self.assertIs(owned.state, JobState.RUNNING)
+
     def test_older_end_does_not_replace_a_newer_checkpoint(self):
         host, _owned, task = self.started(saves_checkpoints=True)
         self.end(host, "job-1.0.0.0", 2, EndReason.LAPSED, "new", 5)
