Number the attempts of inherited tasks by the owner's epoch

What callers saw: a task could fail once more than max_attempts allows after a change of owner.

Cause: progress holds the highest attempt that has ended, not every one that was ordered. A new owner skipped one number if a host was silent; an earlier owner that had lost attempt 1 without a stored end and ordered attempt 2 on the silent host left the same number to both, and failures are counted by number.

Ruled out: storing each number before its order, which makes a repeated start wait for the store and stops them while it is away; reserving numbers in the store, which needs a record of each inherited job at the takeover.

Change: attempts of inherited tasks begin above the epoch times 2^20, as the fences of streams do. Nothing more is stored. The skip of one number is no longer needed.

--- a/rattanwing/batch/jobs.py
+++ b/rattanwing/batch/jobs.py
@@ -12,6 +12,11 @@
     from rattanwing.batch.hosts import Run
     from rattanwing.batch.model import JobSpec, StepSpec
 
+MAX_ATTEMPTS_PER_EPOCH = 1 << 20
+"""Most attempts of a task in one epoch of ownership. The attempts of an inherited task
+are numbered from the epoch times this number, above those of all earlier epochs: the
+store does not hold every attempt that an earlier owner has ordered."""
+
 
 class Task:
     """One task of an unfinished job.
@@ -68,6 +73,10 @@
             self.checkpoint = checkpoint
             self.checkpoint_attempt = attempt
 
+    def next_attempt(self) -> int:
+        """Return the number of the next attempt, which no owner has used."""
+        return max(self.attempt, self.job.earlier_attempts) + 1
+
     def is_waiting(self) -> bool:
         """Return whether the task is waiting for a run."""
         return not self.done and not self.runs
@@ -135,6 +144,8 @@
     :param occurrences_begun: number of occurrences that have begun.
     :param inherited: whether the job was accepted before this owner's claim, so that
         an earlier owner may have started its tasks.
+    :param earlier_attempts: bound of the attempts of one task that earlier owners may
+        have ordered.
     :param last_run_ended_at: time of the last end of a run that had been started;
         before the first, the time when the owner received the job.
     :param unsettled: whether a task may be waiting for a run; a job whose tasks all
@@ -152,6 +163,7 @@
         "steps_by_occurrence",
         "occurrences_begun",
         "inherited",
+        "earlier_attempts",
         "unsettled",
         "skipped_until",
         "target_ms",
@@ -161,12 +173,15 @@
         "stored",
     )
 
-    def __init__(self, spec: JobSpec, received_at: float, inherited: bool) -> None:
+    def __init__(
+        self, spec: JobSpec, received_at: float, inherited: bool, epoch: int
+    ) -> None:
         self.spec = spec
         self.state = JobState.QUEUED
         self.steps_by_occurrence: dict[int, list[StepTasks]] = {}
         self.occurrences_begun = 0
         self.inherited = inherited
+        self.earlier_attempts = epoch * MAX_ATTEMPTS_PER_EPOCH if inherited else 0
         self.unsettled = True
         self.skipped_until = 0.0
         self.target_ms = completion_target_ms(spec)
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -124,7 +124,7 @@
         if job is None:
             if view.progress.state.final:
                 return
-            job = OwnedJob(view.spec, now, inherited)
+            job = OwnedJob(view.spec, now, inherited, self.epoch)
             job.restore(view.progress, now_ms)
             self.jobs[view.spec.job_id] = job
             if job.all_done():
@@ -207,12 +207,6 @@
             after_s=round(now - self.claimed_at, 3),
             silent=unreported,
         )
-        if not unreported:
-            return
-        for job in self.jobs.values():
-            # A silent host may have run the next attempt, so its number is skipped.
-            for task in job.tasks() if job.inherited else ():
-                task.attempt += 1
 
     def handle_report(
         self, host: Host, report: messages.HostReport, now: float, now_ms: int
@@ -516,7 +510,7 @@
             if host is None:
                 self.record_wait(job, step, task, now)
                 return False
-            self.start(job, task, task.attempt + 1, host, now)
+            self.start(job, task, task.next_attempt(), host, now)
         step.waiting_since = None
         return True
 
@@ -565,7 +559,7 @@
                     if run.last_stop_ordered_at is None:
                         self.cluster.stop(run, "gang-broken", now)
             return True
-        attempt = max(task.attempt for task in step.tasks) + 1
+        attempt = max(task.next_attempt() for task in step.tasks)
         checkpoint = next(
             (task.checkpoint for task in step.tasks if task.checkpoint), ""
         )
