Repeat an unanswered deletion of addresses unchanged

A deletion without an answer was tried again with other names under the same number; a late append of the first one made the store take it for a repeat, so that an address stayed and the next owner waited a lease for its agent. A refused condition was logged as a failed call.

--- a/rattanwing/batch/unregistering.py
+++ b/rattanwing/batch/unregistering.py
@@ -15,7 +15,7 @@
 from rattanwing.batch import records
 from rattanwing.batch.ports import AppendStamp
 from rattanwing.errors import (
-    LogError,
+    LogConditionError,
     LogFencedError,
     LogSequenceError,
     LogUnavailableError,
@@ -31,15 +31,40 @@
 """Mean pause before a deletion that was not accepted is tried again."""
 
 
+class Deletion:
+    """One append that deletes addresses.
+
+    :param expected_end: end of the directory at which the append is accepted.
+    """
+
+    __slots__ = ("names", "stamp", "expected_end")
+
+    def __init__(self, names: list[str], stamp: AppendStamp, expected_end: int) -> None:
+        self.names = names
+        self.stamp = stamp
+        self.expected_end = expected_end
+
+
 class AddressRemover:
     """Deletes addresses under an owner's epoch.
 
     :param reader: reads the directory.
     :param stamp: the producer, its epoch and the sequence number of its last append.
     :param lost: names of the agents whose addresses are to be deleted.
+    :param unresolved: a deletion that may have been stored or may yet be; it is
+        repeated unchanged until the store answers.
     """
 
-    __slots__ = ("store", "directory", "reader", "stamp", "random", "lost", "wake")
+    __slots__ = (
+        "store",
+        "directory",
+        "reader",
+        "stamp",
+        "random",
+        "lost",
+        "unresolved",
+        "wake",
+    )
 
     def __init__(
         self,
@@ -55,6 +80,7 @@
         self.stamp = stamp
         self.random = random
         self.lost: set[str] = set()
+        self.unresolved: Deletion | None = None
         self.wake = trio.Event()
 
     def remove(self, name: str) -> None:
@@ -71,13 +97,12 @@
         failing = False
         while True:
             await self.wake.wait()
-            self.lost -= self.directory.agents.keys()
-            if not self.lost:
+            deletion = self.next_deletion()
+            if deletion is None:
                 self.wake = trio.Event()
                 continue
-            names = sorted(self.lost)
             try:
-                await self.delete(names)
+                await self.delete(deletion)
             except LogFencedError:
                 events.write(
                     events.WRITER_FENCED,
@@ -85,7 +110,7 @@
                     epoch=self.stamp.epoch,
                 )
                 return
-            except LogError as error:
+            except LogUnavailableError as error:
                 if not failing:
                     events.write(
                         events.LOG_UNAVAILABLE,
@@ -96,29 +121,48 @@
                 await trio.sleep(RETRY_PAUSE_S * (0.5 + self.random.random()))
             else:
                 failing = False
-                self.lost.difference_update(names)
 
-    async def delete(self, names: list[str]) -> None:
-        """Delete addresses if the directory has not changed since it was read.
+    def next_deletion(self) -> Deletion | None:
+        """Return the next append, ``None`` if all lost agents are deleted or back."""
+        if self.unresolved is not None:
+            return self.unresolved
+        self.lost -= self.directory.agents.keys()
+        if not self.lost:
+            return None
+        stamp = self.with_sequence(self.stamp.sequence + 1)
+        return Deletion(sorted(self.lost), stamp, self.reader.end_offset)
+
+    async def delete(self, deletion: Deletion) -> None:
+        """Try to store a deletion once.
 
-        :raises LogError: when the addresses were not deleted, or may not have been.
+        It is not stored, and will not be, if the directory has changed since it was
+        read; the reader is given time to follow before the next one.
+
+        :raises LogUnavailableError: when it was not stored or may not have been.
+        :raises LogFencedError: when a later owner has taken over.
         """
-        deletions = [(records.AGENT_PREFIX + name, None) for name in names]
-        following = self.with_sequence(self.stamp.sequence + 1)
+        records_deleted = [(records.AGENT_PREFIX + n, None) for n in deletion.names]
+        self.unresolved = None
         try:
             await self.store.append(
-                records.DIRECTORY_TOPIC, deletions, following, self.reader.end_offset
+                records.DIRECTORY_TOPIC,
+                records_deleted,
+                deletion.stamp,
+                deletion.expected_end,
             )
+        except LogConditionError:
+            await trio.sleep(RETRY_PAUSE_S * (0.5 + self.random.random()))
         except LogSequenceError as error:
+            if error.expected == deletion.stamp.sequence + 1:
+                self.lost.difference_update(deletion.names)
             self.stamp = self.with_sequence(error.expected - 1)
-            raise
         except LogUnavailableError as error:
-            # A repeat under the same number would not be applied if other names were
-            # added to it.
             if error.may_have_applied:
-                self.stamp = following
+                self.unresolved = deletion
             raise
-        self.stamp = following
+        else:
+            self.stamp = deletion.stamp
+            self.lost.difference_update(deletion.names)
 
     def with_sequence(self, sequence: int) -> AppendStamp:
         """Return the stamp with another sequence number."""
