Decide outside the adapter which announcement is the newest

The order of announcements, and which incarnations have exited, decided which executor is current; the adapter decides nothing. AnnouncementOrder has it now. A repeated start that is refused as an old attempt no longer counts as proof that the run was seen running.

--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -578,7 +578,7 @@
                 if order.properties.best_effort:
                     await self.pace_best_effort_runs()
                 return
-            if self.earlier_try_started(result, key, sent_before):
+            if self.is_settled_by_earlier_try(result, run, sent_before):
                 return
             if sent_before and result.outcome is not OrderOutcome.OTHER_INCARNATION:
                 # The unanswered call may take effect after this refusal.
@@ -601,18 +601,18 @@
         }
         self.unanswered[key] = run, now
 
-    def earlier_try_started(
-        self, result: OrderResult, key: RunKey, maybe_sent: bool
+    def is_settled_by_earlier_try(
+        self, result: OrderResult, run: AgentRun, sent_before: bool
     ) -> bool:
-        """Return whether an earlier try, which was not answered, has started the run.
+        """Return whether an earlier try, which was not answered, has settled the start.
 
-        The executor then refuses the repeat with ``OLD_ATTEMPT``.
+        The executor then refuses the repeat with ``OLD_ATTEMPT``; its next listing
+        shows whether the run has started.
         """
-        if result.outcome is not OrderOutcome.OLD_ATTEMPT or not maybe_sent:
+        if result.outcome is not OrderOutcome.OLD_ATTEMPT or not sent_before:
             return False
-        if key in self.runs:
-            self.runs[key].confirm(self.clock())
-            self.runs[key].may_be_unlisted_until = self.clock()
+        run.known_to_executor = True
+        run.may_be_unlisted_until = self.clock()
         return True
 
     def refusal_reason(self, order: messages.StartRun) -> str:
--- a/rattanwing/platform/executor.py
+++ b/rattanwing/platform/executor.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import re
-from collections import deque
 from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import msgspec
 
 from rattanwing import events
+from rattanwing.batch.announcements import AnnouncementOrder
 from rattanwing.batch.model import Finite, Number
 from rattanwing.batch.ports import (
     EndedRow,
@@ -49,9 +49,6 @@
 MAX_CLOCK_AHEAD_MS = 3_600_000
 """Most milliseconds by which an executor's wall clock may be ahead of the agent's."""
 
-MAX_EXITED = 16
-"""Number of exited incarnations that are remembered."""
-
 MAX_CONNECTIONS = 24
 """Limit of concurrent calls; an executor accepts at most 64 connections."""
 
@@ -279,20 +276,17 @@
     """Handles the executor's announcements.
 
     :param wall_ms: returns the Unix time in milliseconds.
-    :param newest_announcement: ``born`` and ``seq`` of the newest announcement.
-    :param exited: the last incarnations that calls have shown to have exited; their
-        announcements are ignored.
+    :param order: tells announcements of the executor that is there from others.
     """
 
-    __slots__ = ("agent", "wall_ms", "newest_announcement", "exited")
+    __slots__ = ("agent", "wall_ms", "order")
 
     def __init__(
         self, agent: BatchAgent, wall_ms: Callable[[], int] = wall_clock_ms
     ) -> None:
         self.agent = agent
         self.wall_ms = wall_ms
-        self.newest_announcement = (0, 0)
-        self.exited: deque[str] = deque(maxlen=MAX_EXITED)
+        self.order = AnnouncementOrder()
 
     async def handle_announcement(self, request: Request) -> Response:
         """Pass an announcement to the agent unless a newer one has arrived before."""
@@ -308,40 +302,21 @@
             )
             return error_response(400, "malformed", str(error))
         incarnation = f"{executor_id}@{announcement.born}"
-        self.note_exit()
-        if (
-            incarnation not in self.exited
-            and (announcement.born, announcement.seq) > self.newest_announcement
-        ):
-            self.newest_announcement = (announcement.born, announcement.seq)
+        current = self.agent.executor
+        if current is not None and current.exited:
+            self.order.record_exit(current.view.incarnation)
+        if self.order.accept(incarnation, announcement.born, announcement.seq):
             self.agent.handle_announcement(
                 make_view(executor_id, incarnation, announcement)
             )
         return json_response(200, {})
 
-    def note_exit(self) -> None:
-        """Forget the order of announcements once the newest executor has exited.
-
-        Its address has refused calls for it, so that another executor is there. That
-        one may have started earlier, if the newest announcement was false.
-        """
-        current = self.agent.executor
-        if current is None or not current.exited:
-            return
-        if current.view.incarnation not in self.exited:
-            self.exited.append(current.view.incarnation)
-            self.newest_announcement = (0, 0)
-
     async def handle_departure(self, request: Request) -> Response:
-        """Tell the agent that the executor has ended.
-
-        Its successor may have an earlier start, if the clock has been set back.
-        """
+        """Tell the agent that the executor has ended."""
         executor_id = request.match["executor_id"]
         current = self.agent.executor
         if current is not None and current.view.executor_id == executor_id:
-            self.exited.append(current.view.incarnation)
-            self.newest_announcement = (0, 0)
+            self.order.record_exit(current.view.incarnation)
         self.agent.handle_exit(executor_id)
         return json_response(200, {})
 
