Record the wait of a gang that finds no host

Cause: place_gang returned without record_wait, so waiting_since stayed None, has_waited_long never became true, and tests_suspects stayed true. Change: place_gang records the wait as place_tasks does, and ends it when the gang is placed. Measured: both new tests of test_suspicion failed before ([] != ['job-1.0.1.0']; waiting_since None != 100.0); test_suspicion and test_scheduler pass now.

--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -752,7 +752,9 @@
         for task, host in placed:
             host.reserve(task.step, -1)
         if len(placed) < len(step.tasks):
+            self.record_wait(job, step, task, now)
             return False
+        step.waiting_since = None
         for task, host in placed:
             task.checkpoint = checkpoint
             self.start(job, task, attempt, host, now)
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -255,6 +255,31 @@
         self.keep_running()
         self.assertEqual([task for _, task in self.place()], ["job-1.0.1.0"])
 
+    def test_suspected_gang_without_a_host_does_not_hold_up_its_job_for_long(self):
+        """The wait of a gang was not recorded, so its job started nothing else."""
+        steps = (
+            StepSpec(2, cpu=500, memory_mb=100, gang=True, label="absent"),
+            StepSpec(1, cpu=500, memory_mb=100),
+        )
+        owned = self.add_job(job(steps=steps))
+        owned.suspect(owned.tasks()[0], "old@1")
+        self.assertEqual(self.place(), [])
+        self.now += SUSPECT_WAIT_S + 0.1
+        self.keep_running()
+        self.assertEqual([task for _, task in self.place()], ["job-1.0.1.0"])
+
+    def test_gang_that_found_hosts_does_not_wait_any_more(self):
+        gang = StepSpec(3, cpu=4000, memory_mb=100, gang=True)
+        owned = self.add_job(job(steps=(gang,)))
+        step = owned.ready_steps()[0]
+        self.report(self.hosts[0], cpu=3000)
+        self.assertEqual(self.place(), [])
+        self.assertEqual(step.waiting_since, self.now)
+        self.now += 1
+        self.keep_running()
+        self.assertEqual(len(self.place()), 3)
+        self.assertIsNone(step.waiting_since)
+
     def test_gang_with_a_suspect_starts_as_a_whole(self):
         gang = StepSpec(3, cpu=500, memory_mb=100, gang=True)
         owned = self.add_job(job(steps=(gang,)))
