Try the other tasks of a step after a suspect without a host

Callers saw: a suspected task that found no host held up every later task of its own step for ever; and after a suspect had found a host, the next suspect of the step counted at once as having waited for long, so the job's other tasks started beside it. Cause: place_tasks returned at the first task without a host, since tasks of a step fit the same hosts; suspects fit fewer, as they never share a host with a suspect of another job. waiting_since was reset only when no task was held back. Change: the search goes on after a suspect; the wait ends when every task that was tried found a host. It does not end in a round in which nothing was tried, i.e. while the suspect itself is held back by a run that has just started: it would hold up the rest of its job again each time that others start. Measured: the first two new tests of test_suspicion failed before ([] != ['job-1.0.0.1'], 100.0 is not None); the third, for the round without a try, passed before and guards against the simpler reset. test_suspicion, test_scheduler pass now.

--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -673,9 +673,12 @@
     ) -> bool:
         """Place the waiting tasks of a step until one finds no host.
 
+        The others are still tried after a suspected task, which fits fewer hosts.
+
         :returns: whether no task of the step is left waiting.
         """
-        held_back = False
+        placed = held_back = False
+        unplaced: Task | None = None
         for task in step.tasks:
             if not task.is_waiting():
                 continue
@@ -683,13 +686,18 @@
                 held_back = True
                 continue
             host = choose_host(hosts, job, task, self.interference, now)
-            if host is None:
-                self.record_wait(job, step, task, now)
-                return False
-            self.start(job, task, task.attempt + 1, host, now)
-        if not held_back:
+            if host is not None:
+                self.start(job, task, task.attempt + 1, host, now)
+                placed = True
+                continue
+            unplaced = unplaced or task
+            if not task.is_suspect():
+                break
+        if unplaced is not None:
+            self.record_wait(job, step, unplaced, now)
+        elif placed or not held_back:
             step.waiting_since = None
-        return not held_back
+        return unplaced is None and not held_back
 
     def record_wait(
         self,
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -255,6 +255,53 @@
         self.keep_running()
         self.assertEqual([task for _, task in self.place()], ["job-1.0.1.0"])
 
+    def test_suspect_that_finds_no_host_does_not_hold_up_its_step_for_long(self):
+        """Hosts that run a suspect of another job took other tasks of its step."""
+        other = self.add_job(job("job-2", (StepSpec(3, cpu=2500, memory_mb=100),)))
+        self.assertEqual(len({host for host, _task in self.place()}), 3)
+        for task in other.tasks():
+            other.suspect(task, "old@1")
+        owned = self.add_job(job(steps=(SMALL,)))
+        owned.suspect(owned.tasks()[0], "old@1")
+        self.assertEqual(self.place(), [])
+        self.now += SUSPECT_WAIT_S + 0.1
+        self.keep_running()
+        self.assertEqual([task for _, task in self.place()], ["job-1.0.0.1"])
+
+    def test_wait_ends_when_a_suspect_finds_a_host(self):
+        """The next suspect of the step then counted as having waited for long."""
+        owned = self.add_job(job(steps=(StepSpec(3, cpu=500, memory_mb=100),)))
+        step = owned.ready_steps()[0]
+        owned.suspect(owned.tasks()[0], "old@1")
+        for host in self.hosts:
+            self.report(host, cpu=400)
+        self.assertEqual(self.place(), [])
+        self.assertEqual(step.waiting_since, self.now)
+        self.now += 1
+        self.keep_running()
+        for host in self.hosts:
+            self.report(host)
+        self.assertEqual([task for _, task in self.place()], ["job-1.0.0.0"])
+        self.assertIsNone(step.waiting_since)
+
+    def test_suspect_that_is_held_back_goes_on_waiting(self):
+        """It must not hold up the rest of its job again each time that others run."""
+        steps = (
+            StepSpec(1, cpu=500, memory_mb=100, label="absent"),
+            StepSpec(1, cpu=500, memory_mb=100),
+        )
+        owned = self.add_job(job(steps=steps))
+        owned.suspect(owned.tasks()[0], "old@1")
+        self.place()
+        since = owned.ready_steps()[0].waiting_since
+        self.now += SUSPECT_WAIT_S + 0.1
+        self.keep_running()
+        self.assertEqual([task for _, task in self.place()], ["job-1.0.1.0"])
+        self.now += 1
+        self.keep_running()
+        self.assertEqual(self.place(), [])
+        self.assertEqual(owned.ready_steps()[0].waiting_since, since)
+
     def test_suspected_gang_without_a_host_does_not_hold_up_its_job_for_long(self):
         """The wait of a gang was not recorded, so its job started nothing else."""
         steps = (
