Apply a crash that is resent only once

Callers saw: a crash that an agent sent again on its next stream, after the task had been cleared, suspected the task again with the same incarnation. unacked_crashes grew by one entry for each resend while the store was away. Cause: only task.crashed_on told a resend from a new crash, and clearing empties it. Change: a crash whose incarnation is among the remembered crash_times is not applied again; its runs are still marked as lost, and it is acknowledged again. unacked_crashes is a dict by incarnation. Measured: the new test failed before ('agent-0@1' in crashed_on); test_suspicion, test_scheduler and test_crashes pass now.

--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -286,7 +286,7 @@
             self.store_needed = trio.Event()
             jobs, self.scheduler.unstored = self.scheduler.unstored, {}
             acks, self.scheduler.unacked = self.scheduler.unacked, {}
-            crashes, self.scheduler.unacked_crashes = self.scheduler.unacked_crashes, []
+            crashes, self.scheduler.unacked_crashes = self.scheduler.unacked_crashes, {}
             changed = [
                 (
                     records.PROGRESS_PREFIX + job_id,
@@ -300,7 +300,7 @@
                     return
             for name, (incarnation, number) in acks.items():
                 self.connections.send(name, messages.EndsStored(incarnation, number))
-            for name, incarnation in crashes:
+            for incarnation, name in crashes.items():
                 self.connections.send(name, messages.CrashStored(incarnation))
             self.scheduler.drop_finished_jobs(self.replica.jobs)
 
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -88,9 +88,10 @@
     :param unstored: jobs whose progress must be stored, by id.
     :param unacked: by host, the executor incarnation and number of the newest end
         of a run that may be acknowledged once the jobs' progress is stored.
-    :param unacked_crashes: host and executor incarnation of each crash that may be
+    :param unacked_crashes: by executor incarnation, the host of each crash that may be
         acknowledged once the jobs' progress is stored.
-    :param crash_times: time of each recent crash, by executor incarnation.
+    :param crash_times: time of each recent crash that was applied, by executor
+        incarnation.
     :param takeover_complete: whether tasks of inherited jobs may be started; see
         :meth:`check_takeover`.
     :param directory_known: whether every registered agent is in ``cluster``.
@@ -121,7 +122,7 @@
         self.constraints = Constraints()
         self.unstored: dict[str, OwnedJob] = {}
         self.unacked: dict[str, tuple[str, int]] = {}
-        self.unacked_crashes: list[tuple[str, str]] = []
+        self.unacked_crashes: dict[str, str] = {}
         self.crash_times: dict[str, float] = {}
         self.takeover_complete = False
         self.directory_known = False
@@ -501,9 +502,10 @@
         Its runs are lost. The tasks that it had just started are suspected of having
         crashed it.
         """
-        self.unacked_crashes.append((host.name, crash.incarnation))
+        self.unacked_crashes[crash.incarnation] = host.name
         host.record_stamp(crash.stamp, now)
         crashed_at = crash.stamp + host.clock_offset - crash.failed_s
+        resent = crash.incarnation in self.crash_times
         self.crash_times = {
             incarnation: at
             for incarnation, at in self.crash_times.items()
@@ -527,6 +529,8 @@
                 task.attempt = max(task.attempt, row.attempt)
                 if row.survived_s < SURVIVAL_S:
                     started.append(task)
+        if resent:
+            return
         only_suspect = len({task.id.job_id for task in started}) == 1
         isolated = crash.broken and is_isolated(crashed_at, others)
         self.suspect(started, crash.incarnation, only_suspect, isolated, now, now_ms)
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -124,6 +124,29 @@
         self.assertEqual(len(task.crashed_on), 1)
         self.assertIs(owned.state, JobState.RUNNING)
 
+    def test_crash_that_is_resent_after_its_task_was_cleared(self):
+        """It suspected the task again, and was noted for each stream that sent it."""
+        owned = self.add_job(job(steps=(SMALL,)))
+        self.place()
+        task = owned.tasks()[0]
+        host = task.runs[0].host
+        rows = [messages.CrashedRun(str(task.id), task.attempt, 0.0)]
+        incarnation = host.executor.incarnation
+        self.crash(host, str(task.id))
+        self.keep_running()
+        self.survive("job-1.0.0.1")
+        self.place()
+        self.survive(str(task.id))
+        self.assertEqual(task.crashed_on, set())
+        for run in list(task.runs):
+            self.scheduler.cluster.mark_lost(run, "test", self.now)
+        for _ in range(3):
+            self.now += 1
+            crash = messages.ExecutorCrashed(incarnation, self.now, 9.0, True, rows)
+            self.scheduler.handle_crash(host, crash, self.now, self.now_ms())
+        self.assertEqual(task.crashed_on, set())
+        self.assertEqual(len(self.scheduler.unacked_crashes), 1)
+
     def test_crashes_of_several_executors_at_once_need_a_third(self):
         """A failure of many executors must not fail the jobs that it hits twice."""
         owned = self.add_job(job(steps=(StepSpec(1, cpu=500, memory_mb=100),)))
