Send the owner crashes without runs too

Callers saw: when idle and busy executors crashed in one wave, the crash of the busy one counted as isolated, so a job could be failed after two crashes that it had not caused. Cause: the agent recorded no crash without runs, so it was missing from crash_times. Change: such a crash is sent with an empty list of runs, acknowledged as any other. This is what docs/platform.rst says ("reports every incarnation"). test_run_whose_start_was_never_called_is_not_part_of_a_crash asserted that nothing is sent; it asserts now that exactly one crash is sent and that it lists no runs.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -230,8 +230,6 @@
             just_started=len(suspects),
             tasks=suspects[:MAX_SUSPECTS_LOGGED],
         )
-        if not crash.runs:
-            return
         self.crashes[view.incarnation] = crash
         if len(self.crashes) > MAX_CRASHES_KEPT:
             del self.crashes[next(iter(self.crashes))]
