Count started tasks of unknown jobs as possible causes of a crash

Callers saw: a task was given up after two crashes although a task of a job that the owner had dropped, or did not know, had started on the executor just before. Cause: only_suspect counted only the tasks that find_task knows. Change: the job ids come from all rows of the crash that survived for less than SURVIVAL_S; a malformed task id counts as a job of its own. Measured: the new test failed before for both kinds of name (failed after 2 crashes in place of 3); test_suspicion, test_scheduler and test_crashes pass now.

--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -520,7 +520,10 @@
         ]
         self.crash_times[crash.incarnation] = crashed_at
         started = []
+        started_jobs = set()
         for row in crash.runs:
+            if row.survived_s < SURVIVAL_S:
+                started_jobs.add(job_of(row.task))
             run = host.runs.get((row.task, row.attempt))
             if run is not None and row.ended:
                 self.cluster.mark_lost(run, "executor-crashed", now)
@@ -531,7 +534,7 @@
                     started.append(task)
         if resent:
             return
-        only_suspect = len({task.id.job_id for task in started}) == 1
+        only_suspect = len(started_jobs) == 1
         isolated = crash.broken and is_isolated(crashed_at, others)
         self.suspect(started, crash.incarnation, only_suspect, isolated, now, now_ms)
 
@@ -804,3 +807,11 @@
             heard_s=round(now - host.last_heard_at, 3),
             epoch=self.epoch,
         )
+
+
+def job_of(task: str) -> str:
+    """Return the job id in a reported task id, or a malformed task id itself."""
+    try:
+        return parse_task_id(task).job_id
+    except ValueError:
+        return task
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -60,7 +60,8 @@
         self.report(host, incarnation=f"{host.name}@{number}")
 
     def attempt(self, task):
-        return self.scheduler.find_task(task).attempt
+        known = self.scheduler.find_task(task)
+        return known.attempt if known is not None else 1
 
     def host_of(self, task):
         return self.scheduler.find_task(task).runs[0].host
@@ -163,6 +164,23 @@
             self.assertEqual(len(task.crashed_on), number + 1)
         self.assertIs(owned.state, JobState.FAILED)
 
+    def test_crash_beside_a_task_of_a_dropped_job_needs_a_third(self):
+        """A task that its owner no longer knew counted as no possible cause."""
+        for other in ("job-dropped.0.0.0", "malformed"):
+            with self.subTest(other=other):
+                step = StepSpec(1, cpu=500, memory_mb=100)
+                owned = self.add_job(job(f"job-beside-{other}", (step,)))
+                task = owned.tasks()[0]
+                for number in range(MAX_CRASHES):
+                    self.assertEqual(
+                        (owned.state.final, len(task.crashed_on)), (False, number)
+                    )
+                    self.place()
+                    self.crash(task.runs[0].host, str(task.id), other)
+                    self.now += 5
+                    self.keep_running()
+                self.assertIs(owned.state, JobState.FAILED)
+
     def test_crash_whose_time_is_not_known_needs_a_third(self):
         owned = self.add_job(job(steps=(StepSpec(1, cpu=500, memory_mb=100),)))
         task = owned.tasks()[0]
