Log a dropped crash; take a failure at time 0 for one

Callers saw: when more than 32 crashes waited for an owner, the oldest one vanished without a line. A crash whose first failed call was at time 0.0 of the clock was sent with the time of the last answer, yet as one whose time is exact (broken). Cause: no event was written; `failed_at or answered_at` took 0.0 for None. Change: event 621 with the incarnation; an explicit comparison with None. Measured: both new tests of test_agent failed before ([] in place of the event; 0.0 in place of 10.0 s); test_agent and test_docs pass now.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -65,7 +65,8 @@
 class KeptCrash:
     """The crash of an incarnation, kept until the owner has stored it.
 
-    :param failed_at: time of the first call that it did not answer.
+    :param failed_at: time of the first call that it did not answer, or of its last
+        answer if there was no such call.
     :param broken: whether that call lost its connection, so that its time is exact.
     :param sent: whether it was sent on the owner's current stream.
     """
@@ -74,8 +75,9 @@
 
     def __init__(self, executor: ExecutorRuns) -> None:
         self.incarnation = executor.view.incarnation
-        self.failed_at = executor.failed_at or executor.answered_at
-        self.broken = executor.failed_at is not None and executor.broken
+        failed_at = executor.failed_at
+        self.failed_at = executor.answered_at if failed_at is None else failed_at
+        self.broken = failed_at is not None and executor.broken
         self.runs = executor.crashed_runs()
         self.sent = False
 
@@ -232,7 +234,9 @@
         )
         self.crashes[view.incarnation] = crash
         if len(self.crashes) > MAX_CRASHES_KEPT:
-            del self.crashes[next(iter(self.crashes))]
+            dropped = next(iter(self.crashes))
+            del self.crashes[dropped]
+            events.write(events.CRASH_DROPPED, incarnation=dropped)
 
     def send_crashes(self, now: float) -> None:
         """Send the owner the crashes that were not yet sent on its stream."""
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -266,6 +266,11 @@
 EXECUTOR_CAPACITY_CHANGED = Event(
     620, logbook.INFO, "The capacity of an executor has changed while it runs."
 )
+CRASH_DROPPED = Event(
+    621,
+    logbook.WARNING,
+    "The crash of an executor was dropped before an owner stored it; too many wait.",
+)
 
 TASK_STARTED = Event(601, logbook.INFO, "A task has started on this worker.")
 TASK_REFUSED = Event(602, logbook.INFO, "The start of a task was refused.")
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -1,12 +1,14 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 import trio
 import trio.testing
 
+from rattanwing import events
 from rattanwing.batch import messages
-from rattanwing.batch.agent import BatchAgent, OwnerSession
+from rattanwing.batch.agent import MAX_CRASHES_KEPT, BatchAgent, OwnerSession
 from rattanwing.batch.ports import OrderOutcome, OrderResult, PollResult, RunningRow
 from rattanwing.batch.runs import ExecutorRuns
 from rattanwing.standin.runs import StandinBatchExecutor
@@ -285,6 +287,30 @@
         crash = messages.ExecutorCrashed("executor-0@1", 13.0, 1.6, False, [row])
         self.assertEqual(self.crashes(), [crash])
 
+    def test_crash_at_time_zero_is_sent_with_its_time(self):
+        """The time of the last answer was sent in its place."""
+        self.run.maybe_sent = True
+        self.agent.executor.failed_at = 0.0
+        self.agent.executor.broken = True
+        self.replace_executor()
+        (crash,) = self.crashes()
+        self.assertEqual((crash.failed_s, crash.broken), (10.0, True))
+
+    def test_oldest_crash_is_dropped_with_a_log_line(self):
+        """Its tasks were suspected by no owner, and no line said so."""
+        written = []
+
+        def capture(event, **fields):
+            written.append((event.number, fields.get("incarnation")))
+
+        with mock.patch.object(events, "write", capture):
+            for _ in range(MAX_CRASHES_KEPT + 1):
+                self.replace_executor()
+        self.assertEqual(
+            [row for row in written if row[0] == 621], [(621, "executor-0@1")]
+        )
+        self.assertEqual(len(self.crashes()), MAX_CRASHES_KEPT)
+
     def test_crash_is_sent_to_each_owner_until_it_is_stored(self):
         self.run.maybe_sent = True
         self.replace_executor()
