Check starts against changed capacities once these are known

It also proved nothing: each capacity lasted 0.9 s, and starts were compared with all capacities of the last 1.1 s, so the full one was always among them. Change: each capacity lasts 2.5 s, memory shrinks too (to 250 MB) and is checked, and the reservations of all runs are known to the check.

--- a/tests/batch/test_capacity_changes.py
+++ b/tests/batch/test_capacity_changes.py
@@ -11,6 +11,14 @@
 """Time in seconds within which a change is announced and reported: a heartbeat of the
 stand-in, and a message."""
 
+FULL_CAPACITY = (4000, 8000)
+CAPACITIES = ((800, 8000), (4000, 250), FULL_CAPACITY)
+"""Thousandths of a core and megabytes of memory, one after the other."""
+
+CAPACITY_FOR_S = 2.5
+"""Time in seconds between two changes of one executor. It must be longer than
+``KNOWN_WITHIN_S``, so that there are starts under each capacity once it is known."""
+
 STEP = StepSpec(6, cpu=700, memory_mb=100)
 
 
@@ -20,25 +28,28 @@
     for run in world.history:
         executor = next(e for e in world.executors if e.name == run.executor)
         known = [
-            cpu
-            for at, cpu, _memory_mb in executor.capacity_changes
+            capacity
+            for at, *capacity in executor.capacity_changes
             if at + KNOWN_WITHIN_S <= run.started_at
         ]
         recent = [
-            cpu
-            for at, cpu, _memory_mb in executor.capacity_changes
+            capacity
+            for at, *capacity in executor.capacity_changes
             if at <= run.started_at < at + KNOWN_WITHIN_S
         ]
-        limit = max([known[-1] if known else 4000, *recent])
-        used = sum(
-            world.cpu_of(other.task)
+        others = [
+            other.task
             for other in world.history
             if other.executor == run.executor
             and other.started_at <= run.started_at
             and (other.ended_at is None or other.ended_at > run.started_at)
-        )
-        if used > limit:
-            found.append((run.task, run.started_at, used, limit))
+        ]
+        possible = [known[-1] if known else FULL_CAPACITY, *recent]
+        for number, reserved_by in enumerate((world.cpu_of, world.memory_of)):
+            limit = max(capacity[number] for capacity in possible)
+            used = sum(map(reserved_by, others))
+            if used > limit:
+                found.append((run.task, run.started_at, used, limit))
     return found
 
 
@@ -59,14 +70,22 @@
 
         world = play(scenario, hosts=4)
         self.assertEqual(starts_beyond_capacity(world), [])
+        for run in world.history:
+            reserved = (world.cpu_of(run.task), world.memory_of(run.task))
+            self.assertEqual(reserved, (STEP.cpu, STEP.memory_mb))
         self.assertGreater(len(world.history), 24 * STEP.count - 1)
         self.assertEqual(world.overlaps(), [])
 
 
 async def change_capacities(world):
-    """Shrink and grow each executor in turn while it runs."""
+    """Shrink and grow each executor again and again, while tasks run there."""
+    for executor in world.executors:
+        world.nursery.start_soon(change_capacity, executor)
+        await trio.sleep(0.7)
+
+
+async def change_capacity(executor):
     while True:
-        for executor in world.executors:
-            for cpu in (800, 4000):
-                await trio.sleep(0.9)
-                executor.set_capacity(cpu, 8000)
+        for cpu, memory_mb in CAPACITIES:
+            await trio.sleep(CAPACITY_FOR_S)
+            executor.set_capacity(cpu, memory_mb)
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -290,15 +290,24 @@
                 await trio.sleep(0.05)
         return False
 
-    def cpu_of(self, task):
-        """Return the thousandths of a core that a task reserves on its host."""
+    def step_of(self, task):
+        """Return the step of a task, ``None`` if no entry knows it."""
         found = parse_task_id(task)
         for entry in self.entries.values():
             view = entry.replica.jobs.get(found.job_id)
             if view is not None:
-                step = view.spec.steps[found.step]
-                return 0 if step.best_effort else step.cpu
-        return 0
+                return view.spec.steps[found.step]
+        return None
+
+    def cpu_of(self, task):
+        """Return the thousandths of a core that a task reserves on its host."""
+        step = self.step_of(task)
+        return 0 if step is None or step.best_effort else step.cpu
+
+    def memory_of(self, task):
+        """Return the megabytes of memory that a task reserves on its host."""
+        step = self.step_of(task)
+        return 0 if step is None else step.memory_mb
 
     def overlaps(self):
         """Return the tasks of which two runs overlapped in time."""
