Test the resending of crashes through accept

test_crash_is_sent_to_each_owner_until_it_is_stored set `sent = False` itself, so it passed without the line in accept that does so. It connects two new owners now, checks that each gets the crash once, and a third after it was stored that gets nothing.

--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import contextlib
 import unittest
 from unittest import mock
 
@@ -11,6 +12,7 @@
 from rattanwing.batch.agent import MAX_CRASHES_KEPT, BatchAgent, OwnerSession
 from rattanwing.batch.ports import OrderOutcome, OrderResult, PollResult, RunningRow
 from rattanwing.batch.runs import ExecutorRuns
+from rattanwing.peer.stream import memory_stream_pair
 from rattanwing.standin.runs import StandinBatchExecutor
 
 
@@ -23,6 +25,9 @@
     def send(self, message):
         self.sent.append(message)
 
+    def close(self):
+        """Close nothing."""
+
 
 class RecordingNursery:
     """Records tasks without running them, like a nursery between two checkpoints."""
@@ -238,6 +243,9 @@
         self.assertLessEqual(remaining_ms, 2000)
 
 
+INCARNATION = "executor-0@1"
+
+
 class CrashReportTests(unittest.TestCase):
     """An owner that died with what it knew of a crash let the count start again."""
 
@@ -259,6 +267,26 @@
         self.executor.restart()
         self.agent.handle_announcement(self.executor.view())
 
+    async def receive_as_next_owner(self, epoch):
+        """Return what the agent sends a new owner of crashes, with two reports."""
+        near_side, far_side = memory_stream_pair()
+        hello = messages.OwnerHello(epoch, epoch, f"entry-{epoch}")
+        await near_side.send(messages.encode(hello))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.agent.accept, far_side)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(self.agent.owner.epoch, epoch)
+            for _ in range(2):
+                self.agent.send_crashes(self.now)
+            await trio.testing.wait_all_tasks_blocked()
+            received = []
+            with contextlib.suppress(trio.WouldBlock):
+                while True:
+                    data = near_side.incoming.receive_nowait()
+                    received.append(messages.decode(data))
+            nursery.cancel_scope.cancel()
+        return received
+
     def crashes(self):
         """Return the crashes that the agent sends with its next report."""
         self.owner.session.sent.clear()
@@ -316,11 +344,18 @@
         self.replace_executor()
         self.assertEqual(len(self.crashes()), 1)
         self.assertEqual(self.crashes(), [])
-        for crash in self.agent.crashes.values():
-            crash.sent = False
-        self.assertEqual(len(self.crashes()), 1)
-        self.agent.handle_message(self.owner, messages.CrashStored("executor-0@1"))
+
+        async def meet_next_owners():
+            for epoch in (2, 3):
+                received = await self.receive_as_next_owner(epoch)
+                self.assertEqual(
+                    [crash.incarnation for crash in received], [INCARNATION]
+                )
+
+        trio.run(meet_next_owners)
+        self.agent.handle_message(self.agent.owner, messages.CrashStored(INCARNATION))
         self.assertEqual(self.agent.crashes, {})
+        self.assertEqual(trio.run(self.receive_as_next_owner, 4), [])
 
     def test_crash_is_reported_once_until_the_next_executor_announces_itself(self):
         self.run.maybe_sent = True
