Assert that owners are killed where crashes are counted across owners

test_crashes_are_counted_across_owners would have passed if no owner had ever been killed, e.g. because none was found at that moment.

--- a/tests/batch/test_crashes.py
+++ b/tests/batch/test_crashes.py
@@ -161,17 +161,22 @@
         """Each owner dies just after a crash, before or after it has heard of it."""
         for delay_s in (0.02, 1.0, 3.1, 3.5):
             with self.subTest(delay_s=delay_s):
-                others = []
+                others, killed = [], []
 
-                async def scenario(world, delay_s=delay_s, others=others):
+                async def scenario(
+                    world, delay_s=delay_s, others=others, killed=killed
+                ):
                     make_deadly(world, DEADLY)
-                    world.nursery.start_soon(kill_owner_after_crashes, world, delay_s)
+                    world.nursery.start_soon(
+                        kill_owner_after_crashes, world, delay_s, killed
+                    )
                     await trio.sleep(1)
                     await submit(world, job("job-deadly", steps=(WIDE,)))
                     others += await submit_others(world, 4)
                     await self.finish(world, others)
 
                 self.check_given_up(play(scenario, hosts=4), others)
+                self.assertGreater(len(killed), 0)
 
     def test_crashes_are_counted_although_all_processes_die(self):
         for delay_s in (0.02, 1.0, 3.5):
@@ -212,8 +217,11 @@
                     self.assertIs(state, JobState.COMPLETED, job_id)
 
 
-async def kill_owner_after_crashes(world, delay_s, times=3):
-    """Kill the owner after each crash, and start it again."""
+async def kill_owner_after_crashes(world, delay_s, killed, times=3):
+    """Kill the owner after each crash, and start it again.
+
+    :param killed: gets the name of each owner that is killed.
+    """
     seen = 0
     while times:
         await trio.sleep(0.005)
@@ -226,6 +234,7 @@
         if owner is None or owner.settings.name not in world.scopes:
             continue
         world.kill(owner.settings.name)
+        killed.append(owner.settings.name)
         times -= 1
         await trio.sleep(1.0)
         await world.start_entry(owner.settings.name)
