--- a/tests/batch/schedules.py
+++ b/tests/batch/schedules.py
@@ -1,8 +1,9 @@
 """Random faults against the whole batch engine, reproducible by seed.
 
 ``python -m tests.batch.schedules FIRST LAST`` plays a range of seeds; with the option
-``latency`` messages take time and cross, and with ``same-id`` some executors restart
-under the id that they had. Each combination of options has schedules of its own.
+``latency`` messages take time and cross, with ``same-id`` some executors restart
+under the id that they had, and with ``deadly`` some jobs have a task that crashes each
+executor that starts it. Each combination of options has schedules of its own.
 """
 
 from __future__ import annotations
--- a/tests/batch/test_schedules.py
+++ b/tests/batch/test_schedules.py
@@ -2,9 +2,10 @@
 
 import unittest
 
-from tests.batch.schedules import play_seed
+from tests.batch.schedules import is_deadly_task, play_seed
 
 SEEDS = (2, 4, 5)
+DEADLY_SEEDS = (3,)
 LATENCY_SEEDS = (4, 10, 15)
 SAME_ID_SEEDS = {
     4: "ends of the new life were acknowledged unseen",
@@ -30,6 +31,18 @@
                 self.assertEqual(violations, [], fault_scenario.faults)
                 self.assertGreater(len(fault_scenario.accepted), 10)
 
+    def test_tasks_that_crash_their_executors_are_given_up(self):
+        for seed in DEADLY_SEEDS:
+            with self.subTest(seed=seed):
+                violations, fault_scenario = play_seed(seed, deadly=True)
+                self.assertEqual(violations, [], fault_scenario.faults)
+                self.assertGreater(len(fault_scenario.accepted), 10)
+                crashes = sum(
+                    run.crashed and is_deadly_task(run.task)
+                    for run in fault_scenario.world.history
+                )
+                self.assertGreater(crashes, 3)
+
 
 class LatencyScheduleTests(unittest.TestCase):
     """Plays seeds in which messages take time and cross."""
