--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -32,8 +32,8 @@
 because its record may have been deleted. The interval is a little longer than
 a change of owner usually takes."""
 
-MAX_CRASHES_KEPT = 32
-"""Most crashes of executors that are kept until the owner has stored them."""
+MAX_UNSTORED_CRASHES = 32
+"""Most crashes of executors that may wait until the owner has stored them."""
 
 MAX_SUSPECTS_LOGGED = 20
 """Most tasks that are named in the log line about a crash."""
@@ -62,8 +62,8 @@
         return self.epoch, self.fence
 
 
-class KeptCrash:
-    """The crash of an incarnation, kept until the owner has stored it.
+class UnstoredCrash:
+    """The crash of an incarnation that the owner has not stored yet.
 
     :param failed_at: time of the first call that it did not answer, or of its last
         answer if there was no such call.
@@ -124,7 +124,7 @@
         self.nursery: trio.Nursery | None = None
         self.last_end_sent = 0
         self.executor_exited = False
-        self.crashes: dict[str, KeptCrash] = {}
+        self.crashes: dict[str, UnstoredCrash] = {}
 
     def request_report(self) -> None:
         """Have the next report sent at once."""
@@ -162,7 +162,7 @@
             current.exited = True
             current.reborn = current.view.executor_id == view.executor_id
             current.poll_scope.cancel()
-            self.keep_crash(current)
+            self.record_crash(current)
         leases_end_by = self.started_at + TASK_LEASE_S + LEASE_MARGIN_S
         self.executor = ExecutorRuns(
             view,
@@ -215,13 +215,13 @@
         self.executor_exited = True
         self.request_report()
 
-    def keep_crash(self, executor: ExecutorRuns) -> None:
-        """Keep the crash of an incarnation that ended without an announcement."""
+    def record_crash(self, executor: ExecutorRuns) -> None:
+        """Record the crash of an incarnation that ended without an announcement."""
         view = executor.view
-        if view.draining or executor.crash_kept:
+        if view.draining or executor.crash_recorded:
             return
-        executor.crash_kept = True
-        crash = KeptCrash(executor)
+        executor.crash_recorded = True
+        crash = UnstoredCrash(executor)
         suspects = [run.task for run in crash.runs if run.survived_s < SURVIVAL_S]
         events.write(
             events.EXECUTOR_CRASHED,
@@ -233,7 +233,7 @@
             tasks=suspects[:MAX_SUSPECTS_LOGGED],
         )
         self.crashes[view.incarnation] = crash
-        if len(self.crashes) > MAX_CRASHES_KEPT:
+        if len(self.crashes) > MAX_UNSTORED_CRASHES:
             dropped = next(iter(self.crashes))
             del self.crashes[dropped]
             events.write(events.CRASH_DROPPED, incarnation=dropped)
@@ -241,7 +241,7 @@
     def send_crashes(self, now: float) -> None:
         """Send the owner the crashes that were not yet sent on its stream."""
         if self.executor is not None and self.executor.exited:
-            self.keep_crash(self.executor)
+            self.record_crash(self.executor)
         for crash in self.crashes.values():
             if not crash.sent:
                 failed_s = round(now - crash.failed_at, 3)
--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -212,7 +212,7 @@
         return self.clock_offsets[0][1]
 
     def tests_suspect(self) -> bool:
-        """Return whether a run here may show that a suspected task is deadly."""
+        """Return whether a run here may show that its task crashes executors."""
         run = self.suspect_run
         return (
             run is not None
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -128,14 +128,14 @@
         if self.known_since is None:
             self.known_since = now
 
-    def survived_s(self, alive_at: float) -> float:
+    def survived_s(self, last_up_at: float) -> float:
         """Return for how long the executor is known to have run it, in seconds.
 
-        :param alive_at: latest time at which the executor is known to have been up.
+        :param last_up_at: latest time at which the executor is known to have been up.
         """
         if self.known_since is None:
             return 0.0
-        return max(0.0, alive_at - self.known_since)
+        return max(0.0, last_up_at - self.known_since)
 
 
 class ExecutorRuns:
@@ -158,7 +158,7 @@
     :param broken: whether that call failed because its connection broke.
     :param exited: whether this incarnation of the executor has exited.
     :param reborn: whether an incarnation with the same id has taken its place.
-    :param crash_kept: whether its crash has been recorded for the owner.
+    :param crash_recorded: whether its crash has been recorded for the owner.
     :param replaces_listed: whether it has replaced an incarnation that this process
         of the agent has had a listing of.
     :param on_change: called when runs have ended or the set of runs has changed.
@@ -185,7 +185,7 @@
         "broken",
         "exited",
         "reborn",
-        "crash_kept",
+        "crash_recorded",
         "replaces_listed",
         "on_change",
         "on_refused",
@@ -221,7 +221,7 @@
         self.broken = False
         self.exited = False
         self.reborn = False
-        self.crash_kept = False
+        self.crash_recorded = False
         self.replaces_listed = False
         self.on_change = on_change
         self.on_refused = on_refused
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -27,9 +27,9 @@
     HOLD_S,
     SURVIVAL_S,
     has_survived,
-    is_deadly,
     is_isolated,
     may_hold,
+    should_give_up,
 )
 from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
 from rattanwing.batch.urgency import sort_by_urgency
@@ -73,9 +73,10 @@
 )
 """Reasons of refusals that don't tell against the host: the order came too late, or
 its executor has been replaced."""
+
 CRASH_MEMORY_S = 30.0
 """Time in seconds for which crashes of executors are remembered, so that others are
-compared with them; more than an executor takes to come back."""
+compared with them."""
 
 STOP_RETRY_S = 2.0
 """Time in seconds after which a stop is ordered again if the run is still reported."""
@@ -572,10 +573,10 @@
     ) -> None:
         """Suspect tasks that an executor started just before it crashed.
 
-        The job of a task is given up if the task is found to be deadly.
+        The job of a task is given up if the task is found to crash executors.
 
-        :param only_suspect: see :func:`rattanwing.batch.suspicion.is_deadly`.
-        :param isolated: see :func:`rattanwing.batch.suspicion.is_deadly`.
+        :param only_suspect: see :func:`rattanwing.batch.suspicion.should_give_up`.
+        :param isolated: see :func:`rattanwing.batch.suspicion.should_give_up`.
         """
         for task in tasks:
             job = task.job
@@ -595,7 +596,7 @@
                 isolated=isolated,
                 epoch=self.epoch,
             )
-            if is_deadly(crashes, only_suspect, isolated):
+            if should_give_up(crashes, only_suspect, isolated):
                 events.write(
                     events.JOB_GIVEN_UP,
                     job=job.spec.job_id,
--- a/rattanwing/batch/suspicion.py
+++ b/rattanwing/batch/suspicion.py
@@ -1,10 +1,10 @@
 """Finds out which task crashes the executors that start it.
 
-A deadly task crashes every executor soon after its start, and with it all runs there.
+A crashing task ends every executor soon after its start, and with it all runs there.
 A task is suspected after an executor has crashed soon after starting it, and cleared
 once it has run for longer. Suspected tasks of different jobs never run on one host, and
 a job with suspected tasks starts them one at a time, so that the next crash shows which
-task is deadly. The job of a deadly task is given up.
+task is the cause. The job of a crashing task is given up.
 """
 
 from __future__ import annotations
@@ -16,11 +16,11 @@
 
 SURVIVAL_S = 0.25
 """Time in seconds for which an executor must have run a task for its crash not to be
-due to the task; deadly tasks take effect some 10 ms after their start."""
+due to the task."""
 
 CLEARED_WITHOUT_PROGRESS_S = 3.0
 """Time in seconds after which a run that makes no progress clears its task too. The
-run of a deadly task may stand still on a defective host."""
+run of a crashing task may stand still on a defective host."""
 
 HOLD_S = 1.0
 """Longest time in seconds for which a host starts nothing beside a suspected task that
@@ -31,8 +31,7 @@
 
 SAME_TIME_S = 0.1
 """Crashes of executors that are no further apart than this, in seconds, may have one
-cause outside the tasks. Agents notice a crash within some 10 ms, by the connection that
-breaks."""
+cause outside the tasks."""
 
 ENOUGH_CRASHES = 2
 """Number of crashes from which a task may be given up."""
@@ -42,7 +41,7 @@
 
 
 def has_survived(survived_s: float, progress_percent: int) -> bool:
-    """Return whether a run shows that its task is not deadly.
+    """Return whether a run shows that its task is not a crashing one.
 
     :param survived_s: time for which the executor is known to have run it.
     """
@@ -51,7 +50,7 @@
     return survived_s >= CLEARED_WITHOUT_PROGRESS_S
 
 
-def is_deadly(crashes: int, only_suspect: bool, isolated: bool) -> bool:
+def should_give_up(crashes: int, only_suspect: bool, isolated: bool) -> bool:
     """Return whether a task is to be given up after a crash.
 
     :param crashes: number of executors that crashed soon after starting the task.
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -216,6 +216,11 @@
 RUN_PACE_CHANGED = Event(
     546, logbook.INFO, "The pace of a best-effort run was changed."
 )
+JOB_PLACEMENT_FAILED = Event(
+    548,
+    logbook.ERROR,
+    "Placing a job failed with an unexpected error; other jobs are placed.",
+)
 TASK_SUSPECTED = Event(
     550,
     logbook.WARNING,
@@ -229,11 +234,6 @@
     logbook.WARNING,
     "A job fails because the executors that start one of its tasks crash.",
 )
-JOB_PLACEMENT_FAILED = Event(
-    548,
-    logbook.ERROR,
-    "Placing a job failed with an unexpected error; other jobs are placed.",
-)
 
 EXECUTOR_ANNOUNCED = Event(
     610,
--- a/rattanwing/standin/runs.py
+++ b/rattanwing/standin/runs.py
@@ -34,8 +34,8 @@
 KILL_GRACE_S = 0.2
 """Time that a stopped run takes to end."""
 
-DEADLY_AFTER_S = 0.01
-"""Time in seconds after which a deadly task crashes the executor that has started
+CRASH_AFTER_S = 0.01
+"""Time in seconds after which a crashing task ends the executor that has started
 it."""
 
 RESTART_AFTER_S = 3.0
@@ -118,8 +118,8 @@
     :param draining: whether the executor announces that it will stop.
     :param end_added: set, and replaced by a new event, when a run ends.
     :param lapse_times: when leases lapsed, in seconds of trio's clock.
-    :param deadly: returns whether a task crashes each executor that starts it.
-    :param keeps_id: whether it has the same id after a deadly task has crashed it.
+    :param is_crashing: returns whether a task crashes each executor that starts it.
+    :param keeps_id: whether it has the same id after a task has crashed it.
     :param capacity_changes: time, thousandths of a core and megabytes of memory of
         each change of the capacity.
     """
@@ -153,7 +153,7 @@
         "nursery",
         "reachable",
         "lapse_times",
-        "deadly",
+        "is_crashing",
         "keeps_id",
         "capacity_changes",
     )
@@ -183,7 +183,7 @@
         self.draining = False
         self.nursery: trio.Nursery | None = None
         self.lapse_times: list[float] = []
-        self.deadly: Callable[[str], bool] = lambda _task: False
+        self.is_crashing: Callable[[str], bool] = lambda _task: False
         self.keeps_id = False
         self.capacity_changes: list[tuple[float, int, int]] = []
         self.restart()
@@ -223,8 +223,8 @@
         self.end_added.set()
 
     async def crash_later(self, incarnation: int) -> None:
-        """Crash soon, as after the start of a deadly task, and start again later."""
-        await trio.sleep(DEADLY_AFTER_S)
+        """Crash soon, as after the start of a crashing task, and start again later."""
+        await trio.sleep(CRASH_AFTER_S)
         if not self.up or incarnation != self.incarnation:
             return
         self.crash()
@@ -347,7 +347,7 @@
         self.running[key] = record
         self.last_attempts[task] = max(attempt, self.last_attempts.get(task, 0))
         self.nursery.start_soon(self.run_task, key, self.incarnation)
-        if self.deadly(task):
+        if self.is_crashing(task):
             self.nursery.start_soon(self.crash_later, self.incarnation)
         return self.make_result(OrderOutcome.ACCEPTED)
 
--- a/tests/batch/schedules.py
+++ b/tests/batch/schedules.py
@@ -53,7 +53,7 @@
     async def submit_deadly_jobs(self):
         """Submit jobs of which the first task crashes each executor that starts it."""
         for executor in self.world.executors:
-            executor.deadly = is_deadly_task
+            executor.is_crashing = is_deadly_task
         step = StepSpec(2, cpu=700, memory_mb=50)
         for number in range(DEADLY_JOBS):
             spec = job(f"{DEADLY_PREFIX}{number}", steps=(step,))
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -9,7 +9,7 @@
 
 from rattanwing import events
 from rattanwing.batch import messages
-from rattanwing.batch.agent import MAX_CRASHES_KEPT, BatchAgent, OwnerSession
+from rattanwing.batch.agent import MAX_UNSTORED_CRASHES, BatchAgent, OwnerSession
 from rattanwing.batch.ports import OrderOutcome, OrderResult, PollResult, RunningRow
 from rattanwing.batch.runs import ExecutorRuns
 from rattanwing.peer.stream import memory_stream_pair
@@ -332,12 +332,12 @@
             written.append((event.number, fields.get("incarnation")))
 
         with mock.patch.object(events, "write", capture):
-            for _ in range(MAX_CRASHES_KEPT + 1):
+            for _ in range(MAX_UNSTORED_CRASHES + 1):
                 self.replace_executor()
         self.assertEqual(
             [row for row in written if row[0] == 621], [(621, "executor-0@1")]
         )
-        self.assertEqual(len(self.crashes()), MAX_CRASHES_KEPT)
+        self.assertEqual(len(self.crashes()), MAX_UNSTORED_CRASHES)
 
     def test_crash_is_sent_to_each_owner_until_it_is_stored(self):
         self.run.maybe_sent = True
--- a/tests/batch/test_crashes.py
+++ b/tests/batch/test_crashes.py
@@ -30,7 +30,7 @@
 
 def make_deadly(world, *tasks):
     for executor in world.executors:
-        executor.deadly = lambda task: task in tasks
+        executor.is_crashing = lambda task: task in tasks
 
 
 async def submit(world, spec):
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -13,8 +13,8 @@
     SAME_TIME_S,
     SURVIVAL_S,
     has_survived,
-    is_deadly,
     is_isolated,
+    should_give_up,
 )
 from tests.batch.test_scheduler import SMALL, SchedulerTestCase
 from tests.batch.world import job
@@ -22,13 +22,13 @@
 
 class DecisionTests(unittest.TestCase):
     def test_two_clear_crashes_are_enough(self):
-        self.assertFalse(is_deadly(1, True, True))
-        self.assertTrue(is_deadly(2, True, True))
+        self.assertFalse(should_give_up(1, True, True))
+        self.assertTrue(should_give_up(2, True, True))
 
     def test_unclear_crashes_need_a_third(self):
-        self.assertFalse(is_deadly(2, False, True))
-        self.assertFalse(is_deadly(2, True, False))
-        self.assertTrue(is_deadly(MAX_CRASHES, False, False))
+        self.assertFalse(should_give_up(2, False, True))
+        self.assertFalse(should_give_up(2, True, False))
+        self.assertTrue(should_give_up(MAX_CRASHES, False, False))
 
     def test_crashes_at_the_same_time_are_not_isolated(self):
         self.assertTrue(is_isolated(10.0, []))
