--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -286,7 +286,7 @@
             self.store_needed = trio.Event()
             jobs, self.scheduler.unstored = self.scheduler.unstored, {}
             acks, self.scheduler.unacked = self.scheduler.unacked, {}
-            crashes, self.scheduler.unacked_crashes = self.scheduler.unacked_crashes, []
+            crashes, self.scheduler.unacked_crashes = self.scheduler.unacked_crashes, {}
             changed = [
                 (
                     records.PROGRESS_PREFIX + job_id,
@@ -304,7 +304,7 @@
             for job, count in suspicions:
                 if job.record_stored_suspicions(count):
                     self.wake()
-            for name, incarnation in crashes:
+            for incarnation, name in crashes.items():
                 self.connections.send(name, messages.CrashStored(incarnation))
             self.scheduler.drop_finished_jobs(self.replica.jobs)
 
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -27,9 +27,9 @@
     HOLD_S,
     SURVIVAL_S,
     has_survived,
-    is_deadly,
     is_isolated,
     may_hold,
+    should_give_up,
 )
 from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
 from rattanwing.batch.urgency import sort_by_urgency
@@ -73,9 +73,10 @@
 )
 """Reasons of refusals that don't tell against the host: the order came too late, or
 its executor has been replaced."""
+
 CRASH_MEMORY_S = 30.0
 """Time in seconds for which crashes of executors are remembered, so that others are
-compared with them; more than an executor takes to come back."""
+compared with them."""
 
 STOP_RETRY_S = 2.0
 """Time in seconds after which a stop is ordered again if the run is still reported."""
@@ -88,9 +89,10 @@
     :param unstored: jobs whose progress must be stored, by id.
     :param unacked: by host, the executor incarnation and number of the newest end
         of a run that may be acknowledged once the jobs' progress is stored.
-    :param unacked_crashes: host and executor incarnation of each crash that may be
+    :param unacked_crashes: by executor incarnation, the host of each crash that may be
         acknowledged once the jobs' progress is stored.
-    :param crash_times: time of each recent crash, by executor incarnation.
+    :param crash_times: time of each recent crash that was applied, by executor
+        incarnation.
     :param takeover_complete: whether tasks of inherited jobs may be started; see
         :meth:`check_takeover`.
     :param directory_known: whether every registered agent is in ``cluster``.
@@ -121,7 +123,7 @@
         self.constraints = Constraints()
         self.unstored: dict[str, OwnedJob] = {}
         self.unacked: dict[str, tuple[str, int]] = {}
-        self.unacked_crashes: list[tuple[str, str]] = []
+        self.unacked_crashes: dict[str, str] = {}
         self.crash_times: dict[str, float] = {}
         self.takeover_complete = False
         self.directory_known = False
@@ -495,9 +497,10 @@
         Its runs are lost. The tasks that it had just started are suspected of having
         crashed it.
         """
-        self.unacked_crashes.append((host.name, crash.incarnation))
+        self.unacked_crashes[crash.incarnation] = host.name
         host.record_stamp(crash.stamp, now)
         crashed_at = crash.stamp + host.clock_offset - crash.failed_s
+        resent = crash.incarnation in self.crash_times
         self.crash_times = {
             incarnation: at
             for incarnation, at in self.crash_times.items()
@@ -512,7 +515,10 @@
         ]
         self.crash_times[crash.incarnation] = crashed_at
         started = []
+        started_jobs = set()
         for row in crash.runs:
+            if row.survived_s < SURVIVAL_S:
+                started_jobs.add(job_of(row.task))
             run = host.runs.get((row.task, row.attempt))
             if run is not None and row.ended:
                 self.cluster.mark_lost(run, "executor-crashed", now)
@@ -521,7 +527,9 @@
                 task.attempt = max(task.attempt, row.attempt)
                 if row.survived_s < SURVIVAL_S:
                     started.append(task)
-        only_suspect = len({task.id.job_id for task in started}) == 1
+        if resent:
+            return
+        only_suspect = len(started_jobs) == 1
         isolated = crash.broken and is_isolated(crashed_at, others)
         self.suspect(started, crash.incarnation, only_suspect, isolated, now, now_ms)
 
@@ -559,10 +567,10 @@
     ) -> None:
         """Suspect tasks that an executor started just before it crashed.
 
-        The job of a task is given up if the task is found to be deadly.
+        The job of a task is given up if the task is found to crash executors.
 
-        :param only_suspect: see :func:`rattanwing.batch.suspicion.is_deadly`.
-        :param isolated: see :func:`rattanwing.batch.suspicion.is_deadly`.
+        :param only_suspect: see :func:`rattanwing.batch.suspicion.should_give_up`.
+        :param isolated: see :func:`rattanwing.batch.suspicion.should_give_up`.
         """
         for task in tasks:
             job = task.job
@@ -582,7 +590,7 @@
                 isolated=isolated,
                 epoch=self.epoch,
             )
-            if is_deadly(crashes, only_suspect, isolated):
+            if should_give_up(crashes, only_suspect, isolated):
                 events.write(
                     events.JOB_GIVEN_UP,
                     job=job.spec.job_id,
@@ -667,9 +675,12 @@
     ) -> bool:
         """Place the waiting tasks of a step until one finds no host.
 
+        The others are still tried after a suspected task, which fits fewer hosts.
+
         :returns: whether no task of the step is left waiting.
         """
-        held_back = False
+        placed = held_back = False
+        unplaced: Task | None = None
         for task in step.tasks:
             if not task.is_waiting():
                 continue
@@ -677,13 +688,18 @@
                 held_back = True
                 continue
             host = choose_host(hosts, job, task, self.interference, now)
-            if host is None:
-                self.record_wait(job, step, task, now)
-                return False
-            self.start(job, task, task.next_attempt(), host, now)
-        if not held_back:
+            if host is not None:
+                self.start(job, task, task.next_attempt(), host, now)
+                placed = True
+                continue
+            unplaced = unplaced or task
+            if not task.is_suspect():
+                break
+        if unplaced is not None:
+            self.record_wait(job, step, unplaced, now)
+        elif placed or not held_back:
             step.waiting_since = None
-        return not held_back
+        return unplaced is None and not held_back
 
     def record_wait(
         self,
@@ -746,7 +762,9 @@
         for task, host in placed:
             host.reserve(task.step, -1)
         if len(placed) < len(step.tasks):
+            self.record_wait(job, step, task, now)
             return False
+        step.waiting_since = None
         for task, host in placed:
             task.checkpoint = checkpoint
             self.start(job, task, attempt, host, now)
@@ -784,3 +802,11 @@
             heard_s=round(now - host.last_heard_at, 3),
             epoch=self.epoch,
         )
+
+
+def job_of(task: str) -> str:
+    """Return the job id in a reported task id, or a malformed task id itself."""
+    try:
+        return parse_task_id(task).job_id
+    except ValueError:
+        return task
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -216,6 +216,11 @@
 RUN_PACE_CHANGED = Event(
     546, logbook.INFO, "The pace of a best-effort run was changed."
 )
+JOB_PLACEMENT_FAILED = Event(
+    548,
+    logbook.ERROR,
+    "Placing a job failed with an unexpected error; other jobs are placed.",
+)
 TASK_SUSPECTED = Event(
     550,
     logbook.WARNING,
@@ -229,11 +234,6 @@
     logbook.WARNING,
     "A job fails because the executors that start one of its tasks crash.",
 )
-JOB_PLACEMENT_FAILED = Event(
-    548,
-    logbook.ERROR,
-    "Placing a job failed with an unexpected error; other jobs are placed.",
-)
 
 EXECUTOR_ANNOUNCED = Event(
     610,
@@ -266,6 +266,11 @@
 EXECUTOR_CAPACITY_CHANGED = Event(
     620, logbook.INFO, "The capacity of an executor has changed while it runs."
 )
+CRASH_DROPPED = Event(
+    621,
+    logbook.WARNING,
+    "The crash of an executor was dropped before an owner stored it; too many wait.",
+)
 
 TASK_STARTED = Event(601, logbook.INFO, "A task has started on this worker.")
 TASK_REFUSED = Event(602, logbook.INFO, "The start of a task was refused.")
