--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -160,7 +160,7 @@
             return
         if current is not None:
             current.exited = True
-            current.reborn = current.view.executor_id == view.executor_id
+            current.restarted_under_id = current.view.executor_id == view.executor_id
             current.poll_scope.cancel()
             self.record_crash(current)
         leases_end_by = self.started_at + TASK_LEASE_S + LEASE_MARGIN_S
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -158,7 +158,8 @@
         if there was none.
     :param broken: whether that call failed because its connection broke.
     :param exited: whether this incarnation of the executor has exited.
-    :param reborn: whether an incarnation with the same id has taken its place.
+    :param restarted_under_id: whether an incarnation with the same id has taken its
+        place.
     :param crash_recorded: whether its crash has been recorded for the owner.
     :param replaces_listed: whether it has replaced an incarnation that this process
         of the agent has had a listing of.
@@ -186,7 +187,7 @@
         "failed_at",
         "broken",
         "exited",
-        "reborn",
+        "restarted_under_id",
         "crash_recorded",
         "replaces_listed",
         "on_change",
@@ -223,7 +224,7 @@
         self.failed_at: float | None = None
         self.broken = False
         self.exited = False
-        self.reborn = False
+        self.restarted_under_id = False
         self.crash_recorded = False
         self.replaces_listed = False
         self.on_change = on_change
@@ -390,7 +391,7 @@
                 task,
                 attempt,
                 round(run.survived_s(ended_at), 3),
-                run.listed or not self.reborn,
+                run.listed or not self.restarted_under_id,
             )
             for (task, attempt), run in self.runs.items()
             if run.maybe_sent
@@ -449,7 +450,7 @@
             await trio.sleep(RETRY_PAUSE_S)
             return False
         if result.incarnation not in ("", self.view.incarnation):
-            self.reborn = True
+            self.restarted_under_id = True
             self.handle_poll_refusal(OrderResult(OrderOutcome.OTHER_INCARNATION))
             return False
         if sent_at > self.failed_call_at:
--- a/rattanwing/standin/runs.py
+++ b/rattanwing/standin/runs.py
@@ -99,7 +99,8 @@
     :param incarnation: number of the current incarnation, from 1.
     :param first_incarnation: number of the first incarnation under the current id; a
         call for this one or a later one is accepted by the current one.
-    :param life_began: set, and replaced by a new event, when an incarnation starts.
+    :param incarnation_started: set, and replaced by a new event, when an incarnation
+        starts.
     :param call_delays: returns how many seconds a call takes to reach the executor,
         and its answer to reach the caller.
     :param up: whether its process runs.
@@ -134,7 +135,7 @@
         "history",
         "incarnation",
         "first_incarnation",
-        "life_began",
+        "incarnation_started",
         "call_delays",
         "up",
         "fence",
@@ -174,7 +175,7 @@
         self.history = history
         self.incarnation = 0
         self.first_incarnation = 1
-        self.life_began = trio.Event()
+        self.incarnation_started = trio.Event()
         self.call_delays = lambda: (CALL_DURATION_S, 0.0)
         self.up = False
         self.reachable = True
@@ -208,8 +209,8 @@
         self.last_end_number = 0
         self.acknowledged = 0
         self.end_added = trio.Event()
-        self.life_began.set()
-        self.life_began = trio.Event()
+        self.incarnation_started.set()
+        self.incarnation_started = trio.Event()
 
     def crash(self) -> None:
         """Stop the process at once; its runs end without being reported."""
--- a/rattanwing/util/http_server.py
+++ b/rattanwing/util/http_server.py
@@ -204,12 +204,9 @@
     config.accesslog = None
     config.keep_alive_timeout = KEEP_ALIVE_S
     config.include_server_header = False
-    connection = partial(
-        serve_connection,
-        wrap_app(server, config.wsgi_max_body_size, "asgi"),
-        config,
-        context := WorkerContext(None),
-    )
+    app = wrap_app(server, config.wsgi_max_body_size, "asgi")
+    context = WorkerContext(None)
+    connection = partial(serve_connection, app, config, context)
     async with trio.open_nursery() as connections:
         listeners = open_listeners(config)
         async with trio.open_nursery() as accepting:
--- a/tests/batch/latency.py
+++ b/tests/batch/latency.py
@@ -97,7 +97,7 @@
         """Announce the executor when it starts, and then at its interval."""
         number = 0
         while True:
-            life_began = self.executor.life_began
+            incarnation_started = self.executor.incarnation_started
             if self.executor.up:
                 number += 1
                 rank = (self.executor.incarnation, number)
@@ -105,7 +105,7 @@
             with trio.move_on_after(
                 ANNOUNCEMENT_INTERVAL_S * self.random.uniform(0.8, 1.2)
             ):
-                await life_began.wait()
+                await incarnation_started.wait()
 
     async def announce(self, view, rank):
         """Deliver one announcement, unless it is lost."""
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -211,7 +211,7 @@
         self.assertEqual(refused, [])
 
 
-class RebirthTests(unittest.TestCase):
+class SameIdRestartTests(unittest.TestCase):
     def run_with_executor(self, scenario):
         """Run a scenario with an executor and the agent's view of it."""
 
@@ -288,10 +288,10 @@
 
         self.run_with_executor(restart_twice)
 
-    def test_lease_on_the_clock_of_the_earlier_life(self):
+    def test_lease_on_the_clock_of_the_earlier_incarnation(self):
         """The clock starts anew, so the deadline was far beyond the owner's lease."""
 
-        async def poll_across_rebirth():
+        async def poll_across_restart():
             executor = StandinBatchExecutor("executor-0", "domain-a", [], lambda _: 9.0)
             await trio.sleep(30)
             view = executor.view()
@@ -315,7 +315,7 @@
             return executor.deadline_ms - executor.clock_ms()
 
         clock = trio.testing.MockClock(autojump_threshold=0)
-        remaining_ms = trio.run(poll_across_rebirth, clock=clock)
+        remaining_ms = trio.run(poll_across_restart, clock=clock)
         self.assertLessEqual(remaining_ms, 2000)
 
 
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -511,10 +511,10 @@
         play(scenario, entries=1)
 
 
-class RebirthTests(unittest.TestCase):
+class SameIdRestartTests(unittest.TestCase):
     """Executors that start again under the id that they had.
 
-    Such an executor accepts the calls that are meant for its earlier life.
+    Such an executor accepts the calls that are meant for its earlier incarnation.
     """
 
     def restart(self, executor):
@@ -527,7 +527,7 @@
         self.assertEqual(world.overlaps(), [])
         self.assertEqual(world.reruns(), [])
 
-    def test_start_for_the_earlier_life_is_carried_out_by_the_new_one(self):
+    def test_start_for_the_earlier_incarnation_is_carried_out_by_the_next(self):
         """The owner marked the run as lost, and started the next one beside it."""
 
         async def scenario(world):
@@ -541,7 +541,7 @@
 
         self.check(scenario)
 
-    def test_late_start_for_the_earlier_life_reaches_the_new_one(self):
+    def test_late_start_for_the_earlier_incarnation_reaches_the_next(self):
         """The fence of the agent's stream, unchanged, did not keep it out."""
 
         async def scenario(world):
@@ -560,8 +560,8 @@
 
         self.check(scenario)
 
-    def test_ends_of_the_new_life_are_acknowledged_unseen(self):
-        """The agent acknowledged them by the numbers of the earlier life's ends."""
+    def test_ends_of_the_next_incarnation_are_acknowledged_unseen(self):
+        """The agent acknowledged them by the numbers of earlier ends."""
 
         async def scenario(world):
             await trio.sleep(2)
--- a/tests/batch/test_refusals.py
+++ b/tests/batch/test_refusals.py
@@ -187,7 +187,7 @@
         self.end(self.hosts[0], task, reason=EndReason.LAPSED)
         self.check_placed_anew(self.hosts[1])
 
-    def test_whole_gang_is_left_alone(self):
+    def test_complete_gang_is_not_stopped(self):
         for host in self.hosts:
             rows = [RunningRow(*key, "", 10) for key in host.runs]
             self.report(host, runs=rows)
--- a/tests/batch/test_schedules.py
+++ b/tests/batch/test_schedules.py
@@ -8,8 +8,8 @@
 DEADLY_SEEDS = (3,)
 LATENCY_SEEDS = (4, 10, 15)
 SAME_ID_SEEDS = {
-    4: "ends of the new life were acknowledged unseen",
-    7: "a start for the earlier life was carried out by the new one",
+    4: "ends of the next incarnation were acknowledged unseen",
+    7: "a start for the earlier incarnation was carried out by the new one",
 }
 DEADLY_SEEDS = {
     2: "no failure so far",
@@ -86,6 +86,6 @@
             with self.subTest(seed=seed):
                 self.check(seed, same_id=True)
 
-    def test_late_starts_for_the_earlier_life_of_an_executor(self):
-        """They repeat finished tasks on the new life after all processes restarted."""
+    def test_late_starts_repeat_finished_tasks_after_a_restart_under_the_same_id(self):
+        """Seed 3 breaks, see KNOWN-RED.txt."""
         self.check(3, same_id=True)
--- a/tests/batch/test_standin.py
+++ b/tests/batch/test_standin.py
@@ -10,7 +10,7 @@
 
 
 class RestartTests(unittest.TestCase):
-    def poll_earlier_life(self, **options):
+    def poll_earlier_incarnation(self, **options):
         """Return the answer to a poll for the life before a restart, and its clock."""
 
         async def poll():
@@ -25,13 +25,13 @@
         return trio.run(poll, clock=trio.testing.MockClock(autojump_threshold=0))
 
     def test_calls_for_an_earlier_life_under_the_same_id_are_accepted(self):
-        answer = self.poll_earlier_life(same_id=True)
+        answer = self.poll_earlier_incarnation(same_id=True)
         self.assertIsInstance(answer, PollResult)
         self.assertEqual(self.executor_id, "executor-0")
         self.assertEqual(answer.incarnation, "executor-0@2")
         self.assertLess(answer.clock_ms, 100)
 
     def test_calls_for_an_earlier_life_under_another_id_are_refused(self):
-        answer = self.poll_earlier_life()
+        answer = self.poll_earlier_incarnation()
         self.assertNotEqual(self.executor_id, "executor-0")
         self.assertIs(answer.outcome, OrderOutcome.OTHER_INCARNATION)
