Play the seed of the count of crashes where it was meant

The test plays seed 3 again, as written, beside the other test of the option. Nothing is relaxed; seeds 2, 15 and 19 are still played by test_no_guarantee_is_violated.

--- a/tests/batch/test_schedules.py
+++ b/tests/batch/test_schedules.py
@@ -5,7 +5,6 @@
 from tests.batch.schedules import is_deadly_task, play_seed
 
 SEEDS = (2, 4, 5)
-DEADLY_SEEDS = (3,)
 LATENCY_SEEDS = (4, 10, 15)
 SAME_ID_SEEDS = {
     4: "ends of the next incarnation were acknowledged unseen",
@@ -36,18 +35,6 @@
                 self.assertEqual(violations, [], fault_scenario.faults)
                 self.assertGreater(len(fault_scenario.accepted), 10)
 
-    def test_tasks_that_crash_their_executors_are_given_up(self):
-        for seed in DEADLY_SEEDS:
-            with self.subTest(seed=seed):
-                violations, fault_scenario = play_seed(seed, deadly=True)
-                self.assertEqual(violations, [], fault_scenario.faults)
-                self.assertGreater(len(fault_scenario.accepted), 10)
-                crashes = sum(
-                    run.crashed and is_deadly_task(run.task)
-                    for run in fault_scenario.world.history
-                )
-                self.assertGreater(crashes, 3)
-
 
 class DeadlyScheduleTests(unittest.TestCase):
     """Plays seeds in which some tasks crash each executor that starts them."""
@@ -58,6 +45,16 @@
                 violations, fault_scenario = play_seed(seed, deadly=True)
                 self.assertEqual(violations, [], fault_scenario.faults)
 
+    def test_tasks_that_crash_their_executors_are_given_up(self):
+        violations, fault_scenario = play_seed(3, deadly=True)
+        self.assertEqual(violations, [], fault_scenario.faults)
+        self.assertGreater(len(fault_scenario.accepted), 10)
+        crashes = sum(
+            run.crashed and is_deadly_task(run.task)
+            for run in fault_scenario.world.history
+        )
+        self.assertGreater(crashes, 3)
+
     def test_crashes_are_stored_before_the_next_start(self):
         """Crashes during an outage of the store were forgotten with all processes."""
         violations, fault_scenario = play_seed(6, deadly=True, latency=True)
