--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -250,6 +250,21 @@
 
         self.run_with_executor(stop_after_restart)
 
+    def test_run_that_the_next_incarnation_may_have_started_has_not_surely_ended(self):
+        """With the crash the owner took it for lost and started the next attempt."""
+
+        async def crash_after_a_start_call(_executor, runs):
+            now = trio.current_time()
+            run = runs.admit(start_order(start_before=now + 2))
+            run.maybe_sent = True
+            self.assertEqual([row.ended for row in runs.crashed_runs()], [True])
+            runs.restarted_under_id = True
+            self.assertEqual([row.ended for row in runs.crashed_runs()], [False])
+            run.listed = True
+            self.assertEqual([row.ended for row in runs.crashed_runs()], [True])
+
+        self.run_with_executor(crash_after_a_start_call)
+
     def test_poll_sent_before_a_failed_call_confirms_nothing(self):
         """Its answer allowed starts although a later call had failed."""
 
--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -262,6 +262,19 @@
         self.report(host, incarnation="agent-1@2")
         self.assertEqual(task.runs, [])
 
+    def test_run_that_may_go_on_after_a_crash_is_not_started_again(self):
+        """The executor's next incarnation, with the same id, may have started it."""
+        host = self.host("agent-1")
+        self.add_job(job(steps=(StepSpec(1, cpu=500, memory_mb=100),)))
+        self.place()
+        for ended, runs in ((False, 1), (True, 0)):
+            row = messages.CrashedRun("job-1.0.0.0", 1, 0.0, ended)
+            crash = messages.ExecutorCrashed(
+                host.executor.incarnation, self.now, 0.1, True, [row]
+            )
+            self.scheduler.handle_crash(host, crash, self.now, self.now_ms())
+            self.assertEqual(len(host.runs), runs)
+
     def test_newest_checkpoint_is_carried_to_the_next_attempt(self):
         host, _owned, task = self.started(saves_checkpoints=True)
         self.report(host, runs=[RunningRow("job-1.0.0.0", 1, "abc", 40)])
