Agents notice a restart of their worker

Callers saw: a job whose worker restarted while its agent lived stayed placed for ever, its resources stayed granted, and every later start there was refused (stale-session), so that with one worker no job ran any more. With the answer of a start lost before the restart, the agent reported the attempt as never started.

Cause: the agent relied on the state of an earlier incarnation of the worker. The session was the agent's own incarnation, opened once, and the worker's list did not name it; poll only looked at tasks that are listed, and resolve_start took a task that the next incarnation does not list for one that was not started.

Ruled out: telling incarnations apart by tasks that are missing in the list alone; it does not cover a start without an answer, nor an idle worker.

Change: each opening of a session has an id of its own, start orders carry it and lists name the open one. A list of another session, or a start refused for its session, makes the agent open a new one; tasks that the worker then does not list end as stopped without a checkpoint (placed again from the last checkpoint, or held if they must not repeat). A start sent before the restart is refused after it. Agents start nothing, and announce so, while no session is open. The worker refuses the session of an agent that started earlier, so that a replaced agent that goes on does not take the worker back. Events 608 and 609.

--- a/rattanwing/agent/tasks.py
+++ b/rattanwing/agent/tasks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import uuid
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -9,8 +10,10 @@
 
 from rattanwing import events, messages
 from rattanwing.agent.worker import (
+    STALE_SESSION,
     Attempt,
     HttpWorker,
+    TaskListing,
     TaskOrder,
     TaskStatus,
     Worker,
@@ -61,8 +64,14 @@
 
     A start order is checked in one synchronous step, so that no other order can
     change the state between the checks: attempt number, shard epoch, incarnation of
-    the agent, age of the order, freshness gate and capacity.
+    the agent, session at the worker, age of the order, freshness gate and capacity.
 
+    Each opening of a session at the worker has an id of its own, which start orders and
+    lists of tasks carry. So an order of before a restart of the worker is refused after
+    it, and a list of another session shows that the worker may have restarted.
+
+    :param started_at: when this agent started.
+    :param session: the session at the worker; empty while none is known to be open.
     :param adopted: set once the tasks of the agent's earlier incarnation are adopted.
     :param tasks: attempts that hold capacity, by job.
     :param barred: attempts that must not start, whether or not they ran here, by job.
@@ -74,6 +83,8 @@
     __slots__ = (
         "app",
         "worker",
+        "started_at",
+        "session",
         "adopted",
         "tasks",
         "barred",
@@ -86,6 +97,8 @@
     def __init__(self, app: Application, worker: Worker) -> None:
         self.app = app
         self.worker = worker
+        self.started_at = app.now()
+        self.session = ""
         self.adopted = trio.Event()
         self.tasks: dict[str, Task] = {}
         self.barred: dict[str, BarredAttempt] = {}
@@ -137,7 +150,7 @@
         )
         gate = self.app.get("gate")
         refusal = gate.refusal_reason(self.app.now())
-        beat.accepts_tasks = refusal is None and not self.leaving
+        beat.accepts_tasks = refusal is None and self.session != "" and not self.leaving
         beat.used_cpu = sum(task.used_cpu for task in self.tasks.values())
 
     # Background work.
@@ -146,32 +159,58 @@
         """Adopt existing tasks, then poll tasks and maintain leases until cancelled."""
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
-            await self.adopt()
+            await self.open_session()
+            self.adopted.set()
+            self.app.get("connector").reconnect_all()
             nursery.start_soon(self.poll)
             nursery.start_soon(self.maintain_leases)
 
-    async def adopt(self) -> None:
-        """Adopt the tasks that an earlier incarnation of the agent has started.
+    async def open_session(self) -> None:
+        """Open a session at the worker and adopt the tasks that the worker lists.
 
-        Opening a session at the worker voids the start orders of the earlier
-        incarnation that have not arrived yet.
+        The session voids the start orders of earlier sessions that have not arrived
+        yet.
         """
-        session = self.app.get("connector").incarnation
         while True:
+            session = uuid.uuid4().hex
             try:
-                await self.worker.open_session(session)
-                statuses = await self.worker.list_tasks()
-                break
+                await self.worker.open_session(session, self.started_at)
+                listing = await self.worker.list_tasks()
             except WorkerError as error:
                 events.write(events.WORKER_UNREACHABLE, error=error)
                 await trio.sleep(RETRY_DELAY_S)
-        for status in statuses:
-            self.adopt_task(status)
-        self.adopted.set()
-        self.app.get("connector").reconnect_all()
+                continue
+            if listing.session == session:
+                break
+        self.session = session
+        events.write(
+            events.WORKER_SESSION_OPENED, session=session, tasks=len(listing.tasks)
+        )
+        self.end_missing_tasks(listing)
+        for status in listing.tasks:
+            if self.is_unknown(status):
+                self.adopt_task(status)
+
+    def end_missing_tasks(self, listing: TaskListing) -> None:
+        """End the tasks that a newly opened session does not list.
+
+        The worker lost them with its restart; whether their work is done is not known.
+        An attempt that is still being started is left to :meth:`start`.
+        """
+        keys = {status.key for status in listing.tasks}
+        for task in list(self.tasks.values()):
+            if task.key in keys:
+                self.mark_started(task)
+            elif task.state != "starting":
+                self.end_task(task, "stopped", "worker-restarted")
+
+    def is_unknown(self, status: TaskStatus) -> bool:
+        """Return whether this agent has neither started nor barred an attempt."""
+        barred = self.barred.get(status.job)
+        return barred is None or barred.attempt < status.attempt
 
     def adopt_task(self, status: TaskStatus) -> None:
-        """Adopt one task of an earlier incarnation of the agent."""
+        """Adopt a task that this agent did not start."""
         task = Task(
             *status.attempt_fields(),
             status.lease_until,
@@ -183,20 +222,37 @@
         self.apply_status(task, status)
 
     async def poll(self) -> None:
-        """Poll the worker for the status of the tasks."""
+        """Poll the worker for the status of the tasks; reopen a lost session."""
         while True:
             await trio.sleep(POLL_INTERVAL_S)
-            if not self.tasks:
-                continue
-            try:
-                statuses = await self.worker.list_tasks()
-            except WorkerError as error:
-                events.write(events.WORKER_UNREACHABLE, error=error)
-                continue
-            for status in statuses:
-                task = self.tasks.get(status.job)
-                if task is not None and task.attempt == status.attempt:
-                    self.apply_status(task, status)
+            if self.session and self.tasks:
+                await self.update_tasks()
+            if not self.session:
+                await self.open_session()
+
+    async def update_tasks(self) -> None:
+        """Apply the worker's list of tasks, unless it is of another session."""
+        try:
+            listing = await self.worker.list_tasks()
+        except WorkerError as error:
+            events.write(events.WORKER_UNREACHABLE, error=error)
+            return
+        if listing.session != self.session:
+            self.lose_session(listing.session)
+            return
+        for status in listing.tasks:
+            task = self.tasks.get(status.job)
+            if task is not None and task.attempt == status.attempt:
+                self.apply_status(task, status)
+
+    def lose_session(self, found: str) -> None:
+        """Refuse starts until a new session is open.
+
+        :param found: session that is open at the worker; empty if none is or if it is
+            not known.
+        """
+        events.write(events.WORKER_SESSION_LOST, session=self.session, found=found)
+        self.session = ""
 
     def apply_status(self, task: Task, status: TaskStatus) -> None:
         """Record a task's progress and end the task if the worker has ended it."""
@@ -312,6 +368,8 @@
             return "agent-restarted"
         if self.leaving:
             return "leaving"
+        if not self.session:
+            return "no-session"
         if now - order.echo > MAX_START_ORDER_AGE_S:
             return "stale-order"
         if order.job in self.tasks:
@@ -336,7 +394,7 @@
         """
         task_order = TaskOrder(
             *task.attempt_fields(),
-            self.app.get("connector").incarnation,
+            self.session,
             order.work,
             order.checkpoint,
             task.lease_until,
@@ -346,38 +404,49 @@
             await self.worker.start(task_order)
         except WorkerError as error:
             if error.verdict is Verdict.NOT_RUN:
+                if str(error) == STALE_SESSION and task_order.session == self.session:
+                    self.lose_session("")
                 self.end_task(task, "refused", str(error))
                 return
-            await self.resolve_start(task, start_by)
+            await self.resolve_start(task, task_order)
+            return
+        if task.state == "starting" and self.session not in ("", task_order.session):
+            self.end_task(task, "stopped", "worker-restarted")
             return
         self.mark_running(task)
 
-    async def resolve_start(self, task: Task, start_by: float) -> None:
+    async def resolve_start(self, task: Task, order: TaskOrder) -> None:
         """Determine from the worker's list whether an unanswered start took effect.
 
-        The worker refuses the order after ``start_by``, so a task that is absent from
-        a list requested later was not started.
+        The worker refuses the order after its ``start_by``, so a task that is absent
+        from a list of the order's session requested later was not started. If it is
+        absent from a list of another session, it may have run before a restart.
         """
         while True:
             asked_at = self.app.now()
             try:
-                statuses = await self.worker.list_tasks()
+                listing = await self.worker.list_tasks()
             except WorkerError:
                 await trio.sleep(RETRY_DELAY_S)
                 if self.app.now() > task.lease_until + CLOCK_MARGIN_S:
                     return self.end_task(task, "stopped", "worker-lost")
                 continue
-            for status in statuses:
-                if status.key == task.key:
-                    return self.mark_running(task)
-            if asked_at > start_by:
+            if any(status.key == task.key for status in listing.tasks):
+                return self.mark_running(task)
+            if listing.session != order.session:
+                return self.end_task(task, "stopped", "worker-restarted")
+            if asked_at > order.start_by:
                 return self.end_task(task, "refused", "start-lost")
             await trio.sleep(RETRY_DELAY_S)
 
-    def mark_running(self, task: Task) -> None:
-        """Mark a task as running and report it to every entry."""
+    def mark_started(self, task: Task) -> None:
+        """Mark a task as running unless it is being stopped."""
         if task.state == "starting":
             task.state = "running"
+
+    def mark_running(self, task: Task) -> None:
+        """Mark a task as running and report it to every entry."""
+        self.mark_started(task)
         report = messages.TaskReport(task.shard, task.job, task.attempt, "running")
         self.app.get("connector").broadcast(report)
         events.write(events.TASK_STARTED, job=task.job, attempt=task.attempt)
--- a/rattanwing/agent/worker.py
+++ b/rattanwing/agent/worker.py
@@ -19,6 +19,9 @@
 WORKER_CONNECTIONS = 4
 """Maximum number of connections to the worker."""
 
+STALE_SESSION = "stale-session"
+"""Rule by which a worker refuses what belongs to another session than the open one."""
+
 
 class WorkerError(RattanwingError):
     """A call to the worker failed.
@@ -70,8 +73,8 @@
 class TaskOrder(Attempt):
     """Order to the worker to start a task.
 
-    :param session: the agent's incarnation; the worker refuses orders of earlier
-        incarnations.
+    :param session: the session that the order belongs to; the worker refuses orders
+        of sessions other than the open one.
     :param work: what the worker runs, passed on unchanged from the job.
     :param checkpoint: checkpoint to resume from, or ``None``.
     :param lease_until: time at which the worker stops the task if the lease is not
@@ -106,6 +109,18 @@
     detail: str = ""
 
 
+class TaskListing(msgspec.Struct):
+    """The worker's tasks, and the state that a restart of the worker loses.
+
+    :param session: the open session; empty from the start of the worker until an agent
+        opens one.
+    :param tasks: running tasks and ended tasks that are not yet forgotten.
+    """
+
+    session: str
+    tasks: list[TaskStatus]
+
+
 class StopResult(msgspec.Struct):
     """Result of a call to stop a task.
 
@@ -126,10 +141,14 @@
     All methods raise :class:`WorkerError` when the call fails.
     """
 
-    async def open_session(self, session: str) -> None:
-        """Open a session; orders of earlier sessions are refused from then on.
+    async def open_session(self, session: str, started_at: float) -> None:
+        """Open a session; orders of other sessions are refused from then on.
+
+        The worker refuses a session of an agent that started before the one of the
+        open session.
 
-        :param session: the agent's incarnation.
+        :param session: unique id of the session.
+        :param started_at: when the agent started, on the host's monotonic clock.
         """
 
     async def start(self, order: TaskOrder) -> None:
@@ -144,8 +163,8 @@
     async def set_share(self, share: float) -> None:
         """Limit all tasks to a share of their granted processors."""
 
-    async def list_tasks(self) -> list[TaskStatus]:
-        """Return running tasks and ended tasks that are not yet forgotten."""
+    async def list_tasks(self) -> TaskListing:
+        """Return the open session, running tasks and tasks not yet forgotten."""
 
     async def forget(self, key: str) -> None:
         """Remove an ended task from the worker's list."""
@@ -167,9 +186,10 @@
     def __init__(self, address: str) -> None:
         self.client = HttpClient(address, WORKER_CONNECTIONS)
 
-    async def open_session(self, session: str) -> None:
-        """Open a session; orders of earlier sessions are refused from then on."""
-        await self.call("PUT", "/session", {"session": session})
+    async def open_session(self, session: str, started_at: float) -> None:
+        """Open a session; orders of other sessions are refused from then on."""
+        body = {"session": session, "started_at": started_at}
+        await self.call("PUT", "/session", body)
 
     async def start(self, order: TaskOrder) -> None:
         """Start a task."""
@@ -188,9 +208,9 @@
         """Limit all tasks to a share of their granted processors."""
         await self.call("PUT", "/share", {"share": share})
 
-    async def list_tasks(self) -> list[TaskStatus]:
-        """Return running tasks and ended tasks that are not yet forgotten."""
-        return convert(await self.call("GET", "/tasks", None), list[TaskStatus])
+    async def list_tasks(self) -> TaskListing:
+        """Return the open session, running tasks and tasks not yet forgotten."""
+        return convert(await self.call("GET", "/tasks", None), TaskListing)
 
     async def forget(self, key: str) -> None:
         """Remove an ended task from the worker's list."""
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -291,6 +291,14 @@
     "The share of CPU that batch tasks may use on this worker is being changed.",
 )
 WORKER_UNREACHABLE = Event(607, logbook.WARNING, "A call to the worker failed.")
+WORKER_SESSION_OPENED = Event(
+    608, logbook.INFO, "A session is open at the worker; tasks it lists are adopted."
+)
+WORKER_SESSION_LOST = Event(
+    609,
+    logbook.WARNING,
+    "The worker has another session or none, as after its restart; see found.",
+)
 
 
 def catalogue() -> list[tuple[str, Event]]:
--- a/rattanwing/standin/worker.py
+++ b/rattanwing/standin/worker.py
@@ -8,7 +8,9 @@
 import trio
 
 from rattanwing.agent.worker import (
+    STALE_SESSION,
     StopResult,
+    TaskListing,
     TaskOrder,
     TaskStatus,
     WorkerError,
@@ -108,7 +110,8 @@
     :param clock: returns the host's monotonic clock, in seconds.
     :param observer: called with ``"start"`` or ``"end"`` and the task.
     :param started_keys: keys of all attempts that were started; each starts once.
-    :param session: newest session; orders of other sessions are refused.
+    :param session: open session; orders of other sessions are refused.
+    :param agent_started_at: when the agent that opened the session started.
     :param share: share of their granted processors that tasks may use.
     """
 
@@ -117,6 +120,7 @@
         "tasks",
         "started_keys",
         "session",
+        "agent_started_at",
         "share",
         "faults",
         "observer",
@@ -131,14 +135,37 @@
         self.tasks: dict[str, RunningTask] = {}
         self.started_keys: set[str] = set()
         self.session = ""
+        self.agent_started_at = float("-inf")
         self.share = 1.0
         self.faults = WorkerFaults()
         self.observer = observer or (lambda _event, _task: None)
 
-    async def open_session(self, session: str) -> None:
-        """Start a session; orders of earlier sessions are refused from now on."""
+    def restart(self) -> None:
+        """Lose the tasks, the session and the share, as a restart of the process does.
+
+        Calls in flight are carried out afterwards.
+        """
+        self.advance()
+        for task in self.tasks.values():
+            if task.state == "running":
+                task.state = "killed"
+                self.observer("end", task)
+        self.tasks.clear()
+        self.started_keys.clear()
+        self.session = ""
+        self.agent_started_at = float("-inf")
+        self.share = 1.0
+
+    async def open_session(self, session: str, started_at: float) -> None:
+        """Open a session; orders of other sessions are refused from now on.
+
+        :raises WorkerError: when an agent that started later has opened a session.
+        """
         await self.simulate_faults()
+        if started_at < self.agent_started_at:
+            raise WorkerError(Verdict.NOT_RUN, STALE_SESSION)
         self.session = session
+        self.agent_started_at = started_at
         self.simulate_lost_answer()
 
     async def start(self, order: TaskOrder) -> None:
@@ -151,7 +178,7 @@
         now = self.clock()
         key = order.key
         if order.session != self.session:
-            raise WorkerError(Verdict.NOT_RUN, "stale-session")
+            raise WorkerError(Verdict.NOT_RUN, STALE_SESSION)
         if now > order.start_by or now >= order.lease_until:
             raise WorkerError(Verdict.NOT_RUN, "start-too-late")
         if key in self.started_keys:
@@ -196,12 +223,13 @@
         self.share = share
         self.simulate_lost_answer()
 
-    async def list_tasks(self) -> list[TaskStatus]:
-        """Return all running tasks and all ended tasks that were not dropped."""
+    async def list_tasks(self) -> TaskListing:
+        """Return the open session, running tasks and ended tasks not yet dropped."""
         await self.simulate_faults()
         self.advance()
         self.simulate_lost_answer()
-        return [self.status(task) for task in self.tasks.values()]
+        statuses = [self.status(task) for task in self.tasks.values()]
+        return TaskListing(self.session, statuses)
 
     async def forget(self, key: str) -> None:
         """Drop an ended task."""
@@ -280,7 +308,8 @@
 
     async def open_session(request: Request) -> Response:
         body = msgspec.json.decode(request.body)
-        return await respond(worker.open_session(body["session"]))
+        call = worker.open_session(body["session"], body["started_at"])
+        return await respond(call)
 
     async def start(request: Request) -> Response:
         order = msgspec.json.decode(request.body, type=TaskOrder)
--- a/tests/test_proof_processes.py
+++ b/tests/test_proof_processes.py
@@ -37,7 +37,7 @@
         self.deployment.start_all()
 
     def list_tasks(self, worker_address):
-        return json.loads(call(worker_address, "GET", "/tasks")[2])
+        return json.loads(call(worker_address, "GET", "/tasks")[2])["tasks"]
 
     def is_not_running(self, job):
         tasks = [
