Tasks are throttled again after a restart of the worker or the agent

Callers saw: after a restart of the worker the tasks beside a service ran at full pace while the agent took them for throttled, and evicted instead of throttling. After a restart of the agent the tasks stayed throttled although nothing asked for it; after a call that failed the share was not set at all.

Cause: the colocation policy sent the share once and relied on the worker to have it; the same class as the session.

Change: the worker's list names the share that it applies, and the policy sets it again while it is another one.

Measured: the three ThrottlingTests failed on (worker's share 1.0 in place of 0.25, 0.25 in place of 1.0, 1.0 in place of 0.25) and pass now.

--- a/rattanwing/agent/colocation.py
+++ b/rattanwing/agent/colocation.py
@@ -173,7 +173,11 @@
         self.latency_ratio = 0.0
 
     async def run(self) -> None:
-        """Apply the policy once per window until cancelled."""
+        """Apply the policy once per window until cancelled.
+
+        The share is set again while the worker applies another one, as after a restart
+        of the worker or of this agent, or after a call that failed.
+        """
         while True:
             await trio.sleep(WINDOW_S)
             self.measure()
@@ -188,6 +192,8 @@
                     )
                     self.app.get("metrics").count("evictions")
                     tasks.stop_in_background(tasks.tasks[job], "evicted")
+                case NoChange() if tasks.worker_share != self.state.share:
+                    await self.set_share(self.state.share)
 
     def measure(self) -> None:
         """Set the latency ratio from the last window's latencies, then clear them."""
@@ -204,6 +210,8 @@
             await self.app.get("worker").set_share(share)
         except WorkerError as error:
             events.write(events.WORKER_UNREACHABLE, error=error)
+            return
+        self.app.get("tasks").worker_share = share
 
 
 def setup(app: Application) -> None:
--- a/rattanwing/agent/tasks.py
+++ b/rattanwing/agent/tasks.py
@@ -72,6 +72,7 @@
 
     :param started_at: when this agent started.
     :param session: the session at the worker; empty while none is known to be open.
+    :param worker_share: the share that the worker was last known to apply to tasks.
     :param adopted: set once the tasks of the agent's earlier incarnation are adopted.
     :param tasks: attempts that hold capacity, by job.
     :param barred: attempts that must not start, whether or not they ran here, by job.
@@ -85,6 +86,7 @@
         "worker",
         "started_at",
         "session",
+        "worker_share",
         "adopted",
         "tasks",
         "barred",
@@ -99,6 +101,7 @@
         self.worker = worker
         self.started_at = app.now()
         self.session = ""
+        self.worker_share = 1.0
         self.adopted = trio.Event()
         self.tasks: dict[str, Task] = {}
         self.barred: dict[str, BarredAttempt] = {}
@@ -183,6 +186,7 @@
             if listing.session == session:
                 break
         self.session = session
+        self.worker_share = listing.share
         events.write(
             events.WORKER_SESSION_OPENED, session=session, tasks=len(listing.tasks)
         )
@@ -240,6 +244,7 @@
         if listing.session != self.session:
             self.lose_session(listing.session)
             return
+        self.worker_share = listing.share
         for status in listing.tasks:
             task = self.tasks.get(status.job)
             if task is not None and task.attempt == status.attempt:
--- a/rattanwing/agent/worker.py
+++ b/rattanwing/agent/worker.py
@@ -114,10 +114,12 @@
 
     :param session: the open session; empty from the start of the worker until an agent
         opens one.
+    :param share: share of their granted processors that tasks may use.
     :param tasks: running tasks and ended tasks that are not yet forgotten.
     """
 
     session: str
+    share: float
     tasks: list[TaskStatus]
 
 
@@ -164,7 +166,7 @@
         """Limit all tasks to a share of their granted processors."""
 
     async def list_tasks(self) -> TaskListing:
-        """Return the open session, running tasks and tasks not yet forgotten."""
+        """Return the worker's state, with running tasks and those not forgotten."""
 
     async def forget(self, key: str) -> None:
         """Remove an ended task from the worker's list."""
@@ -209,7 +211,7 @@
         await self.call("PUT", "/share", {"share": share})
 
     async def list_tasks(self) -> TaskListing:
-        """Return the open session, running tasks and tasks not yet forgotten."""
+        """Return the worker's state, with running tasks and those not forgotten."""
         return convert(await self.call("GET", "/tasks", None), TaskListing)
 
     async def forget(self, key: str) -> None:
--- a/rattanwing/standin/worker.py
+++ b/rattanwing/standin/worker.py
@@ -224,12 +224,12 @@
         self.simulate_lost_answer()
 
     async def list_tasks(self) -> TaskListing:
-        """Return the open session, running tasks and ended tasks not yet dropped."""
+        """Return session, share, running tasks and ended tasks not yet dropped."""
         await self.simulate_faults()
         self.advance()
         self.simulate_lost_answer()
         statuses = [self.status(task) for task in self.tasks.values()]
-        return TaskListing(self.session, statuses)
+        return TaskListing(self.session, self.share, statuses)
 
     async def forget(self, key: str) -> None:
         """Drop an ended task."""
--- a/tests/test_worker_restart.py
+++ b/tests/test_worker_restart.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from rattanwing.agent.colocation import MIN_SHARE
 from rattanwing.agent.worker import WorkerError
 from tests.history import find_violations
 from tests.processes import Deployment, call, wait_for
@@ -199,6 +200,60 @@
         run_world(scenario)
 
 
+class ThrottlingTests(unittest.TestCase):
+    """The worker's share is the one that the colocation policy has set."""
+
+    async def start_throttled(self, world):
+        """Throttle a host with a task; return the worker and the controller."""
+        await start_agents(world)
+        await world.submit("entry-1", "job-1", run_s=300.0)
+        await wait_for_run(world, "job-1")
+        colocation = world.app("agent-1").get("colocation")
+        colocation.state.share = MIN_SHARE
+        await colocation.set_share(MIN_SHARE)
+        return world.workers["agent-1"], colocation
+
+    def test_tasks_are_throttled_again_after_a_restart_of_the_worker(self):
+        async def scenario(world):
+            worker, colocation = await self.start_throttled(world)
+            worker.restart()
+            await world.submit("entry-1", "job-2", run_s=300.0)
+            await trio.sleep(1.6)
+            self.assertLess(colocation.state.share, 1.0)
+            self.assertEqual(worker.share, colocation.state.share)
+
+        run_world(scenario)
+
+    def test_share_follows_the_policy_after_a_restart_of_the_agent(self):
+        async def scenario(world):
+            worker, _colocation = await self.start_throttled(world)
+            world.kill("agent-1")
+            await trio.sleep(1)
+            world.start_agent("agent-1")
+            await trio.sleep(8)
+            colocation = world.app("agent-1").get("colocation")
+            self.assertEqual(worker.share, colocation.state.share)
+
+        run_world(scenario)
+
+    def test_share_is_set_after_a_call_that_failed(self):
+        async def scenario(world):
+            await start_agents(world)
+            await world.submit("entry-1", "job-1", run_s=300.0)
+            await wait_for_run(world, "job-1")
+            worker = world.workers["agent-1"]
+            colocation = world.app("agent-1").get("colocation")
+            colocation.state.share = MIN_SHARE
+            worker.faults.down = True
+            await colocation.set_share(MIN_SHARE)
+            worker.faults.down = False
+            await trio.sleep(1.6)
+            self.assertLess(colocation.state.share, 1.0)
+            self.assertEqual(worker.share, colocation.state.share)
+
+        run_world(scenario)
+
+
 class WorkerProcessTests(unittest.TestCase):
     def test_job_is_run_again_after_the_worker_process_was_killed(self):
         deployment = Deployment(entries=1, agents=1)
