A task ends when its worker stays away longer than its lease

Callers saw: a job whose worker no longer answered stayed placed for ever, while its agent lived.

Cause: entries extend the lease that the agent keeps for the task, whether or not the agent can renew it at the worker; the ways out after the lease (of a start or a stop without an answer too) waited for that lease. The same class: the agent relied on the worker still having what it had started.

Change: a task also keeps the latest end of the lease that the worker may have been told. It lapses at the earlier of both. A worker that does not answer gets no further renewals, since it may still apply each of them, and its agent announces that it accepts no tasks.

--- a/rattanwing/agent/tasks.py
+++ b/rattanwing/agent/tasks.py
@@ -43,6 +43,7 @@
     :param state: ``starting``, ``running`` or ``stopping``.
     :param used_cpu: processors in use, as last measured.
     :param peak_cpu: largest number of processors measured in use.
+    :param granted_until: latest end of the lease that the worker may have been told.
     """
 
     lease_until: float
@@ -50,6 +51,10 @@
     progress_s: float = 0.0
     used_cpu: float = 0.0
     peak_cpu: float = 0.0
+    granted_until: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.granted_until = self.lease_until
 
 
 class BarredAttempt(msgspec.Struct):
@@ -72,6 +77,7 @@
 
     :param started_at: when this agent started.
     :param session: the session at the worker; empty while none is known to be open.
+    :param reachable: whether the worker answered the latest poll, renewal or start.
     :param worker_share: the share that the worker was last known to apply to tasks.
     :param adopted: set once the tasks of the agent's earlier incarnation are adopted.
     :param tasks: attempts that hold capacity, by job.
@@ -86,6 +92,7 @@
         "worker",
         "started_at",
         "session",
+        "reachable",
         "worker_share",
         "adopted",
         "tasks",
@@ -101,6 +108,7 @@
         self.worker = worker
         self.started_at = app.now()
         self.session = ""
+        self.reachable = True
         self.worker_share = 1.0
         self.adopted = trio.Event()
         self.tasks: dict[str, Task] = {}
@@ -153,7 +161,8 @@
         )
         gate = self.app.get("gate")
         refusal = gate.refusal_reason(self.app.now())
-        beat.accepts_tasks = refusal is None and self.session != "" and not self.leaving
+        has_worker = self.session != "" and self.reachable
+        beat.accepts_tasks = refusal is None and has_worker and not self.leaving
         beat.used_cpu = sum(task.used_cpu for task in self.tasks.values())
 
     # Background work.
@@ -229,7 +238,7 @@
         """Poll the worker for the status of the tasks; reopen a lost session."""
         while True:
             await trio.sleep(POLL_INTERVAL_S)
-            if self.session and self.tasks:
+            if self.session and (self.tasks or not self.reachable):
                 await self.update_tasks()
             if not self.session:
                 await self.open_session()
@@ -239,8 +248,10 @@
         try:
             listing = await self.worker.list_tasks()
         except WorkerError as error:
+            self.reachable = False
             events.write(events.WORKER_UNREACHABLE, error=error)
             return
+        self.reachable = True
         if listing.session != self.session:
             self.lose_session(listing.session)
             return
@@ -264,6 +275,7 @@
         task.progress_s = status.progress_s
         task.used_cpu = status.used_cpu
         task.peak_cpu = max(task.peak_cpu, status.used_cpu)
+        task.granted_until = max(task.granted_until, status.lease_until)
         match status.state:
             case "finished" | "failed":
                 self.end_task(task, status.state, status.detail)
@@ -277,7 +289,8 @@
         while True:
             now = self.app.now()
             for task in list(self.tasks.values()):
-                if task.state == "running" and now >= task.lease_until:
+                lapses_at = min(task.lease_until, task.granted_until)
+                if task.state == "running" and now >= lapses_at:
                     events.write(
                         events.TASK_LEASE_LAPSED, job=task.job, attempt=task.attempt
                     )
@@ -287,18 +300,25 @@
             await trio.sleep(POLL_INTERVAL_S)
 
     async def renew_leases(self) -> None:
-        """Send the worker the current lease ends of running tasks."""
-        leases = {
-            task.key: task.lease_until
-            for task in self.tasks.values()
-            if task.state == "running"
-        }
-        if not leases:
+        """Send the worker the current lease ends of running tasks.
+
+        A worker that does not answer gets no further renewals until it does, since it
+        may still apply each of them; so its tasks lapse in the end.
+        """
+        running = [task for task in self.tasks.values() if task.state == "running"]
+        if not running or not self.reachable:
             return
+        granted = [task.granted_until for task in running]
+        for task in running:
+            task.granted_until = max(task.granted_until, task.lease_until)
         try:
-            await self.worker.renew(leases)
+            await self.worker.renew({task.key: task.lease_until for task in running})
         except WorkerError as error:
+            self.reachable = False
             events.write(events.WORKER_UNREACHABLE, error=error)
+            if error.verdict is Verdict.NOT_RUN:
+                for task, until in zip(running, granted, strict=True):
+                    task.granted_until = until
 
     def drop_old_attempts(self, now: float) -> None:
         """Drop barred attempts that no start order in flight can refer to."""
@@ -402,12 +422,13 @@
             self.session,
             order.work,
             order.checkpoint,
-            task.lease_until,
+            task.granted_until,
             start_by,
         )
         try:
             await self.worker.start(task_order)
         except WorkerError as error:
+            self.reachable = False
             if error.verdict is Verdict.NOT_RUN:
                 if str(error) == STALE_SESSION and task_order.session == self.session:
                     self.lose_session("")
@@ -433,7 +454,7 @@
                 listing = await self.worker.list_tasks()
             except WorkerError:
                 await trio.sleep(RETRY_DELAY_S)
-                if self.app.now() > task.lease_until + CLOCK_MARGIN_S:
+                if self.app.now() > task.granted_until + CLOCK_MARGIN_S:
                     return self.end_task(task, "stopped", "worker-lost")
                 continue
             if any(status.key == task.key for status in listing.tasks):
@@ -524,7 +545,7 @@
                 break
             except WorkerError:
                 await trio.sleep(RETRY_DELAY_S)
-            if self.app.now() > task.lease_until + CLOCK_MARGIN_S:
+            if self.app.now() > task.granted_until + CLOCK_MARGIN_S:
                 return self.end_task(task, "stopped", "worker-lost")
         task.progress_s = result.progress_s
         if result.state in ("finished", "failed"):
--- a/tests/test_worker_restart.py
+++ b/tests/test_worker_restart.py
@@ -254,6 +254,21 @@
         run_world(scenario)
 
 
+class LostWorkerTests(unittest.TestCase):
+    def test_job_goes_on_elsewhere_when_its_worker_stays_away(self):
+        """Entries extend the lease of a task whose worker does not answer."""
+
+        async def scenario(world):
+            await start_agents(world, 2, executor=False)
+            await world.submit("entry-1", "job-1", run_s=20.0)
+            worker = await wait_for_run(world, "job-1")
+            await trio.sleep(2)
+            world.workers[worker].faults.down = True
+            await world.wait_for_state("entry-1", "job-1", "finished", 90)
+
+        self.assertEqual(find_violations(run_world(scenario)), [])
+
+
 class WorkerProcessTests(unittest.TestCase):
     def test_job_is_run_again_after_the_worker_process_was_killed(self):
         deployment = Deployment(entries=1, agents=1)
