Schedules in which workers restart without their agents

The random schedules of the product's own deployment ended workers only together with their hosts, which is why they did not find the restart of a worker. Opt-in, so that seeds 1 to 8 stay what they were.

--- a/tests/schedules.py
+++ b/tests/schedules.py
@@ -20,14 +20,17 @@
     """One schedule of random jobs, requests and faults.
 
     :param steps: number of steps, each with some load and one fault.
+    :param worker_restarts: whether workers also restart without their agents, or stop
+        answering.
     :ivar unavailable: processes that were ended and not yet started again.
     :ivar trace: the faults with their times, printed when the test fails.
     """
 
-    def __init__(self, world, seed, steps):
+    def __init__(self, world, seed, steps, worker_restarts=False):
         self.world = world
         self.random = random.Random(seed)
         self.steps = steps
+        self.worker_restarts = worker_restarts
         self.jobs = []
         self.cancelled = set()
         self.request_count = 0
@@ -113,6 +116,8 @@
             (2, self.change_domain),
             (2, self.heal_links),
         ]
+        if self.worker_restarts:
+            choices += [(4, self.restart_worker), (2, self.silence_worker)]
         weights = [weight for weight, _ in choices]
         _, action = self.random.choices(choices, weights)[0]
         nursery.start_soon(action)
@@ -209,6 +214,22 @@
         await trio.sleep(self.random.uniform(1, 8))
         worker.faults.delay_s = 0.0
 
+    async def restart_worker(self):
+        name = self.random.choice(AGENTS)
+        if name in self.world.workers:
+            self.add_trace(f"restart worker of {name}")
+            self.world.workers[name].restart()
+
+    async def silence_worker(self):
+        name = self.random.choice(AGENTS)
+        worker = self.world.workers.get(name)
+        if worker is None:
+            return
+        self.add_trace(f"silence worker of {name}")
+        worker.faults.down = True
+        await trio.sleep(self.random.uniform(1, 20))
+        worker.faults.down = False
+
     async def disturb_executor(self):
         executor = self.world.executors[self.random.choice(AGENTS)]
         executor.lose_answers = self.random.randint(0, 3)
@@ -241,6 +262,7 @@
         for worker in world.workers.values():
             worker.faults.lose_answers = 0
             worker.faults.delay_s = 0.0
+            worker.faults.down = False
         for executor in world.executors.values():
             executor.hang = False
             executor.lose_answers = 0
--- a/tests/test_proof_schedules.py
+++ b/tests/test_proof_schedules.py
@@ -11,6 +11,7 @@
 from tests.world import run_world
 
 SEEDS = range(1, 9)
+WORKER_RESTART_SEEDS = range(101, 105)
 STEPS = 30
 FINAL_STATES = ("finished", "cancelled", "held")
 
@@ -30,11 +31,16 @@
             with self.subTest(seed=seed):
                 self.run_seed(seed)
 
-    def run_seed(self, seed, steps=STEPS):
+    def test_guarantees_hold_when_workers_restart_without_their_agents(self):
+        for seed in WORKER_RESTART_SEEDS:
+            with self.subTest(seed=seed):
+                self.run_seed(seed, worker_restarts=True)
+
+    def run_seed(self, seed, steps=STEPS, worker_restarts=False):
         unfinished = {}
 
         async def scenario(world):
-            schedule = Schedule(world, seed, steps)
+            schedule = Schedule(world, seed, steps, worker_restarts)
             self.trace = schedule.trace
             await schedule.run()
             await reopen_domains(world)
