Tests that fail: jobs without a crashing task are given up

What callers saw: a job that could be done is shown as failed. In schedules of random faults on five hosts two executors that crash by themselves within 0.25 s of a start of one of its tasks suffice. No product code changes.

--- a/tests/batch/test_schedules.py
+++ b/tests/batch/test_schedules.py
@@ -15,6 +15,15 @@
     15: "three deaths of all processes, after each of which the count began anew",
     19: "a suspect of a step that was not ready held up the earlier step",
 }
+CRASHING_SEEDS = {
+    105: "a job was given up after two crashes of executors that crash by themselves",
+    115: "likewise",
+    124: "likewise",
+}
+CRASHING_SAME_ID_SEEDS = {
+    10: "a job was given up after two crashes of executors that crash by themselves",
+    26: "likewise",
+}
 REGRESSION_SEEDS = {
     37: "ends of a restarted executor were skipped, as their numbers restart at 1",
     236: "an owner started a job whose record followed a later claim in the same read",
@@ -83,6 +92,20 @@
             with self.subTest(seed=seed):
                 self.check(seed, same_id=True)
 
+    def test_jobs_without_a_crashing_task_are_not_given_up(self):
+        for seed in CRASHING_SEEDS:
+            with self.subTest(seed=seed):
+                self.check(seed)
+        for seed in CRASHING_SAME_ID_SEEDS:
+            with self.subTest(seed=seed, same_id=True):
+                self.check(seed, same_id=True)
+        with self.subTest(seed=21, deadly=True):
+            self.check(21, deadly=True)
+
+    def test_start_that_was_never_answered_does_not_fail_its_job(self):
+        """Its executor crashed while the start was on its way, and that counted."""
+        self.check(139, same_id=True)
+
     def test_late_starts_repeat_finished_tasks_after_a_restart_under_the_same_id(self):
         """Seed 3 breaks, see KNOWN-RED.txt."""
         self.check(3, same_id=True)
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -123,6 +123,11 @@
             ]
             self.report(host, rows, incarnation=host.executor.incarnation)
 
+    def keep_calm(self, duration_s):
+        """Let time pass without a crash."""
+        self.now += duration_s
+        self.keep_running()
+
     def test_only_tasks_that_had_just_started_are_suspected(self):
         owned = self.add_job(job(steps=(SMALL,)))
         self.place()
@@ -261,6 +266,23 @@
             self.keep_running()
         self.assertIs(owned.state, JobState.FAILED)
 
+    def test_executors_that_crash_often_fail_no_job(self):
+        """Two starts within 0.25 s before a crash failed a job without fault."""
+        self.hosts += [self.host(f"agent-{number}") for number in (3, 4)]
+        self.keep_calm(30)
+        owned = self.add_job(job(steps=(StepSpec(1, cpu=500, memory_mb=100),)))
+        task = owned.tasks()[0]
+        for _ in range(2):
+            for host in self.hosts:
+                self.now += 1
+                self.crash(host)
+            self.now += 1
+            self.keep_running()
+            self.place()
+            self.crash(task.runs[0].host, str(task.id))
+        self.assertEqual(len(task.crashed_on), 2)
+        self.assertFalse(owned.state.final)
+
     def test_run_that_goes_on_clears_its_task(self):
         owned = self.add_job(job(steps=(SMALL,)))
         self.place()
