Don't fail a job by a start that was on its way when its executor crashed

What callers saw: jobs without a crashing task are given up. Class: an order that may have taken effect is taken for one that has. Ruled out: the two crashes have no common cause, they are 2 s apart on two hosts. Agents now say of each run in a crash whether the executor answered its start or listed it. The crash still counts, since a crashing task may end its executor before the answer, but not as clear evidence. should_give_up gets the judged evidence in one argument; a new test covers all combinations of its parts, as the two asserts on them did.

--- a/rattanwing/batch/crashes.py
+++ b/rattanwing/batch/crashes.py
@@ -91,9 +91,10 @@
         )
         return None if resent else crash
 
-    def suspect(self, task: Task, crash: Crash) -> bool:
+    def suspect(self, task: Task, crash: Crash, begun: bool) -> bool:
         """Suspect a task that an executor had just started when it crashed.
 
+        :param begun: whether the executor is known to have begun a run of the task.
         :returns: whether this crash of the task was not known.
         """
         if task.done or any(run.proven for run in task.runs):
@@ -108,14 +109,18 @@
             crashes=len(task.crashed_on),
             only_suspect=crash.only_suspect,
             isolated=crash.isolated,
+            begun=begun,
             epoch=self.epoch,
         )
         return True
 
-    def finds_guilty(self, task: Task, crash: Crash) -> bool:
-        """Return whether a task is found to crash executors, after its latest crash."""
-        crashes = len(task.crashed_on)
-        if not should_give_up(crashes, crash.only_suspect, crash.isolated):
+    def finds_guilty(self, task: Task, crash: Crash, begun: bool) -> bool:
+        """Return whether a task is found to crash executors, after its latest crash.
+
+        :param begun: see :meth:`suspect`.
+        """
+        clear = crash.only_suspect and crash.isolated and begun
+        if not should_give_up(len(task.crashed_on), clear):
             return False
         events.write(
             events.JOB_GIVEN_UP,
--- a/rattanwing/batch/messages.py
+++ b/rattanwing/batch/messages.py
@@ -198,12 +198,15 @@
     :param survived_s: time for which the executor is known to have run it.
     :param ended: whether it has surely ended; otherwise the executor's next incarnation
         may have started it.
+    :param begun: whether the executor has answered its start or listed it; otherwise
+        the start may have been on its way.
     """
 
     task: str
     attempt: Number
     survived_s: Finite
     ended: bool = True
+    begun: bool = True
 
 
 class ExecutorCrashed(Message, tag=16):
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -392,6 +392,7 @@
                 attempt,
                 round(run.survived_s(ended_at), 3),
                 run.listed or not self.restarted_under_id,
+                run.known_since is not None,
             )
             for (task, attempt), run in self.runs.items()
             if run.maybe_sent
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -498,7 +498,7 @@
             if task is not None:
                 task.attempt = max(task.attempt, row.attempt)
                 if row.survived_s < SURVIVAL_S:
-                    started.append(task)
+                    started.append((task, row.begun))
         if crash is not None:
             self.suspect(started, crash, now, now_ms)
 
@@ -510,7 +510,7 @@
         An agent that was restarted meanwhile does not report the crash.
         """
         started = [
-            run.task
+            (run.task, False)
             for run in host.runs.values()
             if run.order_number == 0 and run.reported and not run.proven
         ]
@@ -526,17 +526,21 @@
         job = self.jobs.get(task_id.job_id)
         return job.task(task_id) if job is not None else None
 
-    def suspect(self, tasks: list[Task], crash: Crash, now: float, now_ms: int) -> None:
+    def suspect(
+        self, started: list[tuple[Task, bool]], crash: Crash, now: float, now_ms: int
+    ) -> None:
         """Suspect tasks that an executor started just before it crashed.
 
         The job of a task is given up if the task is found to crash executors.
+
+        :param started: tasks, and whether a run of each is known to have begun.
         """
-        for task in tasks:
+        for task, begun in started:
             job = task.job
-            if job.state.final or not self.crashes.suspect(task, crash):
+            if job.state.final or not self.crashes.suspect(task, crash, begun):
                 continue
             self.mark_unstored(job)
-            if self.crashes.finds_guilty(task, crash):
+            if self.crashes.finds_guilty(task, crash, begun):
                 self.finish_job(job, JobState.FAILED, now, now_ms)
 
     def handle_survival(self, run: Run) -> None:
--- a/rattanwing/batch/suspicion.py
+++ b/rattanwing/batch/suspicion.py
@@ -50,18 +50,17 @@
     return survived_s >= CLEARED_WITHOUT_PROGRESS_S
 
 
-def should_give_up(crashes: int, only_suspect: bool, isolated: bool) -> bool:
+def should_give_up(crashes: int, clear: bool) -> bool:
     """Return whether a task is to be given up after a crash.
 
     :param crashes: number of executors that crashed soon after starting the task.
-    :param only_suspect: whether the last of them had started no task of another job
-        shortly before.
-    :param isolated: whether no other executor is known to have failed at about the same
-        time.
+    :param clear: whether the last of them is known to have begun the task, had started
+        no task of another job shortly before, and crashed while no other executor is
+        known to have failed.
     """
     if crashes >= MAX_CRASHES:
         return True
-    return crashes >= ENOUGH_CRASHES and only_suspect and isolated
+    return crashes >= ENOUGH_CRASHES and clear
 
 
 def may_hold(held: int, hosts: int) -> bool:
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -415,6 +415,15 @@
         (crash,) = self.crashes()
         self.assertEqual((crash.failed_s, crash.broken), (10.0, True))
 
+    def test_crash_tells_whether_a_start_was_answered(self):
+        self.run.maybe_sent = True
+        self.agent.executor.record_failure(10.4, broken=True)
+        rows = self.agent.executor.crashed_runs()
+        self.assertEqual([row.begun for row in rows], [False])
+        self.run.confirm(10.2)
+        rows = self.agent.executor.crashed_runs()
+        self.assertEqual([row.begun for row in rows], [True])
+
     def test_oldest_crash_is_dropped_with_a_log_line(self):
         """Its tasks were suspected by no owner, and no line said so."""
         written = []
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -1,10 +1,13 @@
 from __future__ import annotations
 
 import unittest
+from itertools import product
 
 from rattanwing.batch import messages
+from rattanwing.batch.cluster import ClusterState
+from rattanwing.batch.crashes import Crash, CrashTracker
 from rattanwing.batch.hosts import Host
-from rattanwing.batch.jobs import SUSPECT_WAIT_S
+from rattanwing.batch.jobs import SUSPECT_WAIT_S, OwnedJob
 from rattanwing.batch.model import JobState, StepSpec
 from rattanwing.batch.ports import RunningRow
 from rattanwing.batch.suspicion import (
@@ -22,13 +25,26 @@
 
 class DecisionTests(unittest.TestCase):
     def test_two_clear_crashes_are_enough(self):
-        self.assertFalse(should_give_up(1, True, True))
-        self.assertTrue(should_give_up(2, True, True))
+        self.assertFalse(should_give_up(1, True))
+        self.assertTrue(should_give_up(2, True))
 
     def test_unclear_crashes_need_a_third(self):
-        self.assertFalse(should_give_up(2, False, True))
-        self.assertFalse(should_give_up(2, True, False))
-        self.assertTrue(should_give_up(MAX_CRASHES, False, False))
+        self.assertFalse(should_give_up(2, False))
+        self.assertTrue(should_give_up(MAX_CRASHES, False))
+
+    def test_crash_is_clear_only_without_another_cause(self):
+        """Each part of the evidence that is missing leaves the job running."""
+        tracker = CrashTracker(ClusterState(0.0), 3)
+        owned = OwnedJob(job(steps=(SMALL,)), 0.0, False, 3)
+        owned.create_due_occurrences(0)
+        task = owned.tasks()[0]
+        task.crashed_on |= {"old@1", "old@2"}
+        for evidence in product((False, True), repeat=3):
+            only_suspect, isolated, begun = evidence
+            crash = Crash("old@2", 0.0, only_suspect, isolated)
+            with self.subTest(evidence=evidence):
+                guilty = tracker.finds_guilty(task, crash, begun)
+                self.assertEqual(guilty, all(evidence))
 
     def test_crashes_at_the_same_time_are_not_isolated(self):
         self.assertTrue(is_isolated(10.0, []))
@@ -75,11 +91,19 @@
         self.hosts = [self.host(f"agent-{number}") for number in range(3)]
 
     def crash(
-        self, host, *tasks, survived_s=0.0, failed_s=3.0, broken=True, incarnation=None
+        self,
+        host,
+        *tasks,
+        survived_s=0.0,
+        failed_s=3.0,
+        broken=True,
+        incarnation=None,
+        begun=True,
     ):
         """Report the crash of a host's executor, which had just started some tasks."""
         rows = [
-            messages.CrashedRun(task, self.attempt(task), survived_s) for task in tasks
+            messages.CrashedRun(task, self.attempt(task), survived_s, begun=begun)
+            for task in tasks
         ]
         incarnation = incarnation or host.executor.incarnation
         crash = messages.ExecutorCrashed(incarnation, self.now, failed_s, broken, rows)
@@ -152,6 +176,17 @@
         self.assertIs(owned.state, JobState.FAILED)
         self.assertIn("job-1", self.scheduler.unstored)
 
+    def test_job_does_not_fail_by_a_start_that_was_on_its_way(self):
+        owned = self.add_job(job(steps=(StepSpec(1, cpu=500, memory_mb=100),)))
+        task = owned.tasks()[0]
+        for begun in (True, False):
+            self.place()
+            self.crash(task.runs[0].host, str(task.id), begun=begun)
+            self.now += 5
+            self.keep_running()
+        self.assertEqual(len(task.crashed_on), 2)
+        self.assertFalse(owned.state.final)
+
     def test_crash_that_is_reported_twice_counts_once(self):
         owned = self.add_job(job(steps=(SMALL,)))
         self.place()
