Count a start once when its executor is replaced twice

What callers saw: jobs without a crashing task are given up. When the next incarnation was replaced too, the owner took the run for one whose crash a restarted agent had forgotten, and counted a third crash for a task that never ran there; three crashes give a job up. Class: what is not known is taken for what was lost. Ruled out: the agent had not restarted and had reported both crashes. An agent reports a crash before the next executor, so runs count as forgotten only if the owner knows of no crash of that incarnation.

--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -507,8 +507,11 @@
     ) -> None:
         """Suspect runs of an earlier stream whose executor was replaced.
 
-        An agent that was restarted meanwhile does not report the crash.
+        An agent that was restarted meanwhile does not report the crash; any other agent
+        reports it before the next executor.
         """
+        if incarnation in self.crashes.crashes:
+            return
         started = [
             (run.task, False)
             for run in host.runs.values()
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -505,6 +505,24 @@
         self.report(self.hosts[0])
         self.assertEqual({host for host, _task in self.place()}, {"agent-0"})
 
+    def test_start_that_the_next_incarnation_may_carry_out_counts_once(self):
+        """When that one was replaced as well, it counted as a crash of its own."""
+        owned = self.add_job(job(steps=(StepSpec(1, cpu=500, memory_mb=100),)))
+        self.place()
+        task = owned.tasks()[0]
+        host = task.runs[0].host
+        row = messages.CrashedRun(str(task.id), 1, 0.0, ended=False, begun=False)
+        crash = messages.ExecutorCrashed(f"{host.name}@1", self.now, 0.1, True, [row])
+        self.scheduler.handle_crash(host, crash, self.now, self.now_ms())
+        rows = [RunningRow(str(task.id), 1, "", 0)]
+        self.report(host, rows, incarnation=f"{host.name}@2")
+        self.assertEqual(task.runs[0].order_number, 0)
+        self.now += 0.1
+        crash = messages.ExecutorCrashed(f"{host.name}@2", self.now, 0.1, True, [])
+        self.scheduler.handle_crash(host, crash, self.now, self.now_ms())
+        self.report(host, rows, incarnation=f"{host.name}@3")
+        self.assertEqual(task.crashed_on, {f"{host.name}@1"})
+
     def test_executor_that_drained_did_not_crash(self):
         owned = self.add_job(job(steps=(SMALL,)))
         self.place()
