Give a job up only if its crashes are hardly due to chance

What callers saw: jobs that could be done are shown as failed. Cause: two clear crashes within 0.25 s after a start gave a job up, however often executors crashed by themselves. On five hosts that crash ten times in 25 s, with some dozens of suspects, that happens by chance. Class: a fixed threshold on a count whose base rate varies. The owner now estimates from the crashes of the last minute, less those that are found to be due to a task, how many of the recent suspects chance makes look as suspicious, and gives a job up below 0.002 of a task. The first crash chooses a task and tells nothing; only starts as a suspect do. On a calm cluster two crashes are enough as before, also for an owner that has watched five hosts for a minute; where crashes are common three clear ones or four of any kind are needed. BUDGET allows five starts if all crash: four leave room for one crash that no owner has heard of. The evidence is stored with the job.

--- a/rattanwing/batch/crashes.py
+++ b/rattanwing/batch/crashes.py
@@ -9,6 +9,7 @@
 from rattanwing.batch.suspicion import (
     HOLD_S,
     SURVIVAL_S,
+    expected_coincidences,
     is_isolated,
     may_hold,
     should_give_up,
@@ -18,11 +19,11 @@
     from rattanwing.batch import messages
     from rattanwing.batch.cluster import ClusterState
     from rattanwing.batch.hosts import Host, Run
-    from rattanwing.batch.jobs import Task
+    from rattanwing.batch.jobs import OwnedJob, Task
 
-CRASH_MEMORY_S = 30.0
+CRASH_MEMORY_S = 60.0
 """Time in seconds for which crashes of executors are remembered, so that others are
-compared with them."""
+compared with them and their rate is known."""
 
 
 class Crash:
@@ -32,9 +33,18 @@
     :param only_suspect: whether it had just started tasks of one job only.
     :param isolated: whether its time is exact and no other executor is known to have
         failed at about the same time.
+    :param suspects: tasks that were suspected after it.
+    :param explained: whether one of them is found to crash executors.
     """
 
-    __slots__ = ("incarnation", "at", "only_suspect", "isolated")
+    __slots__ = (
+        "incarnation",
+        "at",
+        "only_suspect",
+        "isolated",
+        "suspects",
+        "explained",
+    )
 
     def __init__(
         self, incarnation: str, at: float, only_suspect: bool, isolated: bool
@@ -43,6 +53,15 @@
         self.at = at
         self.only_suspect = only_suspect
         self.isolated = isolated
+        self.suspects: set[Task] = set()
+        self.explained = False
+
+    def may_be_due_to(self, job: OwnedJob) -> bool:
+        """Return whether a task of a job is still suspected of this crash."""
+        return any(
+            task.job is job and self.incarnation in task.crashed_on
+            for task in self.suspects
+        )
 
 
 class CrashTracker:
@@ -50,14 +69,18 @@
 
     :param cluster: the owner's view of the hosts.
     :param epoch: the owner's epoch, for log lines.
+    :param observed_since: time since which the owner hears of crashes.
     :param crashes: recent crashes that agents reported, by executor incarnation.
     """
 
-    __slots__ = ("cluster", "epoch", "crashes")
+    __slots__ = ("cluster", "epoch", "observed_since", "crashes")
 
-    def __init__(self, cluster: ClusterState, epoch: int) -> None:
+    def __init__(
+        self, cluster: ClusterState, epoch: int, observed_since: float
+    ) -> None:
         self.cluster = cluster
         self.epoch = epoch
+        self.observed_since = observed_since
         self.crashes: dict[str, Crash] = {}
 
     def record(
@@ -68,7 +91,7 @@
         An agent reports a crash on each stream until it is acknowledged.
         """
         at = report.stamp + host.clock_offset - report.failed_s
-        resent = report.incarnation in self.crashes
+        known = self.crashes.get(report.incarnation)
         self.crashes = {
             incarnation: crash
             for incarnation, crash in self.crashes.items()
@@ -83,15 +106,16 @@
         started_jobs = {
             job_of(row.task) for row in report.runs if row.survived_s < SURVIVAL_S
         }
-        crash = self.crashes[report.incarnation] = Crash(
+        crash = Crash(
             report.incarnation,
             at,
             len(started_jobs) == 1,
             report.broken and is_isolated(at, others),
         )
-        return None if resent else crash
+        self.crashes[report.incarnation] = known or crash
+        return None if known else crash
 
-    def suspect(self, task: Task, crash: Crash, begun: bool) -> bool:
+    def suspect(self, task: Task, crash: Crash, begun: bool, now: float) -> bool:
         """Suspect a task that an executor had just started when it crashed.
 
         :param begun: whether the executor is known to have begun a run of the task.
@@ -99,9 +123,13 @@
         """
         if task.done or any(run.proven for run in task.runs):
             return False
+        crash.suspects.add(task)
         if crash.incarnation in task.crashed_on:
             return False
-        task.job.suspect(task, crash.incarnation)
+        # The first crash chose the task among all, and is no test of it.
+        tested = task.is_suspect()
+        clear = tested and crash.only_suspect and crash.isolated and begun
+        task.job.suspect(task, crash.incarnation, clear)
         events.write(
             events.TASK_SUSPECTED,
             task=str(task.id),
@@ -110,23 +138,46 @@
             only_suspect=crash.only_suspect,
             isolated=crash.isolated,
             begun=begun,
+            coincidences=round(self.expected_coincidences(task, now), 6),
             epoch=self.epoch,
         )
         return True
 
-    def finds_guilty(self, task: Task, crash: Crash, begun: bool) -> bool:
-        """Return whether a task is found to crash executors, after its latest crash.
+    def expected_coincidences(self, task: Task, now: float) -> float:
+        """Return how many tasks without fault may be expected to look like a task.
+
+        Crashes that may be due to another task of the same job do not tell how often
+        executors crash by themselves; those that may be due to a task of another job
+        do, until that one is found to have caused them.
 
-        :param begun: see :meth:`suspect`.
+        :returns: 1 while nothing tells against the task but its first crash, or crashes
+            that may have another cause.
         """
-        clear = crash.only_suspect and crash.isolated and begun
-        if not should_give_up(len(task.crashed_on), clear):
+        tests = len(task.clear_crashes)
+        if not tests:
+            return 1.0
+        unexplained = [crash for crash in self.crashes.values() if not crash.explained]
+        suspects = set().union(*(crash.suspects for crash in unexplained)) | {task}
+        others = sum(not crash.may_be_due_to(task.job) for crash in unexplained)
+        observed_s = min(now - self.observed_since, CRASH_MEMORY_S)
+        host_seconds = len(self.cluster.hosts) * observed_s
+        return expected_coincidences(len(suspects), tests, others, host_seconds)
+
+    def gives_up(self, task: Task, now: float) -> bool:
+        """Return whether a task is found to crash executors, after its latest crash."""
+        coincidences = self.expected_coincidences(task, now)
+        crashes = len(task.crashed_on)
+        if not should_give_up(crashes, task.job.inherited, coincidences):
             return False
+        for crash in self.crashes.values():
+            if task in crash.suspects:
+                crash.explained = True
         events.write(
             events.JOB_GIVEN_UP,
             job=task.job.spec.job_id,
             task=str(task.id),
             crashed=sorted(task.crashed_on),
+            coincidences=round(coincidences, 6),
             epoch=self.epoch,
         )
         return True
--- a/rattanwing/batch/jobs.py
+++ b/rattanwing/batch/jobs.py
@@ -38,6 +38,8 @@
         run.
     :param crashed_on: incarnations of executors that crashed soon after starting the
         task, which is suspected of having caused it; empty once it is cleared.
+    :param clear_crashes: those of them that followed a start as a suspected task and
+        have no other known cause.
     """
 
     __slots__ = (
@@ -54,6 +56,7 @@
         "failed_on",
         "refused_on",
         "crashed_on",
+        "clear_crashes",
     )
 
     def __init__(self, job: OwnedJob, task_id: TaskId, step: StepSpec) -> None:
@@ -70,6 +73,7 @@
         self.failed_on: set[str] = set()
         self.refused_on: set[str] = set()
         self.crashed_on: set[str] = set()
+        self.clear_crashes: set[str] = set()
 
     @property
     def key(self) -> str:
@@ -255,8 +259,9 @@
                 task.attempt = task.ended_attempt
                 task.checkpoint = progress.checkpoints.get(task.key, "")
                 task.checkpoint_attempt = task.ended_attempt
+                clear = progress.clear_crashes.get(task.key, ())
                 for incarnation in progress.crashes.get(task.key, ()):
-                    self.suspect(task, incarnation)
+                    self.suspect(task, incarnation, incarnation in clear)
         self.stored_suspicions = self.suspicions
 
     def task(self, task_id: TaskId) -> Task | None:
@@ -300,9 +305,15 @@
         """Return whether the job has had no run for more than ``limit_s``."""
         return self.running == 0 and now - self.last_run_ended_at > limit_s
 
-    def suspect(self, task: Task, incarnation: str) -> None:
-        """Record that an executor crashed soon after starting a task."""
+    def suspect(self, task: Task, incarnation: str, clear: bool = False) -> None:
+        """Record that an executor crashed soon after starting a task.
+
+        :param clear: whether it was a suspected task before, and no other cause is
+            known.
+        """
         task.crashed_on.add(incarnation)
+        if clear:
+            task.clear_crashes.add(incarnation)
         self.suspects.add(task)
         self.suspicions += 1
 
@@ -323,6 +334,7 @@
     def clear(self, task: Task) -> None:
         """Clear a task of the suspicion of crashing executors."""
         task.crashed_on.clear()
+        task.clear_crashes.clear()
         self.suspects.discard(task)
         self.unsettled = True
 
@@ -377,7 +389,8 @@
 
     def progress(self, epoch: int) -> Progress:
         """Return the progress record to store for the job."""
-        done, failures, attempts, checkpoints, crashes = {}, {}, {}, {}, {}
+        done, failures, attempts, checkpoints = {}, {}, {}, {}
+        crashes, clear_crashes = {}, {}
         for steps in self.steps_by_occurrence.values():
             for step in steps:
                 if step.unfinished < len(step.tasks):
@@ -393,6 +406,8 @@
                         checkpoints[task.key] = task.checkpoint
                     if task.crashed_on:
                         crashes[task.key] = sorted(task.crashed_on)
+                    if task.clear_crashes:
+                        clear_crashes[task.key] = sorted(task.clear_crashes)
         return Progress(
             epoch,
             self.state,
@@ -402,4 +417,5 @@
             checkpoints,
             self.finished_at_ms,
             crashes,
+            clear_crashes,
         )
--- a/rattanwing/batch/records.py
+++ b/rattanwing/batch/records.py
@@ -70,6 +70,8 @@
     :param finished_at_ms: Unix time in ms at which the job finished, else 0.
     :param crashes: incarnations of executors that crashed soon after starting a task,
         by suspected task.
+    :param clear_crashes: those of them that followed a start as a suspected task and
+        have no other known cause.
     """
 
     epoch: Epoch
@@ -80,6 +82,7 @@
     checkpoints: dict[str, str] = {}
     finished_at_ms: Number = 0
     crashes: dict[str, list[str]] = {}
+    clear_crashes: dict[str, list[str]] = {}
 
 
 class CancelRequest(msgspec.Struct, array_like=True):
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -113,7 +113,7 @@
         self.unstored: dict[str, OwnedJob] = {}
         self.unacked: dict[str, tuple[str, int]] = {}
         self.unacked_crashes: dict[str, str] = {}
-        self.crashes = CrashTracker(self.cluster, epoch)
+        self.crashes = CrashTracker(self.cluster, epoch, claimed_at)
         self.takeover_complete = False
         self.directory_known = False
         self.interference = InterferenceModel()
@@ -540,10 +540,10 @@
         """
         for task, begun in started:
             job = task.job
-            if job.state.final or not self.crashes.suspect(task, crash, begun):
+            if job.state.final or not self.crashes.suspect(task, crash, begun, now):
                 continue
             self.mark_unstored(job)
-            if self.crashes.finds_guilty(task, crash, begun):
+            if self.crashes.gives_up(task, now):
                 self.finish_job(job, JobState.FAILED, now, now_ms)
 
     def handle_survival(self, run: Run) -> None:
--- a/rattanwing/batch/suspicion.py
+++ b/rattanwing/batch/suspicion.py
@@ -4,7 +4,8 @@
 A task is suspected after an executor has crashed soon after starting it, and cleared
 once it has run for longer. Suspected tasks of different jobs never run on one host, and
 a job with suspected tasks starts them one at a time, so that the next crash shows which
-task is the cause. The job of a crashing task is given up.
+task is the cause. The job of a task is given up once its crashes are hardly due to
+chance, as often as executors crash by themselves at present.
 """
 
 from __future__ import annotations
@@ -33,12 +34,17 @@
 """Crashes of executors that are no further apart than this, in seconds, may have one
 cause outside the tasks."""
 
-ENOUGH_CRASHES = 2
-"""Number of crashes from which a task may be given up."""
+COINCIDENCE_LIMIT = 0.002
+"""Bound on the number of tasks without fault, among those suspected lately, that chance
+makes look as suspicious as a task that is given up."""
 
-MAX_CRASHES = 3
+MAX_CRASHES = 4
 """Number of crashes after which a task is given up however they came about."""
 
+MAX_CRASHES_INHERITED = 3
+"""The same for a task that an earlier owner may have started, of whose crashes some may
+not be known."""
+
 
 def has_survived(survived_s: float, progress_percent: int) -> bool:
     """Return whether a run shows that its task is not a crashing one.
@@ -50,17 +56,33 @@
     return survived_s >= CLEARED_WITHOUT_PROGRESS_S
 
 
-def should_give_up(crashes: int, clear: bool) -> bool:
+def expected_coincidences(
+    suspects: int, tests: int, crashes: int, host_seconds: float
+) -> float:
+    """Return how many tasks without fault may be expected to look as if they had one.
+
+    Executors that crash by themselves do so by chance within ``SURVIVAL_S`` after the
+    start of a suspected task. One more crash is counted than was seen, as those to come
+    are not known.
+
+    :param suspects: number of tasks that were suspected lately.
+    :param tests: number of starts of the task as a suspect that a crash followed.
+    :param crashes: number of recent crashes with another cause than the task.
+    :param host_seconds: time for which they were counted, times the number of hosts.
+    """
+    chance = min(1.0, (crashes + 1) * SURVIVAL_S / max(host_seconds, SURVIVAL_S))
+    return suspects * chance**tests
+
+
+def should_give_up(crashes: int, inherited: bool, coincidences: float) -> bool:
     """Return whether a task is to be given up after a crash.
 
     :param crashes: number of executors that crashed soon after starting the task.
-    :param clear: whether the last of them is known to have begun the task, had started
-        no task of another job shortly before, and crashed while no other executor is
-        known to have failed.
+    :param inherited: whether an earlier owner may have started it.
+    :param coincidences: see :func:`expected_coincidences`.
     """
-    if crashes >= MAX_CRASHES:
-        return True
-    return crashes >= ENOUGH_CRASHES and clear
+    limit = MAX_CRASHES_INHERITED if inherited else MAX_CRASHES
+    return crashes >= limit or coincidences < COINCIDENCE_LIMIT
 
 
 def may_hold(held: int, hosts: int) -> bool:
