Acknowledge ends only right after a listing that contains them

Cause: every poll repeated the acknowledgement of all stored ends. A poll that was on its way, or in its pause, when the executor started again under its id reached the next incarnation, which numbers its ends from 1: it dropped its own ends up to that number before it had listed them, but for those that came while a poll waited. The owner saw those runs vanish without an end (event 542, not-reported) and placed their tasks again.

Ruled out: ends skipped by the owner (its numbers agree with what the agent sent), ends dropped by the agent (its number of the new incarnation was below the lost ones).

Change: a poll acknowledges the stored ends of the newest listing, and follows that listing without a pause; all other polls acknowledge nothing. An executor that restarts within that one exchange can still lose ends; calls name no incarnation, so that remains.

Measured: the new test fails on the code before (1 != 0).

--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -149,6 +149,8 @@
     :param clock_sample: the executor's clock in milliseconds and the agent's clock
         when the answer with it arrived.
     :param stored_number: the ends of runs up to this number are in the store.
+    :param to_acknowledge: highest number of a stored end in the newest listing; 0 if
+        that listed none or has been followed by a poll.
     :param ends: listed ends that are not stored yet, by number.
     :param confirmed_at: when this incarnation last answered a poll; negative infinity
         after a call has failed.
@@ -179,6 +181,7 @@
         "clock_sample",
         "runs",
         "stored_number",
+        "to_acknowledge",
         "ends",
         "answered_at",
         "confirmed_at",
@@ -216,6 +219,7 @@
         self.clock_sample: tuple[int, float] | None = None
         self.runs: dict[RunKey, AgentRun] = {}
         self.stored_number = 0
+        self.to_acknowledge = 0
         self.ends: dict[int, EndedRow] = {}
         self.answered_at = clock()
         self.confirmed_at = float("-inf")
@@ -413,22 +417,28 @@
             sent_fence = self.fence
             with trio.CancelScope() as self.poll_scope:
                 changed = await self.poll(sent_at, sent_fence)
-                if not changed and self.clock() - sent_at < POLL_PAUSE_S:
+                at_once = changed or self.to_acknowledge > 0
+                if not at_once and self.clock() - sent_at < POLL_PAUSE_S:
                     await trio.sleep(POLL_PAUSE_S)
 
     async def poll(self, sent_at: float, fence: int) -> bool:
         """Extend the lease and apply the executor's listing.
 
+        Ends are acknowledged at once after a listing that contains them, and only then:
+        an executor that has meanwhile started again under its id would drop its own
+        ends of these numbers before they are listed.
+
         :param sent_at: time of the call.
         :param fence: the fence at that time.
         :returns: whether ends were added or runs removed.
         """
         confirmed = self.is_confirmed(sent_at)
         wait_s = POLL_WAIT_S if confirmed and self.listed_fence == fence else 0.0
+        acknowledged, self.to_acknowledge = self.to_acknowledge, 0
         try:
             result = await self.executor.poll(
                 fence,
-                self.stored_number if confirmed else 0,
+                acknowledged if confirmed else 0,
                 self.deadline_ms() if confirmed else None,
                 wait_s,
             )
@@ -459,7 +469,8 @@
         if fence == self.fence:
             self.listed_fence = fence
         changed = self.apply_listing(result, sent_at, self.clock())
-        await self.pace_best_effort_runs()
+        if not self.to_acknowledge:
+            await self.pace_best_effort_runs()
         if changed or first:
             self.on_change()
         return changed
@@ -488,6 +499,10 @@
                 self.ends[end.number] = end
                 changed = True
             self.runs.pop((end.task, end.attempt), None)
+        self.to_acknowledge = max(
+            (end.number for end in result.ended if end.number <= self.stored_number),
+            default=0,
+        )
         listed = {(row.task, row.attempt): row for row in result.running}
         for key, row in listed.items():
             run = self.runs.setdefault(
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -10,7 +10,13 @@
 from rattanwing import events
 from rattanwing.batch import messages
 from rattanwing.batch.agent import MAX_UNSTORED_CRASHES, BatchAgent, OwnerSession
-from rattanwing.batch.ports import OrderOutcome, OrderResult, PollResult, RunningRow
+from rattanwing.batch.ports import (
+    EndReason,
+    OrderOutcome,
+    OrderResult,
+    PollResult,
+    RunningRow,
+)
 from rattanwing.batch.runs import ExecutorRuns
 from rattanwing.peer.stream import memory_stream_pair
 from rattanwing.standin.runs import StandinBatchExecutor
@@ -265,6 +271,28 @@
 
         self.run_with_executor(crash_after_a_start_call)
 
+    def test_ends_of_the_next_incarnation_are_not_acknowledged_unseen(self):
+        """It restarted between two polls; each of them acknowledged the ends that the
+        earlier incarnation had listed, so the next one dropped its own.
+        """
+
+        async def restart_between_polls(executor, runs):
+            async with trio.open_nursery() as executor.nursery:
+                deadline_ms = executor.clock_ms() + 9000
+                executor.start("job-1.0.0.0", 1, deadline_ms, 1)
+                executor.end_run(("job-1.0.0.0", 1), EndReason.DONE)
+                await runs.poll(trio.current_time(), 1)
+                runs.drop_stored_ends(1)
+                while executor.ended:
+                    await runs.poll(trio.current_time(), 1)
+                executor.crash()
+                executor.restart(same_id=True)
+                await runs.poll(trio.current_time(), 1)
+                executor.nursery.cancel_scope.cancel()
+            self.assertEqual(executor.acknowledged, 0)
+
+        self.run_with_executor(restart_between_polls)
+
     def test_poll_sent_before_a_failed_call_confirms_nothing(self):
         """Its answer allowed starts although a later call had failed."""
 
