Give each incarnation under one id a fence of its own

Cause: a start call without an answer is carried out seconds later, also by an executor that has started again under its id: its clock is new, so that the deadline in the call is far off, and it was polled under the same fence as the call. Stops on each incarnation (take_over_runs) came too late or only where the incarnation had announced itself. An order acted upon without the state it was decided for.

Change: batch/liveness.py says which runs may still come to exist. The fence of a call is the fence of the stream times 1024 plus the number of the incarnation under its id. A listing under it settles what earlier calls may have started, so the stops are gone. An incarnation that was found by a poll but has not announced itself is polled for its fence alone. When 1024 is used up the agent ends the stream, as the next has a higher fence. With epochs up to 2**23, fences stay within 2**53. A run with an unanswered call that was repeated is reported as "not surely ended" in a crash; unanswered starts are listed after leases have lapsed. The owner keeps runs that the report of a replaced executor still lists, in place of losing and adopting them.

Tests: test_unanswered_start_is_stopped_on_each_later_incarnation asked for a stop, which no longer exists; in its place the late start itself is sent to each later incarnation and must be refused.

Executors that return under another id are treated as before.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -159,7 +159,7 @@
             current.view = view
             return
         if current is not None:
-            current.exited = True
+            current.exited = current.replaced = True
             current.restarted_under_id = current.view.executor_id == view.executor_id
             current.poll_scope.cancel()
             self.record_crash(current)
@@ -172,7 +172,6 @@
             self.request_report,
             self.send_refusal,
         )
-        self.replace_executor(current, self.executor)
         self.last_end_sent = 0
         events.write(
             events.EXECUTOR_ANNOUNCED,
@@ -183,26 +182,26 @@
         )
         if self.owner is not None:
             self.executor.set_fence(self.owner.fence)
+        if current is not None:
+            self.replace_executor(current, self.executor)
         if self.nursery is not None:
             self.nursery.start_soon(self.executor.poll_loop)
         self.request_report()
 
-    def replace_executor(
-        self, previous: ExecutorRuns | None, executor: ExecutorRuns
-    ) -> None:
+    def replace_executor(self, previous: ExecutorRuns, executor: ExecutorRuns) -> None:
         """Take over from the previous incarnation what may be running on the new one.
 
         Only an executor with the same id accepts calls that were meant for the previous
         incarnation.
         """
-        if previous is None:
-            return
         executor.replaces_listed = previous.listed_fence > 0 or previous.replaces_listed
         if previous.view.executor_id != executor.view.executor_id:
             return
-        for task, attempt in executor.take_over_runs(previous, self.clock()):
-            if self.nursery is not None:
-                self.nursery.start_soon(executor.stop, task, attempt)
+        if executor.succeed(previous, self.clock()):
+            return
+        executor.set_fence(0)
+        if self.owner is not None and self.owner.session is not None:
+            self.owner.session.close()
 
     def handle_exit(self, executor_id: str) -> None:
         """Remove an executor that has announced its exit, and with it all its runs."""
@@ -210,7 +209,7 @@
         if current is None or current.view.executor_id != executor_id:
             return
         events.write(events.EXECUTOR_LEFT, executor=executor_id)
-        current.exited = True
+        current.exited = current.replaced = True
         current.poll_scope.cancel()
         self.executor = None
         self.executor_exited = True
@@ -290,9 +289,9 @@
     def send_report(self, now: float) -> None:
         """Send the owner the full state of the executor.
 
-        Without an executor that is known to be there the list of runs is empty. It is
-        complete once the leases that may have been passed on have lapsed, or once the
-        executor has announced its exit.
+        Without an executor that is known to be there only runs that late calls may have
+        started are listed. The list is complete once the leases that may have been
+        passed on have lapsed, or once the executor has announced its exit.
         """
         if self.owner is None:
             return
@@ -300,13 +299,15 @@
         if executor is None or not executor.is_known():
             lapsed_at = self.started_at + TASK_LEASE_S + LEASE_MARGIN_S
             complete = self.executor_exited or now >= lapsed_at
+            late_rows = []
             if executor is not None:
                 complete = executor.is_complete(now)
+                late_rows = executor.late_rows(now)
             report = messages.HostReport(
                 now,
                 self.owner.last_order,
                 None,
-                [],
+                late_rows,
                 complete,
                 executor_unreachable=True,
             )
@@ -317,7 +318,7 @@
                 now,
                 self.owner.last_order,
                 None if lapsed else executor.view,
-                [] if lapsed else executor.running_rows(),
+                executor.late_rows(now) if lapsed else executor.running_rows(),
                 executor.is_complete(now),
                 unreachable or executor.listed_fence != executor.fence,
                 None
--- a/rattanwing/batch/cluster.py
+++ b/rattanwing/batch/cluster.py
@@ -81,11 +81,6 @@
             )
             self.send(run.host, properties)
 
-    def mark_all_lost(self, host: Host, reason: str, now: float) -> None:
-        """Mark every run of a host as lost."""
-        for run in list(host.runs.values()):
-            self.mark_lost(run, reason, now)
-
     def mark_lost(
         self, run: Run, reason: str, now: float, refused: bool = False
     ) -> None:
--- /dev/null
+++ b/rattanwing/batch/liveness.py
@@ -0,0 +1,109 @@
+"""Decides whether a run may come to exist on an executor that starts again.
+
+An executor may start again under its id. It then accepts calls that were meant for its
+earlier incarnation, its clock and its fence begin anew, and a start call without an
+answer may be carried out seconds after it was sent. Two facts bound this: such a call
+is not carried out later than ``LATE_CALL_S``, and an executor refuses it once it has
+answered a call under a higher fence. So the calls to each incarnation under one id have
+a higher fence than those to the incarnation before.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from rattanwing.batch import messages
+
+LATE_CALL_S = 15.0
+"""Time in seconds for which a start call without an answer may still take effect."""
+
+GENERATIONS_PER_STREAM = 1 << 10
+"""Number of generations under the fence of one stream. The fence of a call is the
+stream's fence times this number plus the generation."""
+
+LATE_RUN_S = 26.0
+"""Time in seconds after a start call without an answer for which a run may exist that
+it has started: ``LATE_CALL_S``, and the longest lease that an executor grants, on
+a clock that may be slow."""
+
+RunKey = tuple[str, int]
+"""Task and attempt."""
+
+
+def call_fence(stream_fence: int, generation: int) -> int:
+    """Return the fence of a call.
+
+    :param stream_fence: the fence of the owner's stream.
+    :param generation: number of the executor's incarnation under its id, as counted by
+        its agent since the stream was opened.
+    """
+    return stream_fence * GENERATIONS_PER_STREAM + generation
+
+
+class StartCall:
+    """The last start call for a run that was sent and not settled.
+
+    :param properties: properties of its task, ``None`` if they are not known.
+    :param sent_at: time when it was sent.
+    """
+
+    __slots__ = ("properties", "sent_at")
+
+    def __init__(
+        self, properties: messages.TaskProperties | None, sent_at: float
+    ) -> None:
+        self.properties = properties
+        self.sent_at = sent_at
+
+
+class StartCalls:
+    """The start calls to all incarnations under one id that may be carried out late.
+
+    A call stays here although a repeat of it was answered: the next incarnation does
+    not know that the run has been started.
+
+    :param calls: the newest unsettled call for each run.
+    """
+
+    __slots__ = ("calls",)
+
+    def __init__(self) -> None:
+        self.calls: dict[RunKey, StartCall] = {}
+
+    def send(self, key: RunKey, call: StartCall) -> StartCall | None:
+        """Record that a call is being sent.
+
+        :returns: the call to be passed to :meth:`settle`, with an earlier one that is
+            not settled.
+        """
+        earlier = self.calls.get(key)
+        self.calls[key] = call
+        return earlier
+
+    def settle(self, key: RunKey, earlier: StartCall | None) -> None:
+        """Record that the newest call was answered, or has surely not been received.
+
+        :param earlier: what :meth:`send` returned for the call.
+        """
+        self.calls.pop(key, None)
+        if earlier is not None:
+            self.calls[key] = earlier
+
+    def outstanding(
+        self, now: float, within_s: float = LATE_CALL_S
+    ) -> dict[RunKey, StartCall]:
+        """Return the unsettled calls that were sent within a time, in seconds.
+
+        By default these are the calls that may still be carried out.
+        """
+        self.calls = {
+            key: call
+            for key, call in self.calls.items()
+            if now - call.sent_at <= LATE_RUN_S
+        }
+        return {
+            key: call
+            for key, call in self.calls.items()
+            if now - call.sent_at <= within_s
+        }
--- a/rattanwing/batch/model.py
+++ b/rattanwing/batch/model.py
@@ -31,7 +31,7 @@
 Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 """A number that every process can store and send."""
 
-Epoch = Annotated[int, msgspec.Meta(ge=0, le=2**33)]
+Epoch = Annotated[int, msgspec.Meta(ge=0, le=2**23)]
 """Epoch of an owner; the fences that are derived from it are within ``MAX_NUMBER``."""
 
 Finite = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -7,12 +7,21 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING
 
 import trio
 
 from rattanwing import events
 from rattanwing.batch import messages
+from rattanwing.batch.liveness import (
+    GENERATIONS_PER_STREAM,
+    LATE_RUN_S,
+    RunKey,
+    StartCall,
+    StartCalls,
+    call_fence,
+)
 from rattanwing.batch.pacing import (
     FULL_PERCENT,
     BestEffortPacer,
@@ -54,16 +63,10 @@
 """Time in seconds after the answer to a poll for which the same incarnation is taken to
 be there; longer than a poll waits. A call that fails ends it at once."""
 
-LATE_CALL_S = 15.0
-"""Time in seconds for which a start call without an answer may still take effect."""
-
 BROKEN_WITHIN_S = 0.3
 """A poll that fails within this time in seconds after the end of its wait has lost its
 connection; one that times out takes longer."""
 
-RunKey = tuple[str, int]
-"""Task and attempt."""
-
 
 class AgentRun:
     """A run that is, or may be, running on the executor, as its agent sees it.
@@ -142,6 +145,7 @@
     """Carries out orders on one incarnation of an executor.
 
     :param fence: the fence of the current owner's stream.
+    :param generation: see :func:`~rattanwing.batch.liveness.call_fence`.
     :param listed_fence: the latest fence under which the executor has listed its
         runs; no order of an older fence can start a run after that.
     :param lease_until: end of the lease granted by the owner, on the agent's clock.
@@ -155,11 +159,12 @@
     :param confirmed_at: when this incarnation last answered a poll; negative infinity
         after a call has failed.
     :param failed_call_at: when a call last failed.
-    :param unanswered: runs whose start call had no answer, and when it was sent.
+    :param start_calls: see :class:`~rattanwing.batch.liveness.StartCalls`.
     :param failed_at: time of the first call that failed after the last answer, ``None``
         if there was none.
     :param broken: whether that call failed because its connection broke.
     :param exited: whether this incarnation of the executor has exited.
+    :param replaced: whether another object controls the executor that is there now.
     :param restarted_under_id: whether an incarnation with the same id has taken its
         place.
     :param crash_recorded: whether its crash has been recorded for the owner.
@@ -175,6 +180,7 @@
         "executor",
         "clock",
         "fence",
+        "generation",
         "listed_fence",
         "lease_until",
         "leases_end_by",
@@ -186,10 +192,11 @@
         "answered_at",
         "confirmed_at",
         "failed_call_at",
-        "unanswered",
+        "start_calls",
         "failed_at",
         "broken",
         "exited",
+        "replaced",
         "restarted_under_id",
         "crash_recorded",
         "replaces_listed",
@@ -213,6 +220,7 @@
         self.executor = executor
         self.clock = clock
         self.fence = 0
+        self.generation = 0
         self.listed_fence = 0
         self.lease_until = 0.0
         self.leases_end_by = leases_end_by
@@ -224,10 +232,11 @@
         self.answered_at = clock()
         self.confirmed_at = float("-inf")
         self.failed_call_at = float("-inf")
-        self.unanswered: dict[RunKey, tuple[AgentRun, float]] = {}
+        self.start_calls = StartCalls()
         self.failed_at: float | None = None
         self.broken = False
         self.exited = False
+        self.replaced = False
         self.restarted_under_id = False
         self.crash_recorded = False
         self.replaces_listed = False
@@ -240,6 +249,7 @@
     def set_fence(self, fence: int) -> None:
         """Switch to a later owner's fence; the executor will refuse earlier ones."""
         self.fence = fence
+        self.generation = 0
         self.poll_scope.cancel()
 
     def extend_lease(self, until: float) -> None:
@@ -280,30 +290,39 @@
         self.exited = True
         self.on_change()
 
-    def take_over_runs(self, previous: ExecutorRuns, now: float) -> list[RunKey]:
-        """Take over the runs that calls for the previous incarnation may have started.
+    def succeed(self, previous: ExecutorRuns, now: float) -> bool:
+        """Take over what calls for the previous incarnation may have started here.
+
+        These runs are listed until this incarnation has answered a poll. Its fence is
+        higher than that of any such call.
 
         :param previous: the earlier incarnation of an executor with the same id.
-        :returns: the runs, which are to be stopped: a start that is carried out later
-            is then refused.
+        :returns: whether the stream's generations suffice; otherwise nothing is called
+            before the next stream.
         """
         self.leases_end_by = max(self.leases_end_by, previous.leases_end_by)
+        self.start_calls = previous.start_calls
         taken = {
-            key: run
-            for key, (run, sent_at) in previous.unanswered.items()
-            if now - sent_at <= LATE_CALL_S
-        }
-        taken |= {
-            key: run
+            key: run.properties
             for key, run in previous.runs.items()
-            if run.maybe_sent and not run.listed
+            if previous.may_outlive(key, run)
         }
-        for key, run in taken.items():
-            copy = AgentRun(run.properties, run.fence, now, known_to_executor=False)
-            self.runs[key] = copy
-            _run, sent_at = previous.unanswered.get(key, (run, now))
-            self.unanswered[key] = copy, sent_at
-        return list(taken)
+        for key, call in self.start_calls.outstanding(now).items():
+            taken.setdefault(key, call.properties)
+        for key, properties in taken.items():
+            run = AgentRun(properties, 0, now, known_to_executor=False)
+            run.maybe_sent = True
+            run.may_be_unlisted_until = float("-inf")
+            self.runs[key] = run
+        # The generation between is that of fence_successor.
+        self.generation = previous.generation + 2
+        return self.generation < GENERATIONS_PER_STREAM - 1
+
+    def may_outlive(self, key: RunKey, run: AgentRun) -> bool:
+        """Return whether the next incarnation under the same id may start a run."""
+        if not run.maybe_sent:
+            return False
+        return not run.listed or key in self.start_calls.outstanding(self.clock())
 
     def is_unreachable(self, now: float) -> bool:
         """Return whether the executor has exited or stopped answering."""
@@ -380,6 +399,17 @@
             for (task, attempt), run in self.runs.items()
         ]
 
+    def late_rows(self, now: float) -> list[RunningRow]:
+        """Return the rows of runs that may exist although every lease has lapsed.
+
+        A late call may start them if the executor has started again under its id; one
+        with another id refuses the call.
+        """
+        if self.exited and not self.restarted_under_id:
+            return []
+        late = self.start_calls.outstanding(now, LATE_RUN_S)
+        return [row for row in self.running_rows() if (row.task, row.attempt) in late]
+
     def survival_times_s(self) -> list[float]:
         """Return for each row of :meth:`running_rows` how long it is known to run."""
         return [
@@ -395,7 +425,9 @@
                 task,
                 attempt,
                 round(run.survived_s(ended_at), 3),
-                run.listed or not self.restarted_under_id,
+                not (
+                    self.restarted_under_id and self.may_outlive((task, attempt), run)
+                ),
             )
             for (task, attempt), run in self.runs.items()
             if run.maybe_sent
@@ -408,7 +440,11 @@
             del self.ends[listed]
 
     async def poll_loop(self) -> None:
-        """Poll the executor until this incarnation has exited."""
+        """Poll the executor until this incarnation has exited.
+
+        One that has started again under its id is polled under the next fence until it
+        has announced itself, so that it refuses the calls for this incarnation.
+        """
         while not self.exited:
             if self.fence == 0:
                 await trio.sleep(POLL_PAUSE_S)
@@ -420,6 +456,16 @@
                 at_once = changed or self.to_acknowledge > 0
                 if not at_once and self.clock() - sent_at < POLL_PAUSE_S:
                     await trio.sleep(POLL_PAUSE_S)
+        while self.restarted_under_id and not self.replaced:
+            with trio.CancelScope() as self.poll_scope:
+                await self.fence_successor()
+                await trio.sleep(RETRY_PAUSE_S)
+
+    async def fence_successor(self) -> None:
+        """Raise the fence of the next incarnation."""
+        fence = call_fence(self.fence, self.generation + 1)
+        with contextlib.suppress(HttpCallError):
+            await self.executor.poll(fence, 0, None, 0.0)
 
     async def poll(self, sent_at: float, fence: int) -> bool:
         """Extend the lease and apply the executor's listing.
@@ -437,7 +483,7 @@
         acknowledged, self.to_acknowledge = self.to_acknowledge, 0
         try:
             result = await self.executor.poll(
-                fence,
+                call_fence(fence, self.generation),
                 acknowledged if confirmed else 0,
                 self.deadline_ms() if confirmed else None,
                 wait_s,
@@ -559,6 +605,7 @@
                 continue
             sent_before = run.maybe_sent
             run.maybe_sent = True
+            earlier = self.start_calls.send(key, StartCall(order.properties, now))
             try:
                 result = await self.executor.start(
                     order.task,
@@ -567,16 +614,16 @@
                     order.checkpoint,
                     order.ticket,
                     deadline_ms,
-                    fence,
+                    call_fence(fence, self.generation),
                 )
             except HttpCallError as error:
                 self.record_unconfirmed()
                 if error.verdict is Verdict.NOT_RUN:
                     run.maybe_sent = sent_before
-                else:
-                    self.record_unanswered(key, run, now)
+                    self.start_calls.settle(key, earlier)
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
+            self.start_calls.settle(key, earlier)
             self.record_order_answer(result)
             if fence != self.fence or self.runs.get(key) is not run:
                 return
@@ -608,15 +655,6 @@
         if self.exited and fence == self.fence and not run.maybe_sent:
             self.refuse(order, "executor-gone")
 
-    def record_unanswered(self, key: RunKey, run: AgentRun, now: float) -> None:
-        """Keep a run whose start call had no answer while that may take effect."""
-        self.unanswered = {
-            other: (other_run, sent_at)
-            for other, (other_run, sent_at) in self.unanswered.items()
-            if now - sent_at <= LATE_CALL_S
-        }
-        self.unanswered[key] = run, now
-
     def is_settled_by_earlier_try(
         self, result: OrderResult, run: AgentRun, sent_before: bool
     ) -> bool:
@@ -679,7 +717,9 @@
         fence = self.fence
         while fence == self.fence and not self.exited:
             try:
-                result = await self.executor.stop(task, attempt, fence)
+                result = await self.executor.stop(
+                    task, attempt, call_fence(fence, self.generation)
+                )
             except HttpCallError:
                 self.record_unconfirmed()
                 await trio.sleep(RETRY_PAUSE_S)
@@ -762,7 +802,7 @@
         task, attempt = key
         try:
             result = await self.executor.set_pace(
-                task, attempt, pace_percent, self.fence
+                task, attempt, pace_percent, call_fence(self.fence, self.generation)
             )
         except HttpCallError as error:
             self.record_unconfirmed()
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -200,7 +200,8 @@
         for host in list(self.cluster.hosts.values()):
             if not host.has_lapsed(now):
                 continue
-            self.cluster.mark_all_lost(host, "lapsed", now)
+            for run in list(host.runs.values()):
+                self.cluster.mark_lost(run, "lapsed", now)
             lapsed.append(host.name)
             del self.cluster.hosts[host.name]
         return lapsed
@@ -250,10 +251,13 @@
             if executor
             else report.complete
         )
+        listed = {(row.task, row.attempt): row for row in report.runs}
         if replaced:
             if executor is not None and not previous.draining:
                 self.suspect_forgotten_runs(host, previous.incarnation, now, now_ms)
-            self.cluster.mark_all_lost(host, "executor-gone", now)
+            for key, run in list(host.runs.items()):
+                if key not in listed:
+                    self.cluster.mark_lost(run, "executor-gone", now)
             host.health.forget_refusals()
         if executor is not None or report.complete:
             host.executor = executor
@@ -269,7 +273,6 @@
         )
         first_complete = report.complete and not host.fully_reported
         host.fully_reported = host.fully_reported or report.complete
-        listed = {(row.task, row.attempt): row for row in report.runs}
         host.unknown_runs = 0
         survived = dict(zip(listed, report.survival_times_s, strict=False))
         for key, row in listed.items():
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -10,6 +10,12 @@
 from rattanwing import events
 from rattanwing.batch import messages
 from rattanwing.batch.agent import MAX_UNSTORED_CRASHES, BatchAgent, OwnerSession
+from rattanwing.batch.liveness import (
+    GENERATIONS_PER_STREAM,
+    LATE_CALL_S,
+    StartCall,
+    call_fence,
+)
 from rattanwing.batch.ports import (
     EndReason,
     OrderOutcome,
@@ -217,6 +223,9 @@
         self.assertEqual(refused, [])
 
 
+FENCE = call_fence(1, 0)
+
+
 class SameIdRestartTests(unittest.TestCase):
     def run_with_executor(self, scenario):
         """Run a scenario with an executor and the agent's view of it."""
@@ -279,7 +288,7 @@
         async def restart_between_polls(executor, runs):
             async with trio.open_nursery() as executor.nursery:
                 deadline_ms = executor.clock_ms() + 9000
-                executor.start("job-1.0.0.0", 1, deadline_ms, 1)
+                executor.start("job-1.0.0.0", 1, deadline_ms, FENCE)
                 executor.end_run(("job-1.0.0.0", 1), EndReason.DONE)
                 await runs.poll(trio.current_time(), 1)
                 runs.drop_stored_ends(1)
@@ -305,32 +314,131 @@
 
         self.run_with_executor(fail_during_poll)
 
-    def test_unanswered_start_is_stopped_on_each_later_incarnation(self):
+    def succeed(self, executor, previous):
+        """Return the agent's view of the next incarnation."""
+        view = executor.view()
+        runs = ExecutorRuns(
+            view,
+            executor.port(view),
+            trio.current_time,
+            trio.current_time() + 9,
+            lambda: None,
+            lambda *_refusal: None,
+        )
+        runs.set_fence(1)
+        runs.succeed(previous, trio.current_time())
+        return runs
+
+    def start_late(self, executor):
+        """Carry out a start call that was sent to the first incarnation."""
+        deadline_ms = executor.clock_ms() + 9000
+        return executor.start("job-1.0.0.0", 1, deadline_ms, FENCE).outcome
+
+    def test_unanswered_start_is_refused_by_each_later_incarnation(self):
+        """It was stopped there, which a late start could precede."""
+
         async def restart_twice(executor, runs):
-            now = trio.current_time()
-            run = runs.admit(start_order(start_before=now + 2))
-            runs.record_unanswered(("job-1.0.0.0", 1), run, now)
-            taken = []
+            call = StartCall(None, trio.current_time())
+            runs.start_calls.send(("job-1.0.0.0", 1), call)
             previous = runs
             for _restart in range(2):
                 executor.crash()
                 executor.restart(same_id=True)
-                view = executor.view()
-                following = ExecutorRuns(
-                    view,
-                    executor.port(view),
-                    trio.current_time,
-                    0.0,
-                    lambda: None,
-                    lambda *_refusal: None,
-                )
-                taken.append(following.take_over_runs(previous, trio.current_time()))
-                following.runs.clear()
+                following = self.succeed(executor, previous)
+                rows = following.running_rows()
+                self.assertEqual([row.task for row in rows], ["job-1.0.0.0"])
+                self.assertFalse(following.is_complete(trio.current_time()))
+                await following.poll(trio.current_time(), 1)
+                self.assertEqual(following.running_rows(), [])
+                self.assertIs(self.start_late(executor), OrderOutcome.FENCED)
                 previous = following
-            self.assertEqual(taken, [[("job-1.0.0.0", 1)]] * 2)
 
         self.run_with_executor(restart_twice)
 
+    def test_start_that_the_next_incarnation_carried_out_first_is_found_there(self):
+        async def restart(executor, runs):
+            call = StartCall(None, trio.current_time())
+            runs.start_calls.send(("job-1.0.0.0", 1), call)
+            executor.crash()
+            executor.restart(same_id=True)
+            async with trio.open_nursery() as executor.nursery:
+                self.assertIs(self.start_late(executor), OrderOutcome.ACCEPTED)
+                following = self.succeed(executor, runs)
+                await following.poll(trio.current_time(), 1)
+                await following.poll(trio.current_time(), 1)
+                executor.nursery.cancel_scope.cancel()
+            run = following.runs["job-1.0.0.0", 1]
+            self.assertTrue(run.listed)
+
+        self.run_with_executor(restart)
+
+    def test_incarnation_that_has_not_announced_itself_refuses_earlier_starts(self):
+        """Announcements may be lost or late; until one came, the next incarnation
+        carried out starts that were meant for the earlier one.
+        """
+
+        async def restart_unannounced(executor, runs):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(runs.poll_loop)
+                await trio.sleep(0.1)
+                executor.crash()
+                executor.restart(same_id=True)
+                await trio.sleep(1)
+                self.assertTrue(runs.exited)
+                self.assertIs(self.start_late(executor), OrderOutcome.FENCED)
+                nursery.cancel_scope.cancel()
+
+        self.run_with_executor(restart_unannounced)
+
+    def test_unanswered_start_is_reported_after_the_leases_have_lapsed(self):
+        """The lapse says nothing of an executor whose clock has begun anew."""
+
+        async def lose_contact(_executor, runs):
+            now = trio.current_time()
+            runs.admit(start_order(start_before=now + 2))
+            key = ("job-1.0.0.0", 1)
+            runs.start_calls.send(key, StartCall(None, now))
+            await trio.sleep(LATE_CALL_S + 10)
+            rows = runs.late_rows(trio.current_time())
+            self.assertEqual([(row.task, row.attempt) for row in rows], [key])
+            runs.record_exit()
+            self.assertEqual(runs.late_rows(trio.current_time()), [])
+            runs.restarted_under_id = True
+            self.assertEqual(len(runs.late_rows(trio.current_time())), 1)
+            await trio.sleep(2)
+            self.assertEqual(runs.late_rows(trio.current_time()), [])
+
+        self.run_with_executor(lose_contact)
+
+    def test_run_that_a_late_call_may_start_again_has_not_surely_ended(self):
+        """The repeat of the call was answered and the run listed, but the first call
+        had no answer; the owner took the run for lost with the crash.
+        """
+
+        async def crash_after_a_repeated_start(_executor, runs):
+            now = trio.current_time()
+            run = runs.admit(start_order(start_before=now + 2))
+            run.maybe_sent = run.listed = runs.restarted_under_id = True
+            key = ("job-1.0.0.0", 1)
+            runs.start_calls.send(key, StartCall(run.properties, now))
+            earlier = runs.start_calls.send(key, StartCall(run.properties, now))
+            runs.start_calls.settle(key, earlier)
+            self.assertEqual([row.ended for row in runs.crashed_runs()], [False])
+            await trio.sleep(LATE_CALL_S + 1)
+            self.assertEqual([row.ended for row in runs.crashed_runs()], [True])
+
+        self.run_with_executor(crash_after_a_repeated_start)
+
+    def test_next_stream_is_requested_when_its_generations_are_used_up(self):
+        async def restart_often(executor, runs):
+            runs.generation = GENERATIONS_PER_STREAM - 4
+            following = self.succeed(executor, runs)
+            self.assertEqual(following.generation, GENERATIONS_PER_STREAM - 2)
+            runs.generation = GENERATIONS_PER_STREAM - 3
+            self.assertFalse(following.succeed(runs, trio.current_time()))
+
+        self.run_with_executor(restart_often)
+
     def test_lease_on_the_clock_of_the_earlier_incarnation(self):
         """The clock starts anew, so the deadline was far beyond the owner's lease."""
 
--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -257,6 +257,14 @@
         self.assertEqual(self.scheduler.drop_lapsed_hosts(self.now), ["agent-1"])
         self.assertEqual(task.runs, [])
 
+    def test_restarted_executor_keeps_the_runs_that_its_agent_still_reports(self):
+        """They were marked as lost and adopted again within one report."""
+        host, _owned, task = self.started()
+        (run,) = task.runs
+        row = RunningRow(str(task.id), run.attempt, "", 0)
+        self.report(host, [row], complete=False, incarnation="agent-1@2")
+        self.assertEqual(task.runs, [run])
+
     def test_restarted_executor_has_lost_its_runs(self):
         host, _owned, task = self.started()
         self.report(host, incarnation="agent-1@2")
