Keep a run that was not confirmed beyond the lease of its host

Cause: the owner took a start without an answer for lost with the lease of its host, 9.4 s after the agent had died. An order acted upon without the state that it was decided for.

Ruled out: a second owner (both attempts were placed in epoch 2).

Change: a run that its agent has reported, but that no executor was shown to run, counts as lost only 28 s after its placement: 2 s until the order is void, 15 s for a late call, 10 s for the lease that it takes, and drift. Its host stays and is dialled until then; a complete report settles the run at once, as before. Confirmed and unreported runs are lost with the lease as before, so that a lost machine holds up only what was just being started on it.

Measured: the new test fails on the code before (host dropped). Remaining: a later owner does not know of such starts, nor of orders that the agent received in its last half second without reporting them.

--- a/rattanwing/batch/liveness.py
+++ b/rattanwing/batch/liveness.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from rattanwing.batch import messages
+    from rattanwing.batch.hosts import Run
 
 LATE_CALL_S = 15.0
 """Time in seconds for which a start call without an answer may still take effect."""
@@ -27,6 +28,10 @@
 it has started: ``LATE_CALL_S``, and the longest lease that an executor grants, on
 a clock that may be slow."""
 
+UNCONFIRMED_FOR_S = 28.0
+"""Time in seconds after its placement for which a run whose start was not confirmed may
+exist on a host out of reach: the time until its order is void, and ``LATE_RUN_S``."""
+
 RunKey = tuple[str, int]
 """Task and attempt."""
 
@@ -107,3 +112,15 @@
             for key, call in self.calls.items()
             if now - call.sent_at <= within_s
         }
+
+
+def may_outlive_lease(run: Run, now: float) -> bool:
+    """Return whether a run of a host whose lease has lapsed may still be started there.
+
+    Its deadline does not prevent that, because the clock of an executor that starts
+    again begins anew. A run that the agent has never reported counts as lost with its
+    order.
+    """
+    return (
+        run.reported and not run.confirmed and now < run.placed_at + UNCONFIRMED_FOR_S
+    )
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -15,6 +15,7 @@
 from rattanwing.batch.cluster import ClusterState, task_properties
 from rattanwing.batch.interference import InterferenceModel
 from rattanwing.batch.jobs import OwnedJob, Task
+from rattanwing.batch.liveness import may_outlive_lease
 from rattanwing.batch.model import JobState, parse_task_id
 from rattanwing.batch.placement import (
     Constraints,
@@ -192,7 +193,9 @@
     # Hosts
 
     def drop_lapsed_hosts(self, now: float) -> list[str]:
-        """Remove hosts whose lease has lapsed and mark their runs as lost.
+        """Mark the runs of hosts whose lease has lapsed as lost, and remove the hosts.
+
+        A host stays while one of its runs may still be started there.
 
         :returns: the names of the removed hosts.
         """
@@ -201,7 +204,10 @@
             if not host.has_lapsed(now):
                 continue
             for run in list(host.runs.values()):
-                self.cluster.mark_lost(run, "lapsed", now)
+                if not may_outlive_lease(run, now):
+                    self.cluster.mark_lost(run, "lapsed", now)
+            if host.runs:
+                continue
             lapsed.append(host.name)
             del self.cluster.hosts[host.name]
         return lapsed
@@ -299,6 +305,7 @@
         if row.progress_percent != run.progress_percent or not run.reported:
             run.progressed_at = now
         run.reported = True
+        run.confirmed |= survived_s > 0 or row.progress_percent > 0
         run.progress_percent = row.progress_percent
         run.record_use(row.measurement, now)
         run.checkpoint = row.checkpoint or run.checkpoint
--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -6,6 +6,7 @@
 
 from rattanwing.batch import messages
 from rattanwing.batch.jobs import MAX_ATTEMPTS_PER_EPOCH
+from rattanwing.batch.liveness import LATE_CALL_S, UNCONFIRMED_FOR_S
 from rattanwing.batch.model import JobState, StepSpec
 from rattanwing.batch.placement import MAX_STEP_SHARE, Constraints
 from rattanwing.batch.ports import EndedRow, EndReason, ExecutorView, RunningRow
@@ -257,6 +258,45 @@
         self.assertEqual(self.scheduler.drop_lapsed_hosts(self.now), ["agent-1"])
         self.assertEqual(task.runs, [])
 
+    def test_start_that_was_not_confirmed_outlives_the_lease(self):
+        """An executor that had started again carried it out; its clock began anew, so
+        that the deadline in the call did not prevent it.
+        """
+        host, _owned, task = self.started()
+        (run,) = task.runs
+        self.report(host, [RunningRow(str(task.id), run.attempt, "", 0)])
+        host.extend_lease(self.now, TASK_LEASE_S)
+        self.scheduler.cluster.end_stream(host)
+        self.now = run.placed_at + START_WITHIN_S + LATE_CALL_S + 10
+        self.assertEqual(self.scheduler.drop_lapsed_hosts(self.now), [])
+        self.assertEqual(task.runs, [run])
+        self.now = run.placed_at + UNCONFIRMED_FOR_S
+        self.assertEqual(self.scheduler.drop_lapsed_hosts(self.now), ["agent-1"])
+        self.assertEqual(task.runs, [])
+
+    def test_confirmed_run_ends_with_the_lease(self):
+        host, _owned, task = self.started()
+        (run,) = task.runs
+        row = RunningRow(str(task.id), run.attempt, "", 0)
+        self.report(host, [row], survival_times_s=[0.1])
+        host.extend_lease(self.now, TASK_LEASE_S)
+        self.scheduler.cluster.end_stream(host)
+        self.now += TASK_LEASE_S + LEASE_MARGIN_S
+        self.assertEqual(self.scheduler.drop_lapsed_hosts(self.now), ["agent-1"])
+        self.assertEqual(task.runs, [])
+
+    def test_start_that_was_not_confirmed_is_settled_by_the_next_complete_report(self):
+        host, _owned, task = self.started()
+        (run,) = task.runs
+        self.report(host, [RunningRow(str(task.id), run.attempt, "", 0)])
+        host.extend_lease(self.now, TASK_LEASE_S)
+        self.scheduler.cluster.end_stream(host)
+        self.now += TASK_LEASE_S + LEASE_MARGIN_S
+        self.scheduler.drop_lapsed_hosts(self.now)
+        self.scheduler.cluster.begin_stream(host)
+        self.report(host)
+        self.assertEqual(task.runs, [])
+
     def test_restarted_executor_keeps_the_runs_that_its_agent_still_reports(self):
         """They were marked as lost and adopted again within one report."""
         host, _owned, task = self.started()
--- a/tests/batch/test_schedules.py
+++ b/tests/batch/test_schedules.py
@@ -9,6 +9,7 @@
 SAME_ID_SEEDS = {
     4: "ends of the next incarnation were acknowledged unseen",
     7: "a start for the earlier incarnation was carried out by the new one",
+    27: "an unanswered start outlived the lease of its host, on a new clock",
     128: "a start for the first incarnation was carried out by the third",
     146: "an acknowledgement reached the next incarnation, which dropped its ends",
 }
