Forget that a run was confirmed when its executor was replaced

The test failed on the code before. The agent's end of a stream whose generations are used up has a test too (passes as it was).

--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -262,6 +262,7 @@
             if executor is not None and not previous.draining:
                 self.suspect_forgotten_runs(host, previous.incarnation, now, now_ms)
             for key, run in list(host.runs.items()):
+                run.confirmed = False
                 if key not in listed:
                     self.cluster.mark_lost(run, "executor-gone", now)
             host.health.forget_refusals()
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+import msgspec
 import trio
 import trio.testing
 
@@ -157,6 +158,21 @@
         self.assertEqual(self.owner.session.sent[-1].reason, "no-executor")
         self.assertEqual(self.agent.executor.running_rows(), [])
 
+    def test_stream_ends_when_its_generations_are_used_up(self):
+        """The fence of the next generation would be that of a later stream."""
+        self.owner.session.close = mock.Mock()
+        for generation, fence, closed in (
+            (GENERATIONS_PER_STREAM - 4, 1, 0),
+            (GENERATIONS_PER_STREAM - 3, 0, 1),
+        ):
+            self.agent.executor.generation = generation
+            view = msgspec.structs.replace(
+                self.executor.view(), incarnation=f"executor-0@{generation}"
+            )
+            self.agent.handle_announcement(view)
+            self.assertEqual(self.agent.executor.fence, fence)
+            self.assertEqual(self.owner.session.close.call_count, closed)
+
     def test_refusal_by_another_incarnation_completes_no_report(self):
         """A late announcement of an earlier incarnation reached a new process of the
         agent; the runs that the earlier process had started were reported as gone.
--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -302,8 +302,11 @@
         host, _owned, task = self.started()
         (run,) = task.runs
         row = RunningRow(str(task.id), run.attempt, "", 0)
+        self.report(host, [row], survival_times_s=[0.1])
+        self.assertTrue(run.confirmed)
         self.report(host, [row], complete=False, incarnation="agent-1@2")
         self.assertEqual(task.runs, [run])
+        self.assertFalse(run.confirmed)
 
     def test_restarted_executor_has_lost_its_runs(self):
         host, _owned, task = self.started()
