--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -16,6 +16,7 @@
 from rattanwing.batch.crashes import Crash, CrashTracker
 from rattanwing.batch.interference import InterferenceModel
 from rattanwing.batch.jobs import OwnedJob, Task
+from rattanwing.batch.liveness import may_outlive_lease
 from rattanwing.batch.model import JobState, parse_task_id
 from rattanwing.batch.placement import (
     Constraints,
@@ -181,7 +182,9 @@
     # Hosts
 
     def drop_lapsed_hosts(self, now: float) -> list[str]:
-        """Remove hosts whose lease has lapsed and mark their runs as lost.
+        """Mark the runs of hosts whose lease has lapsed as lost, and remove the hosts.
+
+        A host stays while one of its runs may still be started there.
 
         :returns: the names of the removed hosts.
         """
@@ -189,7 +192,11 @@
         for host in list(self.cluster.hosts.values()):
             if not host.has_lapsed(now):
                 continue
-            self.cluster.mark_all_lost(host, "lapsed", now)
+            for run in list(host.runs.values()):
+                if not may_outlive_lease(run, now):
+                    self.cluster.mark_lost(run, "lapsed", now)
+            if host.runs:
+                continue
             lapsed.append(host.name)
             del self.cluster.hosts[host.name]
         return lapsed
@@ -239,10 +246,14 @@
             if executor
             else report.complete
         )
+        listed = {(row.task, row.attempt): row for row in report.runs}
         if replaced:
             if executor is not None and not previous.draining:
                 self.suspect_forgotten_runs(host, previous.incarnation, now, now_ms)
-            self.cluster.mark_all_lost(host, "executor-gone", now)
+            for key, run in list(host.runs.items()):
+                run.confirmed = False
+                if key not in listed:
+                    self.cluster.mark_lost(run, "executor-gone", now)
             host.health.forget_refusals()
         if executor is not None or report.complete:
             host.executor = executor
@@ -258,7 +269,6 @@
         )
         first_complete = report.complete and not host.fully_reported
         host.fully_reported = host.fully_reported or report.complete
-        listed = {(row.task, row.attempt): row for row in report.runs}
         host.unknown_runs = 0
         survived = dict(zip(listed, report.survival_times_s, strict=False))
         for key, row in listed.items():
@@ -285,6 +295,7 @@
         if row.progress_percent != run.progress_percent or not run.reported:
             run.progressed_at = now
         run.reported = True
+        run.confirmed |= survived_s > 0 or row.progress_percent > 0
         run.progress_percent = row.progress_percent
         run.record_use(row.measurement, now)
         run.checkpoint = row.checkpoint or run.checkpoint
