Set the pace of a run again while the pace in force is not known

What callers saw: after an agent's restart a best-effort run that had been slowed, to 0 even, stayed so to its end. A run whose higher pace was set by a call without an answer worked on beside a serving task that was over its target.

Cause: a pace was sent only if it differed from the one on record. A run that an earlier process of the agent had started was on record at full pace, and a call without an answer left the record as it was, though it may have taken effect.

Change: a run's pace counts as unknown until a call for it was answered, and is taken for the highest that it may be; each adjustment sends the pace of such a run. A call that was surely not carried out changes nothing.

Three of the five tests of PaceCallTests fail on the code before: full pace after a restart (0 stays), a lower pace without an answer (50 stays), a higher one (100 stays in place of 0).

--- a/rattanwing/batch/pacing.py
+++ b/rattanwing/batch/pacing.py
@@ -124,6 +124,8 @@
     :param age_s: time since its start, in seconds.
     :param is_new: whether no pace has been set yet; the run is at full pace until
         then.
+    :param pace_known: whether the executor is known to apply ``pace_percent``;
+        otherwise it may apply a lower pace.
     """
 
     image: str
@@ -131,6 +133,7 @@
     pace_percent: int
     age_s: float = MEASURED_AFTER_S
     is_new: bool = False
+    pace_known: bool = True
 
 
 class BestEffortPacer:
@@ -367,9 +370,13 @@
 def changed_paces(
     runs: dict[Hashable, BestEffortRun], paces: dict[Hashable, float]
 ) -> dict[Hashable, int]:
-    """Return the paces, in whole percent, that differ from the current ones."""
+    """Return the paces, in whole percent, that may differ from the ones in force."""
     rounded = {key: to_percent(pace) for key, pace in paces.items()}
-    return {k: pace for k, pace in rounded.items() if pace != runs[k].pace_percent}
+    return {
+        key: pace
+        for key, pace in rounded.items()
+        if pace != runs[key].pace_percent or not runs[key].pace_known
+    }
 
 
 def to_percent(pace: float) -> int:
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -74,6 +74,8 @@
     :param checkpoint: newest checkpoint that the executor has listed.
     :param measurement: see :class:`~rattanwing.batch.ports.RunningRow`.
     :param pace: percentage of its full speed that a best-effort run may reach.
+    :param pace_known: whether the executor is known to apply ``pace``; otherwise it may
+        apply a lower one.
     :param may_be_unlisted_until: a poll sent up to this time may not list the run yet.
     :param known_to_executor: whether an answer or a listing of the executor has shown
         that it received the run's start or stop.
@@ -92,6 +94,7 @@
         "progress_percent",
         "measurement",
         "pace",
+        "pace_known",
         "may_be_unlisted_until",
         "known_to_executor",
         "maybe_sent",
@@ -114,6 +117,7 @@
         self.progress_percent = 0
         self.measurement = 0
         self.pace = FULL_PERCENT
+        self.pace_known = not known_to_executor
         self.may_be_unlisted_until = now
         self.known_to_executor = known_to_executor
         self.maybe_sent = known_to_executor
@@ -716,6 +720,7 @@
                 run.pace,
                 now - run.first_seen_at,
                 is_new=not run.pace_decided,
+                pace_known=run.pace_known,
             )
             for key, run in known
             if run.properties.best_effort
@@ -752,6 +757,10 @@
         except HttpCallError as error:
             self.record_unconfirmed()
             events.write(events.EXECUTOR_SILENT, task=task, error=error)
+            run = self.runs.get(key)
+            if run is not None and error.verdict is not Verdict.NOT_RUN:
+                run.pace = max(run.pace, pace_percent)
+                run.pace_known = False
             return
         run = self.runs.get(key)
         if result.outcome is not OrderOutcome.ACCEPTED or run is None:
@@ -766,3 +775,4 @@
             tails=[(load.tail_ms, load.target_ms) for load in serving],
         )
         run.pace = pace_percent
+        run.pace_known = True
--- /dev/null
+++ b/tests/batch/test_pacing.py
@@ -0,0 +1,119 @@
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from rattanwing.batch import messages
+from rattanwing.batch.pacing import ADJUSTMENT_INTERVAL_S
+from rattanwing.batch.ports import OrderOutcome, OrderResult, PollResult, RunningRow
+from rattanwing.batch.runs import ExecutorRuns
+from rattanwing.standin.runs import StandinBatchExecutor
+from rattanwing.util.http_client import HttpCallError
+from rattanwing.verdict import Verdict
+
+TARGET_MS = 1000
+UNANSWERED = HttpCallError(Verdict.MAY_HAVE_RUN, "no answer in time")
+
+
+class PacePort:
+    """Records pace calls.
+
+    :param paces: the paces that the executor has applied, by task.
+    :param unanswered: number of calls to come that take effect without an answer.
+    :param refused: number of calls to come that are not carried out.
+    """
+
+    def __init__(self, paces):
+        self.paces = dict(paces)
+        self.calls = []
+        self.unanswered = 0
+        self.refused = 0
+
+    async def set_pace(self, task, _attempt, pace_percent, _fence):
+        self.calls.append((task, pace_percent))
+        if self.refused > 0:
+            self.refused -= 1
+            raise HttpCallError(Verdict.NOT_RUN, "connection refused")
+        self.paces[task] = pace_percent
+        if self.unanswered > 0:
+            self.unanswered -= 1
+            raise UNANSWERED
+        return OrderResult(OrderOutcome.ACCEPTED, 1000)
+
+
+class PaceCallTests(unittest.TestCase):
+    """An agent and the pace calls of one serving task and one best-effort run.
+
+    The best-effort image is not known to the agent, so that it is slowed when the
+    serving task's headroom is short.
+    """
+
+    def setUp(self):
+        self.now = 100.0
+        view = StandinBatchExecutor("executor-0", "a", [], lambda _t: 1.0).view()
+        self.port = PacePort({"fill": 100})
+        self.runs = ExecutorRuns(
+            view, self.port, lambda: self.now, 0.0, lambda: None, lambda *_: None
+        )
+        self.runs.set_fence(1)
+
+    def list_runs(self):
+        """Apply a listing of runs that an earlier process of the agent started."""
+        rows = [RunningRow("serve", 1, "", 0), RunningRow("fill", 1, "", 0)]
+        self.runs.apply_listing(PollResult(1000, rows, []), self.now, self.now)
+        for name, target_ms in (("serve", TARGET_MS), ("fill", 0)):
+            self.runs.runs[name, 1].properties = messages.TaskProperties(
+                10, 10, 0, target_ms == 0, target_ms, name
+            )
+
+    def adjust(self, headroom):
+        """Pace the runs at a headroom; return the pace in force at the executor."""
+        self.now += ADJUSTMENT_INTERVAL_S + 0.01
+        self.runs.runs["serve", 1].measurement = int(TARGET_MS / headroom)
+        trio.run(self.runs.pace_best_effort_runs)
+        return self.port.paces["fill"]
+
+    def test_run_that_an_earlier_process_of_the_agent_slowed_returns_to_full_pace(self):
+        self.port.paces["fill"] = 0
+        self.list_runs()
+        self.assertEqual(self.adjust(5.0), 100)
+
+    def test_unanswered_lower_pace_is_raised_again(self):
+        """The call takes effect, and the next decision is the pace before it."""
+        self.list_runs()
+        self.adjust(5.0)
+        self.port.unanswered = 1
+        self.assertLess(self.adjust(1.2), 100)
+        paces = [self.adjust(5.0) for _ in range(5)]
+        self.assertEqual(paces[-1], 100)
+
+    def test_unanswered_higher_pace_is_lowered_again(self):
+        """The call takes effect, and a serving task is then over its target."""
+        self.list_runs()
+        while self.adjust(0.6) > 0:
+            pass
+        self.port.unanswered = 1
+        self.assertGreater(self.adjust(5.0), 0)
+        for _ in range(3):
+            self.adjust(0.6)
+        self.assertEqual(self.port.paces["fill"], 0)
+
+    def test_call_that_was_not_carried_out_leaves_the_pace_as_it_is(self):
+        self.list_runs()
+        self.adjust(5.0)
+        self.port.refused = 1
+        self.assertEqual(self.adjust(1.2), 100)
+        calls = len(self.port.calls)
+        self.adjust(5.0)
+        self.assertEqual(len(self.port.calls), calls)
+
+    def test_answered_paces_are_not_set_again(self):
+        self.list_runs()
+        for _ in range(5):
+            self.adjust(5.0)
+        calls = len(self.port.calls)
+        for _ in range(5):
+            self.adjust(5.0)
+        self.assertEqual(len(self.port.calls), calls)
+        self.assertLessEqual(calls, 1)
