Speed up no best-effort run while a serving task is over its target

In on side-abertawe-b-2 the tail was 29 ms of 24 at 27.1 s and 244 at 28.1 s; there a run went from 0 to 100 and another from 77 to 100; all runs were set to 0 at 29.6 s, four that started after that were at 100 until 30.5 s, when the tail was 123; the next decision, under the target, came at 32.2 s.

Cause: a run whose estimate is 0 was slowed only if no interfering run and no run without an estimate was there to slow, and was else raised to 100, whatever the tails. Each new one was set to 100 between two adjustments, also after all runs had been set to 0.

Change: while a serving task is over its target, no run is sped up and new ones get pace 0.

--- a/rattanwing/batch/pacing.py
+++ b/rattanwing/batch/pacing.py
@@ -195,14 +195,16 @@
         """
         self.causes = {}
         new = {key for key, run in runs.items() if run.is_new}
+        over = any(latency.headroom < 1 for latency in serving)
         if now - self.last_adjusted_at < ADJUSTMENT_INTERVAL_S:
             if not new:
                 return {}
             paces = self.compute_paces(serving, runs, new, may_slow=False)
+            if over:
+                self.forbid_increases(runs, paces)
             self.limit_cpu(serving, runs, paces, cpu)
             return changed_paces(runs, paces)
         self.last_adjusted_at = now
-        over = any(latency.headroom < 1 for latency in serving)
         if not over:
             self.over_since = None
         elif self.over_since is None:
@@ -211,9 +213,29 @@
             self.causes = dict.fromkeys(runs, "over-target")
             return changed_paces(runs, dict.fromkeys(runs, 0.0))
         paces = self.compute_paces(serving, runs, set(runs), may_slow=True)
+        if over:
+            self.forbid_increases(runs, paces)
         self.limit_cpu(serving, runs, paces, cpu)
         return changed_paces(runs, paces)
 
+    def forbid_increases(
+        self, runs: dict[Hashable, BestEffortRun], paces: dict[Hashable, float]
+    ) -> None:
+        """Keep runs from being sped up, and new runs at pace 0.
+
+        It applies while a serving task is over its target, to runs that are not known
+        to interfere as well: several of them together may.
+
+        :param paces: new paces in percent, updated in place.
+        """
+        for key, pace in paces.items():
+            run = runs[key]
+            highest = 0 if run.is_new else run.pace_percent
+            if pace > highest:
+                paces[key] = float(highest)
+                if run.is_new:
+                    self.causes[key] = "over-target"
+
     def limit_cpu(
         self,
         serving: list[ServingLatency],
--- a/tests/batch/test_pacing.py
+++ b/tests/batch/test_pacing.py
@@ -5,7 +5,12 @@
 import trio
 
 from rattanwing.batch import messages
-from rattanwing.batch.pacing import ADJUSTMENT_INTERVAL_S
+from rattanwing.batch.pacing import (
+    ADJUSTMENT_INTERVAL_S,
+    BestEffortPacer,
+    BestEffortRun,
+    ServingLatency,
+)
 from rattanwing.batch.ports import OrderOutcome, OrderResult, PollResult, RunningRow
 from rattanwing.batch.runs import ExecutorRuns
 from rattanwing.standin.runs import StandinBatchExecutor
@@ -16,6 +21,59 @@
 UNANSWERED = HttpCallError(Verdict.MAY_HAVE_RUN, "no answer in time")
 
 
+class OverTargetTests(unittest.TestCase):
+    """Decisions while a serving task is over its target, or has just been.
+
+    The estimates say that the run "light" does not interfere.
+    """
+
+    def setUp(self):
+        self.pacer = BestEffortPacer()
+        self.pacer.set_interference([("watch", "light", 0.0), ("watch", "heavy", 0.1)])
+        self.runs = {}
+        self.now = 100.0
+
+    def add_run(self, name, image, pace_percent=100, is_new=False):
+        self.runs[name] = BestEffortRun(image, 6000, pace_percent, is_new=is_new)
+
+    def decide(self, *headrooms, after_s=ADJUSTMENT_INTERVAL_S + 0.01):
+        """Apply one decision; return the paces by name."""
+        self.now += after_s
+        serving = [
+            ServingLatency("watch", int(TARGET_MS / headroom), TARGET_MS)
+            for headroom in headrooms
+        ]
+        paces = self.pacer.decide(serving, self.runs, self.now)
+        for name, run in self.runs.items():
+            run.pace_percent = paces.get(name, run.pace_percent)
+            run.is_new = False
+        return {name: run.pace_percent for name, run in self.runs.items()}
+
+    def test_no_run_is_sped_up_while_a_serving_task_is_over_its_target(self):
+        self.add_run("l", "light", 20)
+        self.add_run("h", "heavy", 100)
+        self.add_run("u", "unseen", 100)
+        paces = self.decide(5.0, 0.5)
+        self.assertLessEqual(paces["l"], 20)
+        self.assertLess(paces["h"], 100)
+        self.assertLess(paces["u"], 100)
+
+    def test_run_that_starts_beside_a_task_over_its_target_waits(self):
+        """It starts at an adjustment and between two adjustments."""
+        self.add_run("h", "heavy", 100)
+        self.add_run("l", "light", 100, is_new=True)
+        self.assertEqual(self.decide(0.5)["l"], 0)
+        self.add_run("m", "light", 100, is_new=True)
+        self.assertEqual(self.decide(0.5, after_s=0.1)["m"], 0)
+
+    def test_runs_that_waited_start_once_the_target_is_met(self):
+        self.add_run("l", "light", 100, is_new=True)
+        self.decide(0.5)
+        for _ in range(12):
+            paces = self.decide(5.0)
+        self.assertEqual(paces, {"l": 100})
+
+
 class PacePort:
     """Records pace calls.
 
