--- a/rattanwing/batch/pacing.py
+++ b/rattanwing/batch/pacing.py
@@ -124,6 +124,8 @@
     :param age_s: time since its start, in seconds.
     :param is_new: whether no pace has been set yet; the run is at full pace until
         then.
+    :param pace_known: whether the executor is known to apply ``pace_percent``;
+        otherwise it may apply a lower pace.
     """
 
     image: str
@@ -131,6 +133,7 @@
     pace_percent: int
     age_s: float = MEASURED_AFTER_S
     is_new: bool = False
+    pace_known: bool = True
 
 
 class BestEffortPacer:
@@ -192,14 +195,16 @@
         """
         self.causes = {}
         new = {key for key, run in runs.items() if run.is_new}
+        over = any(latency.headroom < 1 for latency in serving)
         if now - self.last_adjusted_at < ADJUSTMENT_INTERVAL_S:
             if not new:
                 return {}
             paces = self.compute_paces(serving, runs, new, may_slow=False)
+            if over:
+                self.forbid_increases(runs, paces)
             self.limit_cpu(serving, runs, paces, cpu)
             return changed_paces(runs, paces)
         self.last_adjusted_at = now
-        over = any(latency.headroom < 1 for latency in serving)
         if not over:
             self.over_since = None
         elif self.over_since is None:
@@ -208,9 +213,29 @@
             self.causes = dict.fromkeys(runs, "over-target")
             return changed_paces(runs, dict.fromkeys(runs, 0.0))
         paces = self.compute_paces(serving, runs, set(runs), may_slow=True)
+        if over:
+            self.forbid_increases(runs, paces)
         self.limit_cpu(serving, runs, paces, cpu)
         return changed_paces(runs, paces)
 
+    def forbid_increases(
+        self, runs: dict[Hashable, BestEffortRun], paces: dict[Hashable, float]
+    ) -> None:
+        """Keep runs from being sped up, and new runs at pace 0.
+
+        It applies while a serving task is over its target, to runs that are not known
+        to interfere as well: several of them together may.
+
+        :param paces: new paces in percent, updated in place.
+        """
+        for key, pace in paces.items():
+            run = runs[key]
+            highest = 0 if run.is_new else run.pace_percent
+            if pace > highest:
+                paces[key] = float(highest)
+                if run.is_new:
+                    self.causes[key] = "over-target"
+
     def limit_cpu(
         self,
         serving: list[ServingLatency],
@@ -367,9 +392,13 @@
 def changed_paces(
     runs: dict[Hashable, BestEffortRun], paces: dict[Hashable, float]
 ) -> dict[Hashable, int]:
-    """Return the paces, in whole percent, that differ from the current ones."""
+    """Return the paces, in whole percent, that may differ from the ones in force."""
     rounded = {key: to_percent(pace) for key, pace in paces.items()}
-    return {k: pace for k, pace in rounded.items() if pace != runs[k].pace_percent}
+    return {
+        key: pace
+        for key, pace in rounded.items()
+        if pace != runs[key].pace_percent or not runs[key].pace_known
+    }
 
 
 def to_percent(pace: float) -> int:
