Start orders use no heartbeat of an agent's earlier incarnation

Cause: an entry keeps an agent's last heartbeat over its restart, until the first one on the new stream. A start order in between names the new incarnation, but echoes a time of the earlier one. After a reboot of the host that is a time of another clock, possibly far in the future, and the agent computed the task's lease from it.

Change: a changed incarnation drops the heartbeat (the agent then is not known to accept tasks), and agents refuse orders whose time lies in the future as stale.

--- a/rattanwing/agent/tasks.py
+++ b/rattanwing/agent/tasks.py
@@ -397,7 +397,7 @@
             return "leaving"
         if not self.session:
             return "no-session"
-        if now - order.echo > MAX_START_ORDER_AGE_S:
+        if not 0 <= now - order.echo <= MAX_START_ORDER_AGE_S:
             return "stale-order"
         if order.job in self.tasks:
             return "earlier-attempt-runs"
--- a/rattanwing/entry/agents.py
+++ b/rattanwing/entry/agents.py
@@ -118,7 +118,11 @@
             self.detach(handle, session)
 
     def attach(self, hello: messages.Hello) -> AgentHandle:
-        """Return the handle for a new stream and close the agent's old stream."""
+        """Return the handle for a new stream and close the agent's old stream.
+
+        A restarted agent's earlier heartbeat is dropped; if its host has restarted too,
+        the heartbeat's time is of another clock.
+        """
         now = self.app.now()
         handle = self.agents.get(hello.name)
         if handle is None:
@@ -127,6 +131,8 @@
             self.agents[hello.name] = handle
         if handle.session is not None:
             handle.session.close()
+        if handle.hello.incarnation != hello.incarnation:
+            handle.heartbeat = messages.Heartbeat(0.0)
         handle.hello = hello
         handle.last_heard_at = now
         handle.connected_at = now
--- a/tests/test_worker_restart.py
+++ b/tests/test_worker_restart.py
@@ -4,10 +4,12 @@
 import signal
 import unittest
 
+import msgspec
 import trio
 
 from rattanwing.agent.colocation import MIN_SHARE
 from rattanwing.agent.worker import WorkerError
+from rattanwing.messages import StartTask
 from tests.history import find_violations
 from tests.processes import Deployment, call, wait_for
 from tests.world import run_world
@@ -316,6 +318,36 @@
         self.assertEqual(find_violations(run_world(scenario)), [])
 
 
+class AgentRestartTests(unittest.TestCase):
+    def test_heartbeat_of_the_earlier_incarnation_is_not_used(self):
+        """Start orders would carry a time of another clock after a reboot."""
+
+        async def scenario(world):
+            await start_agents(world, executor=False)
+            directory = world.app("entry-1").get("agents")
+            hello = directory.agents["agent-1"].hello
+            self.assertTrue(directory.attach(hello).heartbeat.accepts_tasks)
+            hello = msgspec.structs.replace(hello, incarnation="next")
+            self.assertFalse(directory.attach(hello).heartbeat.accepts_tasks)
+
+        run_world(scenario)
+
+    def test_order_with_a_time_in_the_future_is_refused(self):
+        async def scenario(world):
+            await start_agents(world, executor=False)
+            manager = world.app("agent-1").get("tasks")
+            incarnation = world.app("agent-1").get("connector").incarnation
+            epoch = manager.epochs[0]
+            for echo, job in ((trio.current_time() + 1000.0, "j1"), (0.5, "j2")):
+                order = StartTask(
+                    0, epoch, incarnation, echo, job, 1, "c", "t", 1.0, 1, 0, "", None
+                )
+                manager.handle_start(order)
+            self.assertEqual(list(manager.tasks), ["j2"])
+
+        run_world(scenario)
+
+
 class WorkerProcessTests(unittest.TestCase):
     def test_job_is_run_again_after_the_worker_process_was_killed(self):
         deployment = Deployment(entries=1, agents=1)
