Requests avoid an executor that refuses connections

Callers saw: not-run for a request while its only executor was starting, in milliseconds and not at the deadline; and with several executors, not-run for a part of the requests as long as one of them was away.

Cause: an agent announced its executor whether or not it could be reached. An executor that refuses connections answers quickly, looks idle and attracts requests; each costs a retry, and the retries of the service run out.

Change: an agent announces that its executor can be reached once a connection was accepted, withdraws that when one is refused, and probes it meanwhile. Entries leave such executors out, and without another one wait until the deadline as for a service without executors. A heartbeat of a build before this change counts as reachable. Event 306 names what was known of the agents when a request found no executor, 307 the error of a failed call, 308 and 309 the change; before, the logs told none of this.

FakeExecutor refuses connections on demand.

--- a/rattanwing/agent/connector.py
+++ b/rattanwing/agent/connector.py
@@ -86,6 +86,7 @@
         if requests is not None:
             beat.busy = requests.admission.busy
             beat.queued = requests.admission.count_queued()
+            beat.executor_reachable = requests.executor_reachable
         tasks = self.app.services.get("tasks")
         if tasks is not None:
             tasks.add_load(beat)
--- a/rattanwing/agent/requests.py
+++ b/rattanwing/agent/requests.py
@@ -11,7 +11,12 @@
 from rattanwing.agent.admission import FIRST_DEFERRABLE_PRIORITY, Admission
 from rattanwing.errors import RejectedError
 from rattanwing.messages import OutcomeQuery, ServiceAnswer, ServiceRequest
-from rattanwing.util.http_client import HttpCallError, HttpClient, HttpResponse
+from rattanwing.util.http_client import (
+    HttpCallError,
+    HttpClient,
+    HttpResponse,
+    NoConnectionError,
+)
 from rattanwing.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -27,9 +32,16 @@
 """Limit of latency samples kept for one window of the colocation policy."""
 
 
+PROBE_INTERVAL_S = 0.25
+"""Interval of the probes of an executor that can't be reached."""
+
+
 class Executor(Protocol):
     """Interface of the executor on this host."""
 
+    async def probe(self) -> None:
+        """Open a connection; see :meth:`HttpClient.probe`."""
+
     async def call(
         self,
         method: str,
@@ -63,6 +75,7 @@
     :param known: requests by id.
     :param answered: ids of answered requests, oldest answer first.
     :param open_requests: number of requests that are queued or running.
+    :param executor_reachable: whether the executor accepted the latest connection.
     :param request_ended: set when a queued or running request ends.
     :param latencies: seconds that recent requests of urgent classes took at the
         executor, for the colocation policy.
@@ -75,6 +88,7 @@
         "known",
         "answered",
         "open_requests",
+        "executor_reachable",
         "request_ended",
         "nursery",
         "latencies",
@@ -88,16 +102,35 @@
         self.known: dict[str, KnownRequest] = {}
         self.answered: deque[str] = deque()
         self.open_requests = 0
+        self.executor_reachable = False
         self.request_ended = trio.Event()
         self.nursery: trio.Nursery | None = None
         self.latencies: deque[float] = deque(maxlen=MAX_LATENCY_SAMPLES)
         app.connect("entry-message", self.handle_message)
 
     async def run(self) -> None:
-        """Run the nursery in which requests are served, until cancelled."""
+        """Serve requests, and probe an unreachable executor, until cancelled."""
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
-            await trio.sleep_forever()
+            while True:
+                if not self.executor_reachable:
+                    await self.probe_executor()
+                await trio.sleep(PROBE_INTERVAL_S)
+
+    async def probe_executor(self) -> None:
+        """Announce the executor once it accepts a connection."""
+        try:
+            await self.executor.probe()
+        except NoConnectionError:
+            return
+        events.write(events.EXECUTOR_REACHABLE)
+        self.set_reachable(True)
+
+    def set_reachable(self, reachable: bool) -> None:
+        """Tell every entry whether requests can reach the executor."""
+        self.executor_reachable = reachable
+        connector = self.app.get("connector")
+        connector.broadcast(connector.make_heartbeat())
 
     def handle_message(self, entry: str, message: object) -> None:
         """Handle a message of an entry."""
@@ -180,7 +213,18 @@
                 request.body,
                 deadline - started_at,
             )
+        except NoConnectionError as error:
+            if self.executor_reachable:
+                events.write(events.EXECUTOR_UNREACHABLE, error=error)
+                self.set_reachable(False)
+            return not_run_answer(request.request_id, "executor-unreachable")
         except HttpCallError as error:
+            events.write(
+                events.EXECUTOR_CALL_FAILED,
+                request=request.request_id,
+                verdict=error.verdict.value,
+                error=error,
+            )
             return ServiceAnswer(
                 request.request_id, error.verdict.value, "executor-failed"
             )
--- a/rattanwing/entry/agents.py
+++ b/rattanwing/entry/agents.py
@@ -17,6 +17,9 @@
 """Seconds after its last message until a disconnected agent is removed; far longer
 than a task lease."""
 
+NO_HEARTBEAT = messages.Heartbeat(0.0, executor_reachable=False)
+"""Stands for the heartbeat of an agent that has sent none; it accepts no work."""
+
 
 class AgentHandle:
     """What this entry knows about one agent.
@@ -27,7 +30,7 @@
 
     :param hello: first message on the newest stream.
     :param session: session on the newest stream, or ``None`` once it has ended.
-    :param heartbeat: latest heartbeat; zeros before the first one.
+    :param heartbeat: latest heartbeat; ``NO_HEARTBEAT`` before the first one.
     :param last_heard_at: when the agent last connected or sent a message.
     :param connected_at: when the newest stream opened.
     :param in_flight: this entry's requests that wait for the agent's answer.
@@ -48,7 +51,7 @@
     def __init__(self, hello: messages.Hello, now: float) -> None:
         self.hello = hello
         self.session: PeerSession | None = None
-        self.heartbeat = messages.Heartbeat(0.0)
+        self.heartbeat = NO_HEARTBEAT
         self.last_heard_at = now
         self.connected_at = now
         self.in_flight = 0
@@ -132,7 +135,7 @@
         if handle.session is not None:
             handle.session.close()
         if handle.hello.incarnation != hello.incarnation:
-            handle.heartbeat = messages.Heartbeat(0.0)
+            handle.heartbeat = NO_HEARTBEAT
         handle.hello = hello
         handle.last_heard_at = now
         handle.connected_at = now
--- a/rattanwing/entry/dispatch.py
+++ b/rattanwing/entry/dispatch.py
@@ -131,6 +131,8 @@
         answer = not_run_answer("", "no-executor")
         while len(tried) < MAX_ATTEMPTS and self.app.now() < request.deadline:
             handle = await self.choose_executor(request, tried)
+            if handle is None and not tried:
+                self.report_no_executor(request)
             if handle is None or (tried and not budget.try_withdraw()):
                 break
             tried.add(handle.name)
@@ -139,6 +141,24 @@
                 break
         return answer
 
+    def report_no_executor(self, request: CallerRequest) -> None:
+        """Write what is known of the agents that announced the service."""
+        now = self.app.now()
+        agents = {
+            handle.name: {
+                "silent_s": round(now - handle.last_heard_at, 2),
+                "connected": handle.is_connected(),
+                "reachable": handle.heartbeat.executor_reachable,
+                "leaving": handle.heartbeat.leaving,
+            }
+            for handle in self.app.get("agents").agents.values()
+            if handle.hello.executor is not None
+            and handle.hello.executor.service == request.service
+        }
+        events.write(
+            events.REQUEST_WITHOUT_EXECUTOR, service=request.service, agents=agents
+        )
+
     async def choose_executor(
         self, request: CallerRequest, tried: set[str]
     ) -> AgentHandle | None:
--- a/rattanwing/entry/router.py
+++ b/rattanwing/entry/router.py
@@ -97,6 +97,7 @@
         if handle.hello.executor is not None
         and handle.hello.executor.service == service
         and handle.is_responsive(now)
+        and handle.heartbeat.executor_reachable
         and not handle.heartbeat.leaving
     ]
     in_service = [h for h in serving if h.hello.failure_domain not in domains_out]
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -80,6 +80,18 @@
     "No answer to a request arrived in time; the request may have run.",
 )
 REQUEST_MALFORMED = Event(303, logbook.INFO, "A malformed request was refused.")
+REQUEST_WITHOUT_EXECUTOR = Event(
+    306,
+    logbook.WARNING,
+    "No executor of the service was available until the deadline; it did not run.",
+)
+EXECUTOR_CALL_FAILED = Event(
+    307, logbook.WARNING, "A call to the executor failed; see verdict and error."
+)
+EXECUTOR_UNREACHABLE = Event(
+    308, logbook.WARNING, "The executor refuses connections; requests avoid it."
+)
+EXECUTOR_REACHABLE = Event(309, logbook.INFO, "The executor accepts connections.")
 REQUEST_FAILED = Event(305, logbook.ERROR, "A request failed with an unexpected error.")
 EXECUTOR_EJECTED = Event(
     304, logbook.WARNING, "An executor is much slower than others; requests avoid it."
--- a/rattanwing/messages.py
+++ b/rattanwing/messages.py
@@ -76,6 +76,7 @@
     :param leaving: whether the agent is shutting down and accepts no new work.
     :param accepts_tasks: whether the agent would accept a task now. This is a hint;
         the agent checks again when it receives the start order.
+    :param executor_reachable: whether the executor accepted the latest connection.
     """
 
     sent_at: float
@@ -88,6 +89,7 @@
     latency_ratio: float = 0.0
     leaving: bool = False
     accepts_tasks: bool = False
+    executor_reachable: bool = True
 
 
 class OwnedShard(msgspec.Struct, array_like=True):
--- a/rattanwing/util/http_client.py
+++ b/rattanwing/util/http_client.py
@@ -51,6 +51,10 @@
         self.verdict = verdict
 
 
+class NoConnectionError(HttpCallError):
+    """The server could not be reached."""
+
+
 class HttpResponse(msgspec.Struct):
     """A complete HTTP response."""
 
@@ -192,6 +196,14 @@
                 raise answer_lost("no answer in time") from error
             raise HttpCallError(Verdict.NOT_RUN, "no free connection") from error
 
+    async def probe(self) -> None:
+        """Open a connection and keep it for a call.
+
+        :raises NoConnectionError: when the server can't be reached.
+        """
+        async with self.slots:
+            self.idle.append((await self.connect(), trio.current_time()))
+
     async def exchange(
         self, connection: trio.SocketStream, request: bytes
     ) -> HttpResponse:
@@ -234,13 +246,14 @@
     async def connect(self) -> trio.SocketStream:
         """Open a connection.
 
-        :raises HttpCallError: when there is none within ``CONNECT_TIMEOUT_S``, or the
-            address is invalid.
+        :raises NoConnectionError: when there is none within ``CONNECT_TIMEOUT_S``, or
+            the address is invalid.
         """
         try:
             host, port = split_address(self.address)
         except ValueError as error:
-            raise HttpCallError(Verdict.NOT_RUN, f"no connection: {error}") from error
+            detail = f"no connection: {error}"
+            raise NoConnectionError(Verdict.NOT_RUN, detail) from error
         sock = trio.socket.socket()
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
@@ -248,7 +261,7 @@
         except (OSError, trio.TooSlowError) as error:
             sock.close()
             detail = f"no connection: {error}"
-            raise HttpCallError(Verdict.NOT_RUN, detail) from error
+            raise NoConnectionError(Verdict.NOT_RUN, detail) from error
         except trio.Cancelled:
             sock.close()
             raise
--- a/tests/world.py
+++ b/tests/world.py
@@ -28,7 +28,11 @@
 )
 from rattanwing.standin.log import MemoryLog
 from rattanwing.standin.worker import MemoryWorker
-from rattanwing.util.http_client import HttpCallError, HttpResponse
+from rattanwing.util.http_client import (
+    HttpCallError,
+    HttpResponse,
+    NoConnectionError,
+)
 from rattanwing.verdict import Verdict
 from tests.history import AppliedVersion, Call, Execution, History, Run, expected_body
 
@@ -137,6 +141,7 @@
     :param lose_answers: number of following requests that are executed but whose
         answers are lost.
     :param hang: whether requests wait until their timeout.
+    :param down: whether connections are refused.
     """
 
     def __init__(self, world, agent):
@@ -147,8 +152,15 @@
         self.duration = None
         self.lose_answers = 0
         self.hang = False
+        self.down = False
+
+    async def probe(self):
+        await trio.sleep(0)
+        if self.down:
+            raise NoConnectionError(Verdict.NOT_RUN, "refused")
 
     async def call(self, method, target, headers, body, timeout_s):
+        await self.probe()
         marker = target.rpartition("/")[2]
         self.world.history.executions.append(
             Execution(marker, self.agent, trio.current_time())
