Slow every best-effort run while a serving task is over its target

Cause: runs with an estimate of 0 were slowed only when no run without an estimate was on the host.

Change: while a serving task is over its target and the runs known to interfere do not account for it, all others are halved, with and without an estimate.

test_every_run_is_slowed_while_a_serving_task_is_over_its_target fails on the code before: (100, 50) in place of (50, 50).

--- a/rattanwing/batch/pacing.py
+++ b/rattanwing/batch/pacing.py
@@ -59,7 +59,7 @@
 the half second that they cover and one poll of the executor."""
 
 UNKNOWN_SLOWDOWN_FACTOR = 0.5
-"""Factor per adjustment by which a run whose interference is unknown is slowed."""
+"""Factor per adjustment by which a run that is not known to interfere is slowed."""
 
 ZERO_BELOW_PERCENT = 15
 """A pace below this percentage is set to 0."""
@@ -342,14 +342,14 @@
                 return set(interfering)
         if latency.headroom >= UNKNOWN_SLOW_BELOW:
             return set(interfering)
-        unknown = [key for key in runs if loss_by_run[key] is None]
-        if not unknown and latency.headroom < 1:
-            unknown = [key for key in runs if not loss_by_run[key]]
-        for key in unknown:
+        others = [key for key in runs if loss_by_run[key] is None]
+        if latency.headroom < 1:
+            others = [key for key in runs if not loss_by_run[key]]
+        for key in others:
             paces[key] = min(
                 paces[key], runs[key].pace_percent * UNKNOWN_SLOWDOWN_FACTOR
             )
-        return {*interfering, *unknown}
+        return {*interfering, *others}
 
     def largest_loss(self, serving: list[ServingLatency], run: BestEffortRun) -> float:
         """Return the largest loss that a run causes; 1e9 if one is unknown."""
--- a/tests/batch/test_pacing.py
+++ b/tests/batch/test_pacing.py
@@ -58,6 +58,14 @@
         self.assertLess(paces["h"], 100)
         self.assertLess(paces["u"], 100)
 
+    def test_every_run_is_slowed_while_a_serving_task_is_over_its_target(self):
+        """The run without an estimate is slowed, and that may not be enough."""
+        for name, image in (("l", "light"), ("h", "heavy"), ("u", "unseen")):
+            self.add_run(name, image, 100)
+        paces = self.decide(5.0, 0.2)
+        self.assertEqual(paces["h"], 0)
+        self.assertEqual((paces["l"], paces["u"]), (50, 50))
+
     def test_run_that_starts_beside_a_task_over_its_target_waits(self):
         """It starts at an adjustment and between two adjustments."""
         self.add_run("h", "heavy", 100)
