Start nothing beside a suspect that has crashed two executors

What callers saw: jobs without a crashing task are given up. Class: a limit meant for waves of suspects also bound the last test before a verdict. Ruled out: crashes counted twice. The limit holds only for tasks with one crash now. Measured: the test failed with the condition switched off.

--- a/rattanwing/batch/crashes.py
+++ b/rattanwing/batch/crashes.py
@@ -186,7 +186,8 @@
         """Keep other starts off a host where a suspected task starts, if possible."""
         hosts = self.cluster.hosts.values()
         run.host.suspect_run = run
-        if may_hold(sum(host.is_held(now) for host in hosts), len(hosts)):
+        held = sum(host.is_held(now) for host in hosts)
+        if may_hold(held, len(hosts), len(run.task.crashed_on)):
             run.host.held_until = now + HOLD_S
 
     def record_survival(self, run: Run) -> bool:
--- a/rattanwing/batch/suspicion.py
+++ b/rattanwing/batch/suspicion.py
@@ -28,7 +28,8 @@
 has just started there, so that only this task can be the cause of a crash."""
 
 HELD_SHARE = 0.25
-"""Largest share of the hosts that are held at the same time, but at least one."""
+"""Largest share of the hosts that are held at the same time for tasks with one crash,
+but at least one."""
 
 SAME_TIME_S = 0.1
 """Crashes of executors that are no further apart than this, in seconds, may have one
@@ -85,13 +86,16 @@
     return crashes >= limit or coincidences < COINCIDENCE_LIMIT
 
 
-def may_hold(held: int, hosts: int) -> bool:
+def may_hold(held: int, hosts: int, crashes: int) -> bool:
     """Return whether one more host may be held.
 
     :param held: number of hosts that are held now.
     :param hosts: number of all hosts.
+    :param crashes: number of executors that crashed soon after starting the task to
+        hold it for. A task with more than one is never left to start beside others: its
+        next crash may end its job.
     """
-    return held < max(1, int(hosts * HELD_SHARE))
+    return crashes > 1 or held < max(1, int(hosts * HELD_SHARE))
 
 
 def is_isolated(crashed_at: float, others: Iterable[float]) -> bool:
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -434,6 +434,20 @@
         self.survive("job-1.0.0.0")
         self.assertIn(tested.name, {host for host, _task in self.place()})
 
+    def test_nothing_starts_beside_any_suspect_that_has_crashed_two_executors(self):
+        """It was given up after the crash of another task that started beside it."""
+        jobs = [self.add_job(job(f"job-{n}", (SMALL,))) for n in (1, 2)]
+        for owned in jobs:
+            for number in (1, 2):
+                owned.suspect(owned.tasks()[0], f"{owned.spec.job_id}@{number}")
+        self.place()
+        tested = {self.host_of(f"job-{n}.0.0.0") for n in (1, 2)}
+        self.assertEqual(len(tested), 2)
+        self.add_job(job("job-3", (StepSpec(40, cpu=500, memory_mb=100),)))
+        hosts = {host for host, _task in self.place()}
+        free = set(self.hosts) - tested
+        self.assertEqual(hosts, {host.name for host in free})
+
     def test_job_with_a_suspect_starts_one_task_at_a_time(self):
         owned = self.add_job(job(steps=(StepSpec(4, cpu=500, memory_mb=100),)))
         for task in owned.tasks()[1:3]:
