--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -181,10 +181,17 @@
         broken=True,
         incarnation=None,
         begun=True,
+        noticed_s=0.0,
     ):
         """Report the crash of a host's executor, which had just started some tasks."""
         rows = [
-            messages.CrashedRun(task, self.attempt(task), survived_s, begun=begun)
+            messages.CrashedRun(
+                task,
+                self.attempt(task),
+                survived_s,
+                begun=begun,
+                noticed_s=noticed_s,
+            )
             for task in tasks
         ]
         incarnation = incarnation or host.executor.incarnation
@@ -269,6 +276,17 @@
         self.assertEqual(len(task.crashed_on), 2)
         self.assertFalse(owned.state.final)
 
+    def test_crash_that_was_noticed_late_is_not_clear(self):
+        owned = self.add_job(job(steps=(StepSpec(1, cpu=500, memory_mb=100),)))
+        task = owned.tasks()[0]
+        for noticed_s in (0.0, SURVIVAL_S):
+            self.place()
+            self.crash(task.runs[0].host, str(task.id), noticed_s=noticed_s)
+            self.now += 5
+            self.keep_running()
+        self.assertEqual(len(task.crashed_on), 2)
+        self.assertFalse(owned.state.final)
+
     def test_crash_that_is_reported_twice_counts_once(self):
         owned = self.add_job(job(steps=(SMALL,)))
         self.place()
@@ -434,6 +452,20 @@
         self.survive("job-1.0.0.0")
         self.assertIn(tested.name, {host for host, _task in self.place()})
 
+    def test_nothing_starts_beside_any_suspect_that_has_crashed_two_executors(self):
+        """It was given up after the crash of another task that started beside it."""
+        jobs = [self.add_job(job(f"job-{n}", (SMALL,))) for n in (1, 2)]
+        for owned in jobs:
+            for number in (1, 2):
+                owned.suspect(owned.tasks()[0], f"{owned.spec.job_id}@{number}")
+        self.place()
+        tested = {self.host_of(f"job-{n}.0.0.0") for n in (1, 2)}
+        self.assertEqual(len(tested), 2)
+        self.add_job(job("job-3", (StepSpec(40, cpu=500, memory_mb=100),)))
+        hosts = {host for host, _task in self.place()}
+        free = set(self.hosts) - tested
+        self.assertEqual(hosts, {host.name for host in free})
+
     def test_job_with_a_suspect_starts_one_task_at_a_time(self):
         owned = self.add_job(job(steps=(StepSpec(4, cpu=500, memory_mb=100),)))
         for task in owned.tasks()[1:3]:
