A start without a session at the worker is void

Cause: a session lost between the check of a start order and its call to the worker left the call without a session, which a worker without a session accepted.

Change: the agent refuses such a start, and the stand-in accepts none without a session.

Measured: test_start_without_a_session_is_refused and test_session_that_is_lost_before_a_start_is_sent_voids_the_start failed on the commit before and pass now.

--- a/rattanwing/agent/requests.py
+++ b/rattanwing/agent/requests.py
@@ -31,7 +31,6 @@
 MAX_LATENCY_SAMPLES = 200
 """Limit of latency samples kept for one window of the colocation policy."""
 
-
 PROBE_INTERVAL_S = 0.25
 """Interval of the probes of an executor that can't be reached."""
 
--- a/rattanwing/agent/tasks.py
+++ b/rattanwing/agent/tasks.py
@@ -419,6 +419,9 @@
 
         :param start_by: time after which the worker must refuse the order.
         """
+        if not self.session:
+            self.end_task(task, "refused", "no-session")
+            return
         task_order = TaskOrder(
             *task.attempt_fields(),
             self.session,
--- a/rattanwing/standin/worker.py
+++ b/rattanwing/standin/worker.py
@@ -177,7 +177,7 @@
         await self.simulate_faults()
         now = self.clock()
         key = order.key
-        if order.session != self.session:
+        if not self.session or order.session != self.session:
             raise WorkerError(Verdict.NOT_RUN, STALE_SESSION)
         if now > order.start_by or now >= order.lease_until:
             raise WorkerError(Verdict.NOT_RUN, "start-too-late")
--- a/tests/test_worker_restart.py
+++ b/tests/test_worker_restart.py
@@ -3,13 +3,16 @@
 import json
 import signal
 import unittest
+from unittest import mock
 
 import msgspec
 import trio
 
 from rattanwing.agent.colocation import MIN_SHARE
-from rattanwing.agent.worker import WorkerError
+from rattanwing.agent.tasks import TaskManager
+from rattanwing.agent.worker import TaskOrder, WorkerError
 from rattanwing.messages import StartTask
+from rattanwing.standin.worker import MemoryWorker
 from tests.history import find_violations
 from tests.processes import Deployment, call, wait_for
 from tests.world import run_world
@@ -186,6 +189,52 @@
 
         self.check(run_world(scenario))
 
+    def test_start_without_a_session_is_refused(self):
+        """A restarted worker has no session, and neither had the order."""
+
+        async def scenario(world):
+            await start_agents(world, executor=False)
+            worker = world.workers["agent-1"]
+            worker.restart()
+            order = TaskOrder(
+                "job-1", 1, 0, "c", 1.0, 1, 0, "", "", None, 1000.0, 1000.0
+            )
+            with self.assertRaisesRegex(WorkerError, "stale-session"):
+                await worker.start(order)
+
+        run_world(scenario)
+
+    def test_session_that_is_lost_before_a_start_is_sent_voids_the_start(self):
+        sent, lost = [], []
+
+        async def scenario(world):
+            await start_agents(world, executor=False)
+            manager = world.app("agent-1").get("tasks")
+            real_handle = manager.handle_start
+            real_start = world.workers["agent-1"].start
+
+            async def record(order):
+                sent.append(order.session)
+                await real_start(order)
+
+            def lose_after(order):
+                real_handle(order)
+                if not lost:
+                    lost.append(order.job)
+                    manager.lose_session("")
+
+            with (
+                mock.patch.object(MemoryWorker, "start", lambda _self, o: record(o)),
+                mock.patch.object(
+                    TaskManager, "handle_start", lambda _self, o: lose_after(o)
+                ),
+            ):
+                await world.submit("entry-1", "job-1", run_s=1.0)
+                await world.wait_for_state("entry-1", "job-1", "finished", 30)
+            self.assertNotIn("", sent)
+
+        run_world(scenario)
+
     def test_worker_refuses_the_session_of_an_agent_that_was_replaced(self):
         async def scenario(world):
             await start_agents(world, executor=False)
