--- a/tests/batch/paced_host.py
+++ b/tests/batch/paced_host.py
@@ -307,6 +307,9 @@
 def simulate(seed, *troubles, **options):
     """Return the simulated host of a seed after ``LENGTH_S``."""
     host = PacedHost(seed, troubles, **options)
+    # Without these, the order in which ready tasks run varies between two runs.
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r.seed(seed)
     trio.run(host.simulate, clock=trio.testing.MockClock(autojump_threshold=0))
     return host
 
--- a/tests/batch/test_pacing.py
+++ b/tests/batch/test_pacing.py
@@ -16,6 +16,7 @@
 from rattanwing.standin.runs import StandinBatchExecutor
 from rattanwing.util.http_client import HttpCallError
 from rattanwing.verdict import Verdict
+from tests.batch.paced_host import HARM_S, simulate
 
 TARGET_MS = 1000
 UNANSWERED = HttpCallError(Verdict.MAY_HAVE_RUN, "no answer in time")
@@ -183,3 +184,24 @@
             self.adjust(5.0)
         self.assertEqual(len(self.port.calls), calls)
         self.assertLessEqual(calls, 1)
+
+
+class SimulatedHostTests(unittest.TestCase):
+    """A minute of a host on which runs of nine images start beside serving tasks.
+
+    Half of the estimates are missing, too low or 0.
+    """
+
+    def check_seeds(self, seeds, *troubles):
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                host = simulate(seed, *troubles)
+                self.assertEqual(host.harms, 0)
+                self.assertLess(host.longest_s, HARM_S)
+                self.assertGreater(host.finished, 0)
+
+    def test_no_serving_task_is_harmed(self):
+        self.check_seeds((301, 302, 303, 304))
+
+    def test_no_serving_task_is_harmed_when_calls_fail_and_the_agent_restarts(self):
+        self.check_seeds((301, 302, 303, 351), "unanswered", "silent", "restart")
