Log failed polls of an executor that has not announced itself

They were suppressed without a line; they now write event 613 once for each silence. A refusal that shows another id there ends them, and the crash then counts its runs as ended.

--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import contextlib
 from typing import TYPE_CHECKING
 
 import trio
@@ -462,10 +461,26 @@
                 await trio.sleep(RETRY_PAUSE_S)
 
     async def fence_successor(self) -> None:
-        """Raise the fence of the next incarnation."""
+        """Raise the fence of the next incarnation, unless that has another id."""
         fence = call_fence(self.fence, self.generation + 1)
-        with contextlib.suppress(HttpCallError):
-            await self.executor.poll(fence, 0, None, 0.0)
+        try:
+            result = await self.executor.poll(fence, 0, None, 0.0)
+        except HttpCallError as error:
+            self.log_silence(error)
+            return
+        self.silence_logged = False
+        if isinstance(result, OrderResult):
+            other = result.outcome is OrderOutcome.OTHER_INCARNATION
+            self.restarted_under_id = not other
+
+    def log_silence(self, error: HttpCallError) -> None:
+        """Log the first failed call after an answer."""
+        if self.silence_logged:
+            return
+        self.silence_logged = True
+        events.write(
+            events.EXECUTOR_SILENT, executor=self.view.executor_id, error=error
+        )
 
     async def poll(self, sent_at: float, fence: int) -> bool:
         """Extend the lease and apply the executor's listing.
@@ -490,11 +505,7 @@
             )
         except HttpCallError as error:
             self.record_unconfirmed()
-            if not self.silence_logged:
-                self.silence_logged = True
-                events.write(
-                    events.EXECUTOR_SILENT, executor=self.view.executor_id, error=error
-                )
+            self.log_silence(error)
             now = self.clock()
             self.record_failure(now, now - sent_at <= wait_s + BROKEN_WITHIN_S)
             await trio.sleep(RETRY_PAUSE_S)
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -402,6 +402,12 @@
                 await trio.sleep(1)
                 self.assertTrue(runs.exited)
                 self.assertIs(self.start_late(executor), OrderOutcome.FENCED)
+                self.assertTrue(runs.restarted_under_id)
+                executor.crash()
+                await trio.sleep(1)
+                executor.restart()
+                await trio.sleep(1)
+                self.assertFalse(runs.restarted_under_id)
                 nursery.cancel_scope.cancel()
 
         self.run_with_executor(restart_unannounced)
