--- a/rattanwing/batch/pacing.py
+++ b/rattanwing/batch/pacing.py
@@ -14,7 +14,8 @@
 (:mod:`rattanwing.batch.interference`). When headroom is short, the runs known to
 interfere are slowed until the missing headroom is restored, the run with the
 largest loss first. Runs whose interference is unknown are slowed only when that is
-not enough, and all other runs only while a serving task is over its target.
+not enough, and all other runs only while a serving task is over its target. During that
+time no run is sped up, and new runs wait at pace 0.
 
 The paces also keep the CPU use of the whole host below its capacity.
 """
