Ignore a departure of an earlier incarnation under the same id

What callers would see: two runs of one task. A departure names only the executor's id. If it was handled late, after the executor had started again under that id, the agent took the new incarnation for gone: it reported an empty and complete list, the owner started the tasks elsewhere, and later announcements of the incarnation were refused.

Change: a departure counts only for an executor that has announced that it drains, as each does before a planned end. Otherwise polls and the lease decide.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -203,17 +203,31 @@
         if self.owner is not None and self.owner.session is not None:
             self.owner.session.close()
 
-    def handle_exit(self, executor_id: str) -> None:
-        """Remove an executor that has announced its exit, and with it all its runs."""
+    def handle_exit(self, executor_id: str) -> bool:
+        """Remove an executor that has announced its exit, and with it all its runs.
+
+        An executor drains before it exits. If the current one does not, the exit is that
+        of an earlier incarnation under its id, announced late.
+
+        :returns: whether an executor was removed.
+        """
         current = self.executor
         if current is None or current.view.executor_id != executor_id:
-            return
+            return False
+        if not current.view.draining:
+            events.write(
+                events.EXIT_IGNORED,
+                executor=executor_id,
+                incarnation=current.view.incarnation,
+            )
+            return False
         events.write(events.EXECUTOR_LEFT, executor=executor_id)
         current.exited = current.replaced = True
         current.poll_scope.cancel()
         self.executor = None
         self.executor_exited = True
         self.request_report()
+        return True
 
     def record_crash(self, executor: ExecutorRuns) -> None:
         """Record the crash of an incarnation that ended without an announcement."""
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -283,6 +283,11 @@
     logbook.WARNING,
     "The crash of an executor was dropped before an owner stored it; too many wait.",
 )
+EXIT_IGNORED = Event(
+    622,
+    logbook.WARNING,
+    "An exit was announced under the id of an executor that does not drain.",
+)
 
 TASK_STARTED = Event(601, logbook.INFO, "A task has started on this worker.")
 TASK_REFUSED = Event(602, logbook.INFO, "The start of a task was refused.")
--- a/rattanwing/platform/executor.py
+++ b/rattanwing/platform/executor.py
@@ -315,9 +315,8 @@
         """Tell the agent that the executor has ended."""
         executor_id = request.match["executor_id"]
         current = self.agent.executor
-        if current is not None and current.view.executor_id == executor_id:
+        if self.agent.handle_exit(executor_id):
             self.order.record_exit(current.view.incarnation)
-        self.agent.handle_exit(executor_id)
         return json_response(200, {})
 
 
