--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -206,8 +206,8 @@
     def handle_exit(self, executor_id: str) -> bool:
         """Remove an executor that has announced its exit, and with it all its runs.
 
-        An executor drains before it exits. If the current one does not, the exit is that
-        of an earlier incarnation under its id, announced late.
+        An executor drains before it exits. If the current one does not, the exit is
+        that of an earlier incarnation under its id, announced late.
 
         :returns: whether an executor was removed.
         """
