Set a pace again while an earlier call for it may still be carried out

What callers would see: a best-effort run stands still to its end, or works on beside a serving task that is over its target. A pace call without an answer may be carried out seconds later, after a later call that was answered; the agent took that answer for the pace in force. Found by the review (pace 0 unanswered, 100 answered, the late 0 carried out: no further call in 30 s); the fence does not help, as both calls have the same.

Change: for 15 s after a pace call without an answer the pace in force counts as unknown, so that each adjustment (0.6 s) sends it again. The new test fails on the code before (0 != 100); tests.batch.test_pacing, test_sharing and test_agent pass (67 tests).

--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -15,6 +15,7 @@
 from rattanwing.batch import messages
 from rattanwing.batch.liveness import (
     GENERATIONS_PER_STREAM,
+    LATE_CALL_S,
     LATE_RUN_S,
     RunKey,
     StartCall,
@@ -78,6 +79,8 @@
     :param pace: percentage of its full speed that a best-effort run may reach.
     :param pace_known: whether the executor is known to apply ``pace``; otherwise it may
         apply a lower one.
+    :param pace_may_change_until: time until which a pace call without an answer may
+        take effect, also after later calls.
     :param may_be_unlisted_until: a poll sent up to this time may not list the run yet.
     :param known_to_executor: whether an answer or a listing of the executor has shown
         that it received the run's start or stop.
@@ -97,6 +100,7 @@
         "measurement",
         "pace",
         "pace_known",
+        "pace_may_change_until",
         "may_be_unlisted_until",
         "known_to_executor",
         "maybe_sent",
@@ -120,6 +124,7 @@
         self.measurement = 0
         self.pace = FULL_PERCENT
         self.pace_known = not known_to_executor
+        self.pace_may_change_until = now
         self.may_be_unlisted_until = now
         self.known_to_executor = known_to_executor
         self.maybe_sent = known_to_executor
@@ -828,18 +833,20 @@
             if run is not None and error.verdict is not Verdict.NOT_RUN:
                 run.pace = max(run.pace, pace_percent)
                 run.pace_known = False
+                run.pace_may_change_until = self.clock() + LATE_CALL_S
             return
         run = self.runs.get(key)
         if result.outcome is not OrderOutcome.ACCEPTED or run is None:
             return
-        events.write(
-            events.RUN_PACE_CHANGED,
-            task=task,
-            attempt=attempt,
-            before=run.pace,
-            percent=pace_percent,
-            cause=cause,
-            tails=[(load.tail_ms, load.target_ms) for load in serving],
-        )
+        if run.pace != pace_percent or not run.pace_known:
+            events.write(
+                events.RUN_PACE_CHANGED,
+                task=task,
+                attempt=attempt,
+                before=run.pace,
+                percent=pace_percent,
+                cause=cause,
+                tails=[(load.tail_ms, load.target_ms) for load in serving],
+            )
         run.pace = pace_percent
-        run.pace_known = True
+        run.pace_known = self.clock() >= run.pace_may_change_until
--- a/tests/batch/test_pacing.py
+++ b/tests/batch/test_pacing.py
@@ -5,6 +5,7 @@
 import trio
 
 from rattanwing.batch import messages
+from rattanwing.batch.liveness import LATE_CALL_S
 from rattanwing.batch.pacing import (
     ADJUSTMENT_INTERVAL_S,
     BestEffortPacer,
@@ -89,6 +90,8 @@
     :param paces: the paces that the executor has applied, by task.
     :param unanswered: number of calls to come that take effect without an answer.
     :param refused: number of calls to come that are not carried out.
+    :param delayed: number of calls to come that have no answer and are not carried out
+        for now.
     """
 
     def __init__(self, paces):
@@ -96,12 +99,16 @@
         self.calls = []
         self.unanswered = 0
         self.refused = 0
+        self.delayed = 0
 
     async def set_pace(self, task, _attempt, pace_percent, _fence):
         self.calls.append((task, pace_percent))
         if self.refused > 0:
             self.refused -= 1
             raise HttpCallError(Verdict.NOT_RUN, "connection refused")
+        if self.delayed > 0:
+            self.delayed -= 1
+            raise UNANSWERED
         self.paces[task] = pace_percent
         if self.unanswered > 0:
             self.unanswered -= 1
@@ -166,6 +173,21 @@
             self.adjust(0.6)
         self.assertEqual(self.port.paces["fill"], 0)
 
+    def test_pace_is_set_again_while_an_unanswered_call_may_be_carried_out(self):
+        """A late call stopped the run for good, after a later one was answered."""
+        self.list_runs()
+        self.adjust(5.0)
+        self.port.delayed = 1
+        self.adjust(1.2)
+        self.assertEqual([self.adjust(5.0) for _ in range(5)][-1], 100)
+        self.port.paces["fill"] = 0
+        self.assertEqual(self.adjust(5.0), 100)
+        self.now += LATE_CALL_S
+        self.adjust(5.0)
+        calls = len(self.port.calls)
+        self.adjust(5.0)
+        self.assertEqual(len(self.port.calls), calls)
+
     def test_call_that_was_not_carried_out_leaves_the_pace_as_it_is(self):
         self.list_runs()
         self.adjust(5.0)
