Weigh a test by how often its host crashes by itself

What callers would see: jobs that could be done are shown as failed. The chance that a crash follows a suspect's start by coincidence was taken from all hosts together. Class: an average taken for what is known of one.

Change: each test counts with the greater of the chance on all hosts and that on its own. The new test fails on the code before (given up), and passes; tests.batch.test_suspicion passes (45 tests). Suspects are still placed on such a host like on any other.

--- a/rattanwing/batch/crashes.py
+++ b/rattanwing/batch/crashes.py
@@ -9,6 +9,7 @@
 from rattanwing.batch.suspicion import (
     HOLD_S,
     SURVIVAL_S,
+    chance_of_crash,
     expected_coincidences,
     is_isolated,
     may_hold,
@@ -29,6 +30,7 @@
 class Crash:
     """The crash of one incarnation of an executor.
 
+    :param host: name of its host.
     :param at: time of the first call that the executor did not answer.
     :param only_suspect: whether it had just started tasks of one job only.
     :param isolated: whether it broke a connection, and no other executor is known to
@@ -39,6 +41,7 @@
 
     __slots__ = (
         "incarnation",
+        "host",
         "at",
         "only_suspect",
         "isolated",
@@ -47,9 +50,15 @@
     )
 
     def __init__(
-        self, incarnation: str, at: float, only_suspect: bool, isolated: bool
+        self,
+        incarnation: str,
+        host: str,
+        at: float,
+        only_suspect: bool,
+        isolated: bool,
     ) -> None:
         self.incarnation = incarnation
+        self.host = host
         self.at = at
         self.only_suspect = only_suspect
         self.isolated = isolated
@@ -108,6 +117,7 @@
         }
         crash = Crash(
             report.incarnation,
+            host.name,
             at,
             len(started_jobs) == 1,
             report.broken and is_isolated(at, others),
@@ -149,20 +159,28 @@
 
         Crashes that may be due to another task of the same job do not tell how often
         executors crash by themselves; those that may be due to a task of another job
-        do, until that one is found to have caused them.
+        do, until that one is found to have caused them. A test on a host that crashes
+        more often than the others tells less.
 
         :returns: 1 while nothing tells against the task but its first crash, or crashes
             that may have another cause.
         """
-        tests = len(task.clear_crashes)
-        if not tests:
+        if not task.clear_crashes:
             return 1.0
         unexplained = [crash for crash in self.crashes.values() if not crash.explained]
         suspects = set().union(*(crash.suspects for crash in unexplained)) | {task}
-        others = sum(not crash.may_be_due_to(task.job) for crash in unexplained)
+        others = [crash for crash in unexplained if not crash.may_be_due_to(task.job)]
         observed_s = min(now - self.observed_since, CRASH_MEMORY_S)
-        host_seconds = len(self.cluster.hosts) * observed_s
-        return expected_coincidences(len(suspects), tests, others, host_seconds)
+        # One more crash than was seen, as those to come are not known.
+        anywhere = chance_of_crash(
+            len(others) + 1, len(self.cluster.hosts) * observed_s
+        )
+        chances = []
+        for incarnation in task.clear_crashes:
+            test = self.crashes.get(incarnation)
+            here = [crash for crash in others if test and crash.host == test.host]
+            chances.append(max(anywhere, chance_of_crash(len(here), observed_s)))
+        return expected_coincidences(len(suspects), chances)
 
     def gives_up(self, task: Task, now: float) -> bool:
         """Return whether a task is found to crash executors, after its latest crash."""
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -528,7 +528,7 @@
             for run in host.runs.values()
             if run.order_number == 0 and run.reported and not run.proven
         ]
-        crash = Crash(incarnation, now, only_suspect=False, isolated=False)
+        crash = Crash(incarnation, host.name, now, only_suspect=False, isolated=False)
         self.suspect(started, crash, now, now_ms)
 
     def find_task(self, name: str) -> Task | None:
--- a/rattanwing/batch/suspicion.py
+++ b/rattanwing/batch/suspicion.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -57,22 +58,26 @@
     return survived_s >= CLEARED_WITHOUT_PROGRESS_S
 
 
-def expected_coincidences(
-    suspects: int, tests: int, crashes: int, host_seconds: float
-) -> float:
+def chance_of_crash(crashes: int, host_seconds: float) -> float:
+    """Return how likely an executor crashes by itself within ``SURVIVAL_S``.
+
+    :param crashes: number of recent crashes of such executors.
+    :param host_seconds: time for which they were counted, times the number of hosts.
+    """
+    return min(1.0, crashes * SURVIVAL_S / max(host_seconds, SURVIVAL_S))
+
+
+def expected_coincidences(suspects: int, chances: list[float]) -> float:
     """Return how many tasks without fault may be expected to look as if they had one.
 
-    Executors that crash by themselves do so by chance within ``SURVIVAL_S`` after the
-    start of a suspected task. One more crash is counted than was seen, as those to come
-    are not known.
+    Executors that crash by themselves do so by chance soon after the start of a
+    suspected task.
 
     :param suspects: number of tasks that were suspected lately.
-    :param tests: number of starts of the task as a suspect that a crash followed.
-    :param crashes: number of recent crashes with another cause than the task.
-    :param host_seconds: time for which they were counted, times the number of hosts.
+    :param chances: for each start of the task as a suspect that a crash followed, how
+        likely the crash is without the task.
     """
-    chance = min(1.0, (crashes + 1) * SURVIVAL_S / max(host_seconds, SURVIVAL_S))
-    return suspects * chance**tests
+    return suspects * math.prod(chances)
 
 
 def should_give_up(crashes: int, inherited: bool, coincidences: float) -> bool:
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -41,7 +41,9 @@
     def crash(self, incarnation, *tasks, at=60.0, begun=True, **evidence):
         """Record a crash of which tasks are suspected; clear by default."""
         evidence = {"only_suspect": True, "isolated": True, **evidence}
-        crash = self.tracker.crashes[incarnation] = Crash(incarnation, at, **evidence)
+        host = incarnation.partition("@")[0]
+        crash = Crash(incarnation, host, at, **evidence)
+        self.tracker.crashes[incarnation] = crash
         for task in tasks:
             self.tracker.suspect(task, crash, begun, at)
         return crash
@@ -100,6 +102,20 @@
             given_up = self.tracker.gives_up(task, 60.0)
             self.assertEqual(given_up, number == 3)
 
+    def test_tests_on_a_host_that_crashes_by_itself_tell_less(self):
+        """One executor of many that crashed every few seconds failed jobs."""
+        for number in range(40):
+            self.tracker.cluster.add_host(f"other-{number}", 0.0)
+        for number in range(10):
+            self.crash(f"a@{number}")
+        task = self.task("old@1")
+        self.crash("a@10", task)
+        self.assertFalse(self.tracker.gives_up(task, 60.0))
+        elsewhere = self.task("old@2")
+        self.crash("b@1", elsewhere)
+        self.crash("c@1", elsewhere)
+        self.assertTrue(self.tracker.gives_up(elsewhere, 60.0))
+
     def test_owner_that_has_watched_for_a_moment_does_not_know_of_a_calm_cluster(self):
         task = self.task("old@1")
         self.crash("a@1", task, at=2.0)
