Revert "Try: best-effort tasks wait for a host where they do not interfere, if there is one"

Callers' view: a batch job is done only with its last task, and tasks placed beside serving tasks that they interfere with stand still at these tasks' peaks of load.

Cause: placement allows such tasks up to the headroom that serving tasks have to spare on average.

Change: while an open host of the service has no serving task that a best-effort step is known to interfere with, its tasks wait for such a host; else, or once the job is starved, as before. Ruled out: a lower INTERFERENCE_LIMIT, and no such placement at all, which an existing test forbids and which would leave services with mixed hosts to one run a job.

--- a/rattanwing/batch/colocation.py
+++ b/rattanwing/batch/colocation.py
@@ -43,13 +43,6 @@
                 )
         self.best_effort_cpu_available = host.unused_cpu(interfering)
 
-    def interferes(self, step: StepSpec, interference: InterferenceModel) -> bool:
-        """Return whether a best-effort task is known to interfere on the host."""
-        return any(
-            interference.headroom_loss(image, step.image, step.cpu) > 0
-            for image in self.headroom_loss
-        )
-
     def losses_with(
         self, step: StepSpec, interference: InterferenceModel
     ) -> list[tuple[float, float]]:
--- a/rattanwing/batch/jobs.py
+++ b/rattanwing/batch/jobs.py
@@ -104,8 +104,6 @@
         if none is.
     :param wait_logged_at: time when that wait was last logged.
     :param checked_at: time when last no host at all could run one of its tasks.
-    :param compatible_only: whether its best-effort tasks wait for hosts where they are
-        not known to interfere with a serving task.
     """
 
     __slots__ = (
@@ -117,7 +115,6 @@
         "waiting_since",
         "wait_logged_at",
         "checked_at",
-        "compatible_only",
     )
 
     def __init__(
@@ -134,7 +131,6 @@
         self.waiting_since: float | None = None
         self.wait_logged_at = 0.0
         self.checked_at = float("-inf")
-        self.compatible_only = False
 
     @property
     def key(self) -> str:
@@ -271,10 +267,6 @@
         tasks = steps[task_id.step].tasks
         return tasks[task_id.index] if 0 <= task_id.index < len(tasks) else None
 
-    def step_of(self, task: Task) -> StepTasks:
-        """Return the step that a task of the job belongs to."""
-        return self.steps_by_occurrence[task.id.occurrence][task.id.step]
-
     def ready_steps(self) -> list[StepTasks]:
         """Return the unfinished steps whose preceding steps are done."""
         return [
--- a/rattanwing/batch/placement.py
+++ b/rattanwing/batch/placement.py
@@ -145,11 +145,9 @@
     :param freed: the hosts that may be able to run more than in the previous round.
     :param by_service: open hosts by service, and by whether all are listed or only
         the freed ones.
-    :param compatible: whether there is an open host where a best-effort task does not
-        interfere, by service, image and CPU.
     """
 
-    __slots__ = ("hosts", "freed", "constraints", "now", "by_service", "compatible")
+    __slots__ = ("hosts", "freed", "constraints", "now", "by_service")
 
     def __init__(
         self, hosts: Iterable[Host], constraints: Constraints, now: float
@@ -161,7 +159,6 @@
         self.constraints = constraints
         self.now = now
         self.by_service: dict[tuple[str, bool], list[Host]] = {}
-        self.compatible: dict[tuple[str, str, int], bool] = {}
 
     def list(self, service: str, everywhere: bool) -> list[Host]:
         """Return the open hosts of a service, in the order in which they were added.
@@ -177,23 +174,6 @@
             ]
         return self.by_service[key]
 
-    def has_compatible(
-        self, service: str, step: StepSpec, interference: InterferenceModel
-    ) -> bool:
-        """Return whether a best-effort task does not interfere on some open host.
-
-        A pair of images that is not known counts as not interfering.
-        """
-        key = service, step.image, step.cpu
-        if key not in self.compatible:
-            self.compatible[key] = any(
-                not summarize_colocation(host, interference).interferes(
-                    step, interference
-                )
-                for host in self.list(service, True)
-            )
-        return self.compatible[key]
-
 
 def count_rejections(
     hosts: list[Host],
@@ -214,20 +194,14 @@
         if not reason and not task.is_suspect() and host.is_held(now):
             reason = "tests-suspect"
         if not reason:
-            reason = unsuitable_reason(
-                host, task.step, interference, now, job.step_of(task).compatible_only
-            )
+            reason = unsuitable_reason(host, task.step, interference, now)
         if reason:
             counts[reason] = counts.get(reason, 0) + 1
     return counts
 
 
 def unsuitable_reason(
-    host: Host,
-    step: StepSpec,
-    interference: InterferenceModel,
-    now: float,
-    compatible_only: bool = False,
+    host: Host, step: StepSpec, interference: InterferenceModel, now: float
 ) -> str:
     """Return why one more task of a step should not run on a host; empty if it should.
 
@@ -235,8 +209,6 @@
     loss of each serving task within ``INTERFERENCE_LIMIT``. A task that exceeds
     the limit by itself is still suitable if no other best-effort task interferes with
     the same serving image.
-
-    :param compatible_only: whether a best-effort task must not be known to interfere.
     """
     if host.health.is_failing(now):
         return "failing"
@@ -245,8 +217,6 @@
     colocation = summarize_colocation(host, interference)
     if step.cpu > colocation.best_effort_cpu_available:
         return "best-effort-cpu"
-    if compatible_only and colocation.interferes(step, interference):
-        return "interference"
     for own, total in colocation.losses_with(step, interference):
         if total > max(INTERFERENCE_LIMIT, own):
             return "interference"
@@ -353,11 +323,8 @@
 ) -> Host | None:
     """Return the host with the lowest cost for a task, ``None`` if there is none.
 
-    A best-effort task waits for a host where it does not interfere if there is one:
-    beside a serving task that it interferes with it would stand still at peaks of load,
-    and a job is done only with its last task. A job without a run for
-    ``STARVED_AFTER_S`` may use any host with enough free resources, including
-    unsuitable ones.
+    A job without a run for ``STARVED_AFTER_S`` may use any host with enough free
+    resources, including unsuitable ones.
 
     :param hosts: hosts for which :func:`closed_reason` is empty.
     """
@@ -369,11 +336,10 @@
         fitting = [h for h in fitting if not h.runs_suspect_of_other_job(job)]
     else:
         fitting = [h for h in fitting if not h.is_held(now)]
-    compatible_only = job.step_of(task).compatible_only
     candidates = [
         host
         for host in fitting
-        if not unsuitable_reason(host, task.step, interference, now, compatible_only)
+        if not unsuitable_reason(host, task.step, interference, now)
     ]
     if not candidates and job.is_starved(now, STARVED_AFTER_S):
         candidates = fitting
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -662,10 +662,6 @@
             if not hosts and not everywhere:
                 settled = False
                 continue
-            if step.spec.best_effort:
-                step.compatible_only = open_hosts.has_compatible(
-                    job.spec.queue.service, step.spec, self.interference
-                )
             place = self.place_gang if step.spec.gang else self.place_tasks
             if place(job, step, hosts, now):
                 continue
