Keep the count of incarnations over an announced exit

What callers saw: nothing in a schedule; found in review. After an executor had announced its exit and started again under its id, a start that was meant for its earlier incarnation was accepted after the agent's first poll. When the earlier incarnation was not the first, a late start carried out before that poll made the executor refuse all polls of the stream.

Cause: the agent forgot the incarnation with its exit, and with it the start calls without an answer and the generation, which began anew at 0. The same happened when an executor with another id was there in between.

Change: the generation is counted for each stream, whatever the id, and never falls. The agent keeps the last incarnation of each id while one of its start calls may be carried out, and the next one under that id succeeds it.

Tests: four new ones, with a fifth case. ExecutorRuns.succeed no longer returns whether the generations suffice; the test that asked it now asks has_generation, before and after.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -9,6 +9,7 @@
 
 from rattanwing import events
 from rattanwing.batch import messages, records
+from rattanwing.batch.liveness import GENERATIONS_PER_INCARNATION, LATE_RUN_S
 from rattanwing.batch.runs import ExecutorRuns
 from rattanwing.batch.suspicion import SURVIVAL_S
 from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
@@ -47,15 +48,18 @@
     """The stream from the owner whose orders this agent carries out.
 
     :param last_order: number of the last order received on the stream.
+    :param generation: highest generation that was given to an incarnation on the
+        stream; it never falls, so that each has a higher one than all before.
     """
 
-    __slots__ = ("epoch", "fence", "session", "last_order")
+    __slots__ = ("epoch", "fence", "session", "last_order", "generation")
 
     def __init__(self, epoch: int, fence: int) -> None:
         self.epoch = epoch
         self.fence = fence
         self.session: PeerSession | None = None
         self.last_order = 0
+        self.generation = 0
 
     def rank(self) -> tuple[int, int]:
         """Return a sort key; the later of two owners' streams has the greater one."""
@@ -92,6 +96,8 @@
     :param last_end_sent: highest number of an end that was sent on the owner's
         stream.
     :param executor_exited: whether an executor has announced its exit.
+    :param departed: by id, the last incarnation of each other executor some of whose
+        start calls may still be carried out.
     :param crashes: crashes that the owner has not stored yet, by incarnation.
     """
 
@@ -106,6 +112,7 @@
         "nursery",
         "last_end_sent",
         "executor_exited",
+        "departed",
         "crashes",
     )
 
@@ -124,6 +131,7 @@
         self.nursery: trio.Nursery | None = None
         self.last_end_sent = 0
         self.executor_exited = False
+        self.departed: dict[str, ExecutorRuns] = {}
         self.crashes: dict[str, UnstoredCrash] = {}
 
     def request_report(self) -> None:
@@ -180,28 +188,45 @@
             cpu=view.cpu,
             memory_mb=view.memory_mb,
         )
-        if self.owner is not None:
-            self.executor.set_fence(self.owner.fence)
-        if current is not None:
-            self.replace_executor(current, self.executor)
+        self.replace_executor(current, self.executor)
         if self.nursery is not None:
             self.nursery.start_soon(self.executor.poll_loop)
         self.request_report()
 
-    def replace_executor(self, previous: ExecutorRuns, executor: ExecutorRuns) -> None:
-        """Take over from the previous incarnation what may be running on the new one.
+    def replace_executor(
+        self, current: ExecutorRuns | None, executor: ExecutorRuns
+    ) -> None:
+        """Take over from earlier incarnations what may be running on a new one.
 
-        Only an executor with the same id accepts calls that were meant for the previous
+        Only an executor with the same id accepts calls that were meant for an earlier
         incarnation.
+
+        :param current: the incarnation that was there until now, ``None`` if none was
+            or if it has announced its exit.
         """
-        executor.replaces_listed = previous.listed_fence > 0 or previous.replaces_listed
-        if previous.view.executor_id != executor.view.executor_id:
-            return
-        if executor.succeed(previous, self.clock()):
+        if current is not None:
+            executor.replaces_listed = (
+                current.listed_fence > 0 or current.replaces_listed
+            )
+            self.departed[current.view.executor_id] = current
+        owner = self.owner
+        if owner is not None:
+            owner.generation += GENERATIONS_PER_INCARNATION
+            executor.set_fence(owner.fence, owner.generation)
+        now = self.clock()
+        previous = self.departed.pop(executor.view.executor_id, None)
+        if previous is not None:
+            executor.succeed(previous, now)
+        self.departed = {
+            executor_id: runs
+            for executor_id, runs in self.departed.items()
+            if runs.start_calls.outstanding(now, LATE_RUN_S)
+        }
+        if executor.has_generation():
             return
         executor.set_fence(0)
-        if self.owner is not None and self.owner.session is not None:
-            self.owner.session.close()
+        if owner is not None and owner.session is not None:
+            owner.session.close()
 
     def handle_exit(self, executor_id: str) -> None:
         """Remove an executor that has announced its exit, and with it all its runs."""
@@ -211,6 +236,7 @@
         events.write(events.EXECUTOR_LEFT, executor=executor_id)
         current.exited = current.replaced = True
         current.poll_scope.cancel()
+        self.departed[executor_id] = current
         self.executor = None
         self.executor_exited = True
         self.request_report()
--- a/rattanwing/batch/liveness.py
+++ b/rattanwing/batch/liveness.py
@@ -23,6 +23,10 @@
 """Number of generations under the fence of one stream. The fence of a call is the
 stream's fence times this number plus the generation."""
 
+GENERATIONS_PER_INCARNATION = 2
+"""Number of generations of each incarnation: one for the calls to it, and one for the
+polls that fence its successor until that has announced itself."""
+
 LATE_RUN_S = 26.0
 """Time in seconds after a start call without an answer for which a run may exist that
 it has started: ``LATE_CALL_S``, and the longest lease that an executor grants, on
@@ -40,8 +44,8 @@
     """Return the fence of a call.
 
     :param stream_fence: the fence of the owner's stream.
-    :param generation: number of the executor's incarnation under its id, as counted by
-        its agent since the stream was opened.
+    :param generation: number that increases with each incarnation of any executor that
+        the agent has controlled since the stream was opened.
     """
     return stream_fence * GENERATIONS_PER_STREAM + generation
 
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -15,6 +15,7 @@
 from rattanwing import events
 from rattanwing.batch import messages
 from rattanwing.batch.liveness import (
+    GENERATIONS_PER_INCARNATION,
     GENERATIONS_PER_STREAM,
     LATE_RUN_S,
     RunKey,
@@ -250,10 +251,10 @@
         self.poll_scope = trio.CancelScope()
         self.silence_logged = False
 
-    def set_fence(self, fence: int) -> None:
+    def set_fence(self, fence: int, generation: int = 0) -> None:
         """Switch to a later owner's fence; the executor will refuse earlier ones."""
         self.fence = fence
-        self.generation = 0
+        self.generation = generation
         self.poll_scope.cancel()
 
     def extend_lease(self, until: float) -> None:
@@ -294,15 +295,20 @@
         self.exited = True
         self.on_change()
 
-    def succeed(self, previous: ExecutorRuns, now: float) -> bool:
+    def has_generation(self) -> bool:
+        """Return whether the stream's generations suffice for this incarnation.
+
+        Otherwise nothing is called before the next stream.
+        """
+        return self.generation < GENERATIONS_PER_STREAM - 1
+
+    def succeed(self, previous: ExecutorRuns, now: float) -> None:
         """Take over what calls for the previous incarnation may have started here.
 
         These runs are listed until this incarnation has answered a poll. Its fence is
         higher than that of any such call.
 
         :param previous: the earlier incarnation of an executor with the same id.
-        :returns: whether the stream's generations suffice; otherwise nothing is called
-            before the next stream.
         """
         self.leases_end_by = max(self.leases_end_by, previous.leases_end_by)
         self.start_calls = previous.start_calls
@@ -318,9 +324,9 @@
             run.maybe_sent = True
             run.may_be_unlisted_until = float("-inf")
             self.runs[key] = run
-        # The generation between is that of fence_successor.
-        self.generation = previous.generation + 2
-        return self.generation < GENERATIONS_PER_STREAM - 1
+        if previous.fence == self.fence:
+            following = previous.generation + GENERATIONS_PER_INCARNATION
+            self.generation = max(self.generation, following)
 
     def may_outlive(self, key: RunKey, run: AgentRun) -> bool:
         """Return whether the next incarnation under the same id may start a run."""
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -445,13 +445,108 @@
 
         self.run_with_executor(crash_after_a_repeated_start)
 
+    def announce_next(self, agent, executor):
+        """Restart the executor under its id, and have its agent control it."""
+        executor.crash()
+        executor.restart(same_id=True)
+        agent.handle_announcement(executor.view())
+        return agent.executor
+
+    def run_with_agent(self, scenario):
+        """Run a scenario with an executor and an agent that has an owner."""
+
+        async def main():
+            executor = StandinBatchExecutor("executor-0", "domain-a", [], lambda _: 9.0)
+            agent = BatchAgent(trio.current_time, executor.port)
+            agent.nursery = RecordingNursery()
+            agent.owner = OwnerSession(1, 1)
+            agent.owner.session = RecordingSession()
+            agent.handle_announcement(executor.view())
+            await agent.executor.poll(trio.current_time(), 1)
+            await scenario(agent, executor)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    async def check_refused_after_exit(self, agent, executor, between):
+        """Check that the next incarnation after an exit refuses an earlier start."""
+        runs = agent.executor
+        call = StartCall(None, trio.current_time())
+        runs.start_calls.send(("job-1.0.0.0", 1), call)
+        fence = call_fence(runs.fence, runs.generation)
+        agent.handle_exit(executor.name)
+        between()
+        following = self.announce_next(agent, executor)
+        rows = following.running_rows()
+        self.assertEqual([row.task for row in rows], ["job-1.0.0.0"])
+        await following.poll(trio.current_time(), 1)
+        self.assertEqual(following.listed_fence, 1)
+        deadline_ms = executor.clock_ms() + 9000
+        answer = executor.start("job-1.0.0.0", 1, deadline_ms, fence)
+        self.assertIs(answer.outcome, OrderOutcome.FENCED)
+
+    def test_start_before_an_announced_exit_is_refused_afterwards(self):
+        async def exit_and_restart(agent, executor):
+            await self.check_refused_after_exit(agent, executor, lambda: None)
+
+        self.run_with_agent(exit_and_restart)
+
+    def test_start_is_refused_after_another_executor_was_there(self):
+        for exits in (True, False):
+
+            async def restart_with_another_between(agent, executor, exits=exits):
+                def replace():
+                    other = StandinBatchExecutor("other-0", "domain-a", [], None)
+                    agent.handle_announcement(other.view())
+                    if exits:
+                        agent.handle_exit("other-0")
+
+                await self.check_refused_after_exit(agent, executor, replace)
+
+            with self.subTest(exits=exits):
+                self.run_with_agent(restart_with_another_between)
+
+    def test_late_start_does_not_shut_out_the_agent_after_an_exit(self):
+        """The start had a higher fence than the polls of the rest of the stream."""
+
+        async def exit_after_a_restart(agent, executor):
+            runs = self.announce_next(agent, executor)
+            await runs.poll(trio.current_time(), 1)
+            fence = call_fence(runs.fence, runs.generation)
+            agent.handle_exit(executor.name)
+            executor.crash()
+            executor.restart(same_id=True)
+            deadline_ms = executor.clock_ms() + 9000
+            async with trio.open_nursery() as executor.nursery:
+                executor.start("job-1.0.0.0", 1, deadline_ms, fence)
+                agent.handle_announcement(executor.view())
+                await agent.executor.poll(trio.current_time(), 1)
+                executor.nursery.cancel_scope.cancel()
+            self.assertEqual(agent.executor.listed_fence, 1)
+
+        self.run_with_agent(exit_after_a_restart)
+
+    def test_generation_never_falls_on_one_stream(self):
+        async def use_up_generations(agent, executor):
+            with mock.patch.object(agent.owner.session, "close") as close:
+                agent.owner.generation = GENERATIONS_PER_STREAM - 4
+                for fence in (1, 0, 0):
+                    agent.handle_exit(executor.name)
+                    runs = self.announce_next(agent, executor)
+                    self.assertEqual(runs.fence, fence)
+                    self.assertEqual(close.called, fence == 0)
+                self.assertGreater(agent.owner.generation, GENERATIONS_PER_STREAM)
+
+        self.run_with_agent(use_up_generations)
+
     def test_next_stream_is_requested_when_its_generations_are_used_up(self):
         async def restart_often(executor, runs):
             runs.generation = GENERATIONS_PER_STREAM - 4
             following = self.succeed(executor, runs)
             self.assertEqual(following.generation, GENERATIONS_PER_STREAM - 2)
             runs.generation = GENERATIONS_PER_STREAM - 3
-            self.assertFalse(following.succeed(runs, trio.current_time()))
+            self.assertTrue(following.has_generation())
+            following.succeed(runs, trio.current_time())
+            self.assertFalse(following.has_generation())
 
         self.run_with_executor(restart_often)
 
