Keep a run beyond its lease only if a start had no answer

What callers saw: nothing was reported; found in review. A task that was started within the last second before its machine was lost for good was started again 28 s after its placement instead of 9.4 s. A run whose first start call had no answer and whose repeat was accepted was not kept: the first call could be carried out by the executor's next incarnation, and the task ran twice.

Cause: the owner took "reported and never confirmed" for "without an answer". An answered start is not confirmed until it has been seen to run for a while, and an answer to a repeat tells nothing of the call before.

Change: the agent reports for each run whether a start call had no answer. The owner goes by the newest report alone. A change is reported at once, but for a call that is waiting for its answer: that is left to the next regular report, so that starts cost no reports of their own. A run that is kept on a host whose lease has lapsed no longer holds up the test of a suspect.

Tests: on the code before, the answered start on a lost machine was kept after 9.4 s (test_crossed_messages, 1 failure); the new tests of the report could not run for want of the field. Without the exception for lapsed hosts, the test of the suspect fails. Of the changed tests, those of "confirmed" runs now give the flag and run with and without a sign of life; the one of a settled start now also checks that the run was kept before. After: 158 tests pass (test_scheduler, test_suspicion, test_crossed_messages, test_start_calls, test_agent, test_messages, test_overload, test_proof_model, test_docs).

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -336,21 +336,24 @@
                 late_rows,
                 complete,
                 executor_unreachable=True,
+                may_start_late=[True] * len(late_rows),
             )
         else:
             unreachable = executor.is_unreachable(now)
             lapsed = unreachable and now >= executor.leases_end_by
+            late_rows = executor.late_rows(now) if lapsed else []
             report = messages.HostReport(
                 now,
                 self.owner.last_order,
                 None if lapsed else executor.view,
-                executor.late_rows(now) if lapsed else executor.running_rows(),
+                late_rows if lapsed else executor.running_rows(),
                 executor.is_complete(now),
                 unreachable or executor.listed_fence != executor.fence,
                 None
                 if executor.failed_at is None
                 else round(now - executor.failed_at, 3),
                 [] if lapsed else executor.survival_times_s(),
+                [True] * len(late_rows) if lapsed else executor.report_late_starts(now),
             )
         self.send(report)
 
--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -41,7 +41,8 @@
     :param order_number: number of the start order on the current stream; 0 for a run
         started on an earlier stream or by an earlier owner.
     :param reported: whether the agent has reported the run.
-    :param confirmed: whether its executor is known to have run it.
+    :param may_start_late: whether a start call without an answer may take effect late,
+        by the newest report.
     :param last_stop_ordered_at: time of the last stop order, ``None`` before the first.
     :param progress_percent: last reported progress.
     :param checkpoint: newest reported checkpoint, empty if there is none.
@@ -62,7 +63,7 @@
         "progressed_at",
         "order_number",
         "reported",
-        "confirmed",
+        "may_start_late",
         "last_stop_ordered_at",
         "progress_percent",
         "checkpoint",
@@ -80,7 +81,7 @@
         self.progressed_at = now
         self.order_number = 0
         self.reported = False
-        self.confirmed = False
+        self.may_start_late = False
         self.last_stop_ordered_at: float | None = None
         self.progress_percent = 0
         self.checkpoint = ""
--- a/rattanwing/batch/jobs.py
+++ b/rattanwing/batch/jobs.py
@@ -351,7 +351,7 @@
             for step in (ready if self.suspects else ())
         )
 
-    def may_start(self, task: Task) -> bool:
+    def may_start(self, task: Task, now: float) -> bool:
         """Return whether a suspicion of other tasks lets a waiting task start.
 
         A job starts its suspected tasks before all others, and one at a time. Each
@@ -360,12 +360,19 @@
         """
         if task in self.suspects:
             stored = self.stored_suspicions == self.suspicions
-            return stored and not self.has_unproven_run()
+            return stored and not self.has_unproven_run(now)
         return not self.tests_suspects
 
-    def has_unproven_run(self) -> bool:
-        """Return whether a task has a run that may still crash its executor."""
-        return any(not run.proven for task in self.tasks() for run in task.runs)
+    def has_unproven_run(self, now: float) -> bool:
+        """Return whether a task has a run that may still crash its executor.
+
+        A run that is kept beyond the lease of its host does not hold up others.
+        """
+        return any(
+            not run.proven and not run.host.has_lapsed(now)
+            for task in self.tasks()
+            for run in task.runs
+        )
 
     def finish_task(self, task: Task) -> None:
         """Mark a task as done, and with it all tasks of its gang."""
--- a/rattanwing/batch/liveness.py
+++ b/rattanwing/batch/liveness.py
@@ -33,7 +33,7 @@
 a clock that may be slow."""
 
 UNCONFIRMED_FOR_S = 28.0
-"""Time in seconds after its placement for which a run whose start was not confirmed may
+"""Time in seconds after its placement for which a run whose start had no answer may
 exist on a host out of reach: the time until its order is void, and ``LATE_RUN_S``."""
 
 RunKey = tuple[str, int]
@@ -122,9 +122,7 @@
     """Return whether a run of a host whose lease has lapsed may still be started there.
 
     Its deadline does not prevent that, because the clock of an executor that starts
-    again begins anew. A run that the agent has never reported counts as lost with its
-    order.
+    again begins anew. A run whose agent was lost before it could report a call without
+    an answer counts as lost with the lease.
     """
-    return (
-        run.reported and not run.confirmed and now < run.placed_at + UNCONFIRMED_FOR_S
-    )
+    return run.may_start_late and now < run.placed_at + UNCONFIRMED_FOR_S
--- a/rattanwing/batch/messages.py
+++ b/rattanwing/batch/messages.py
@@ -143,6 +143,8 @@
     :param failed_s: time since the first call that the executor did not answer;
         ``None`` if it answers or there is none.
     :param survival_times_s: for each run, how long the executor is known to run it.
+    :param may_start_late: for each run, whether a start call for it had no answer yet,
+        so that it may take effect late; also if a repeat of the call was answered.
     """
 
     stamp: Finite
@@ -153,6 +155,7 @@
     executor_unreachable: bool = False
     failed_s: Finite | None = None
     survival_times_s: list[Finite] = []
+    may_start_late: list[bool] = []
 
 
 class RunsEnded(Message, tag=7):
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -165,6 +165,8 @@
         after a call has failed.
     :param failed_call_at: when a call last failed.
     :param start_calls: see :class:`~rattanwing.batch.liveness.StartCalls`.
+    :param late_reported: runs that the newest report has marked as started by a call
+        without an answer.
     :param failed_at: time of the first call that failed after the last answer, ``None``
         if there was none.
     :param broken: whether that call failed because its connection broke.
@@ -198,6 +200,7 @@
         "confirmed_at",
         "failed_call_at",
         "start_calls",
+        "late_reported",
         "failed_at",
         "broken",
         "exited",
@@ -238,6 +241,7 @@
         self.confirmed_at = float("-inf")
         self.failed_call_at = float("-inf")
         self.start_calls = StartCalls()
+        self.late_reported: set[RunKey] = set()
         self.failed_at: float | None = None
         self.broken = False
         self.exited = False
@@ -420,6 +424,23 @@
         late = self.start_calls.outstanding(now, LATE_RUN_S)
         return [row for row in self.running_rows() if (row.task, row.attempt) in late]
 
+    def report_late_starts(self, now: float) -> list[bool]:
+        """Return for each row of :meth:`running_rows` whether it may start late.
+
+        This is recorded as reported.
+        """
+        late = self.start_calls.outstanding(now, LATE_RUN_S)
+        self.late_reported = late.keys() & self.runs.keys()
+        return [key in late for key in self.runs]
+
+    def check_late_start(self, key: RunKey) -> None:
+        """Request a report if the newest one is wrong about a start call.
+
+        A call that is waiting for its answer is left to the next regular report.
+        """
+        if (key in self.start_calls.calls) != (key in self.late_reported):
+            self.on_change()
+
     def survival_times_s(self) -> list[float]:
         """Return for each row of :meth:`running_rows` how long it is known to run."""
         return [
@@ -632,9 +653,11 @@
                 if error.verdict is Verdict.NOT_RUN:
                     run.maybe_sent = sent_before
                     self.start_calls.settle(key, earlier)
+                self.check_late_start(key)
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
             self.start_calls.settle(key, earlier)
+            self.check_late_start(key)
             self.record_order_answer(result)
             if fence != self.fence or self.runs.get(key) is not run:
                 return
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -251,7 +251,6 @@
             if executor is not None and not previous.draining:
                 self.suspect_forgotten_runs(host, previous.incarnation, now, now_ms)
             for key, run in list(host.runs.items()):
-                run.confirmed = False
                 if key not in listed:
                     self.cluster.mark_lost(run, "executor-gone", now)
             host.health.forget_refusals()
@@ -271,9 +270,11 @@
         host.fully_reported = host.fully_reported or report.complete
         host.unknown_runs = 0
         survived = dict(zip(listed, report.survival_times_s, strict=False))
+        late = dict(zip(listed, report.may_start_late, strict=False))
         for key, row in listed.items():
             run = host.runs.get(key) or self.adopt(host, row, now)
             if run is not None:
+                run.may_start_late = late.get(key, False)
                 self.update_run(run, row, survived.get(key, 0.0), now)
             else:
                 host.unknown_runs += 1
@@ -295,7 +296,6 @@
         if row.progress_percent != run.progress_percent or not run.reported:
             run.progressed_at = now
         run.reported = True
-        run.confirmed |= survived_s > 0 or row.progress_percent > 0
         run.progress_percent = row.progress_percent
         run.record_use(row.measurement, now)
         run.checkpoint = row.checkpoint or run.checkpoint
@@ -628,7 +628,7 @@
         for task in step.tasks:
             if not task.is_waiting():
                 continue
-            if not job.may_start(task):
+            if not job.may_start(task, now):
                 held_back = True
                 continue
             host = choose_host(hosts, job, task, self.interference, now)
@@ -690,7 +690,7 @@
                     if run.last_stop_ordered_at is None:
                         self.cluster.stop(run, "gang-broken", now)
             return True
-        if not any(job.may_start(task) for task in step.tasks):
+        if not any(job.may_start(task, now) for task in step.tasks):
             return False
         attempt = max(task.next_attempt() for task in step.tasks)
         checkpoint = next(
--- a/tests/batch/test_crossed_messages.py
+++ b/tests/batch/test_crossed_messages.py
@@ -9,6 +9,7 @@
 from rattanwing.batch.model import StepSpec
 from rattanwing.batch.replica import JobView
 from rattanwing.batch.scheduler import Scheduler
+from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
 from rattanwing.standin.runs import StandinBatchExecutor
 from tests.batch.test_agent import RecordingNursery, RecordingSession
 from tests.batch.world import job
@@ -110,3 +111,16 @@
         self.deliver_reports()
         self.deliver_orders(self.place())
         self.assertEqual([run.attempt for run in self.executor.history], [2])
+
+    def test_answered_start_on_a_machine_that_is_lost_ends_with_the_lease(self):
+        """Its task was started again 28 s after the placement."""
+        self.scheduler.update_job(JobView(job(steps=(ONE_TASK,))), self.now, 0)
+        self.deliver_orders(self.place())
+        self.assertEqual(len(self.executor.history), 1)
+        self.deliver_reports()
+        self.host.extend_lease(self.now, TASK_LEASE_S)
+        (run,) = self.host.runs.values()
+        self.scheduler.cluster.end_stream(self.host)
+        self.now += TASK_LEASE_S + LEASE_MARGIN_S
+        self.scheduler.drop_lapsed_hosts(self.now)
+        self.assertEqual(run.task.runs, [])
--- a/tests/batch/test_scheduler.py
+++ b/tests/batch/test_scheduler.py
@@ -70,6 +70,7 @@
         complete=True,
         failed_s=None,
         survival_times_s=(),
+        may_start_late=(),
         **changes,
     ):
         last_order = host.next_order - 1 if last_order is None else last_order
@@ -82,6 +83,7 @@
             complete,
             failed_s=failed_s,
             survival_times_s=list(survival_times_s),
+            may_start_late=list(may_start_late),
         )
         self.scheduler.handle_report(host, report, self.now, self.now_ms())
         host.extend_lease(self.now, TASK_LEASE_S)
@@ -258,41 +260,64 @@
         self.assertEqual(self.scheduler.drop_lapsed_hosts(self.now), ["agent-1"])
         self.assertEqual(task.runs, [])
 
-    def test_start_that_was_not_confirmed_outlives_the_lease(self):
+    def test_start_without_an_answer_outlives_the_lease(self):
         """An executor that had started again carried it out; its clock began anew, so
-        that the deadline in the call did not prevent it.
+        that the deadline in the call did not prevent it. That a repeat of the call was
+        answered, and the run listed, tells nothing of the call itself.
         """
-        host, _owned, task = self.started()
-        (run,) = task.runs
-        self.report(host, [RunningRow(str(task.id), run.attempt, "", 0)])
-        host.extend_lease(self.now, TASK_LEASE_S)
-        self.scheduler.cluster.end_stream(host)
-        self.now = run.placed_at + START_WITHIN_S + LATE_CALL_S + 10
-        self.assertEqual(self.scheduler.drop_lapsed_hosts(self.now), [])
-        self.assertEqual(task.runs, [run])
-        self.now = run.placed_at + UNCONFIRMED_FOR_S
-        self.assertEqual(self.scheduler.drop_lapsed_hosts(self.now), ["agent-1"])
-        self.assertEqual(task.runs, [])
-
-    def test_confirmed_run_ends_with_the_lease(self):
+        for survived_s in (0.0, 0.1):
+            with self.subTest(survived_s=survived_s):
+                self.setUp()
+                host, _owned, task = self.started()
+                (run,) = task.runs
+                row = RunningRow(str(task.id), run.attempt, "", 0)
+                self.report(
+                    host, [row], survival_times_s=[survived_s], may_start_late=[True]
+                )
+                host.extend_lease(self.now, TASK_LEASE_S)
+                self.scheduler.cluster.end_stream(host)
+                self.now = run.placed_at + START_WITHIN_S + LATE_CALL_S + 10
+                self.assertEqual(self.scheduler.drop_lapsed_hosts(self.now), [])
+                self.assertEqual(task.runs, [run])
+                self.now = run.placed_at + UNCONFIRMED_FOR_S
+                self.assertEqual(
+                    self.scheduler.drop_lapsed_hosts(self.now), ["agent-1"]
+                )
+                self.assertEqual(task.runs, [])
+
+    def test_answered_start_ends_with_the_lease(self):
+        """The task of a machine that was lost just after the start waited 28 s."""
+        for survived_s in (0.0, 0.1):
+            with self.subTest(survived_s=survived_s):
+                self.setUp()
+                host, _owned, task = self.started()
+                (run,) = task.runs
+                row = RunningRow(str(task.id), run.attempt, "", 0)
+                for late in (True, False):
+                    self.report(
+                        host,
+                        [row],
+                        survival_times_s=[survived_s],
+                        may_start_late=[late],
+                    )
+                host.extend_lease(self.now, TASK_LEASE_S)
+                self.scheduler.cluster.end_stream(host)
+                self.now += TASK_LEASE_S + LEASE_MARGIN_S
+                self.assertEqual(
+                    self.scheduler.drop_lapsed_hosts(self.now), ["agent-1"]
+                )
+                self.assertEqual(task.runs, [])
+
+    def test_start_without_an_answer_is_settled_by_the_next_complete_report(self):
         host, _owned, task = self.started()
         (run,) = task.runs
         row = RunningRow(str(task.id), run.attempt, "", 0)
-        self.report(host, [row], survival_times_s=[0.1])
-        host.extend_lease(self.now, TASK_LEASE_S)
-        self.scheduler.cluster.end_stream(host)
-        self.now += TASK_LEASE_S + LEASE_MARGIN_S
-        self.assertEqual(self.scheduler.drop_lapsed_hosts(self.now), ["agent-1"])
-        self.assertEqual(task.runs, [])
-
-    def test_start_that_was_not_confirmed_is_settled_by_the_next_complete_report(self):
-        host, _owned, task = self.started()
-        (run,) = task.runs
-        self.report(host, [RunningRow(str(task.id), run.attempt, "", 0)])
+        self.report(host, [row], may_start_late=[True])
         host.extend_lease(self.now, TASK_LEASE_S)
         self.scheduler.cluster.end_stream(host)
         self.now += TASK_LEASE_S + LEASE_MARGIN_S
         self.scheduler.drop_lapsed_hosts(self.now)
+        self.assertEqual(task.runs, [run])
         self.scheduler.cluster.begin_stream(host)
         self.report(host)
         self.assertEqual(task.runs, [])
@@ -303,10 +328,16 @@
         (run,) = task.runs
         row = RunningRow(str(task.id), run.attempt, "", 0)
         self.report(host, [row], survival_times_s=[0.1])
-        self.assertTrue(run.confirmed)
-        self.report(host, [row], complete=False, incarnation="agent-1@2")
+        self.assertFalse(run.may_start_late)
+        self.report(
+            host,
+            [row],
+            may_start_late=[True],
+            complete=False,
+            incarnation="agent-1@2",
+        )
         self.assertEqual(task.runs, [run])
-        self.assertFalse(run.confirmed)
+        self.assertTrue(run.may_start_late)
 
     def test_restarted_executor_has_lost_its_runs(self):
         host, _owned, task = self.started()
--- a/tests/batch/test_start_calls.py
+++ b/tests/batch/test_start_calls.py
@@ -79,6 +79,60 @@
         refused, stops = self.carry_out([unanswered, outcome])
         self.assertEqual((refused, stops), ([], [KEY]))
 
+    def test_only_a_start_without_an_answer_is_reported_as_late(self):
+        """Its run is kept beyond the lease of a machine that is lost."""
+        unanswered = HttpCallError(Verdict.MAY_HAVE_RUN, "no answer in time")
+        unsent = HttpCallError(Verdict.NOT_RUN, "no connection")
+        accepted = OrderOutcome.ACCEPTED
+        for starts, late in (
+            ([accepted], False),
+            ([unsent, accepted], False),
+            ([unanswered, accepted], True),
+            ([unanswered, unsent, accepted], True),
+            ([unanswered, OrderOutcome.OLD_ATTEMPT], True),
+        ):
+            with self.subTest(starts=starts):
+                self.carry_out(starts)
+                self.assertEqual(self.runs.report_late_starts(0.0), [late])
+
+    def test_start_is_reported_as_late_while_its_call_waits(self):
+        flags = []
+
+        async def report_and_answer():
+            flags.extend(self.runs.report_late_starts(trio.current_time()))
+            return OrderResult(OrderOutcome.ACCEPTED, 1000)
+
+        self.carry_out([report_and_answer])
+        self.assertEqual(flags, [True])
+
+    def test_change_of_a_late_start_is_reported_at_once(self):
+        requests = []
+
+        def count_requests():
+            self.runs.on_change = lambda: requests.append(trio.current_time())
+
+        async def fail():
+            count_requests()
+            raise HttpCallError(Verdict.MAY_HAVE_RUN, "no answer in time")
+
+        async def accept():
+            count_requests()
+            return OrderResult(OrderOutcome.ACCEPTED, 1000)
+
+        async def report_and_accept():
+            self.runs.report_late_starts(trio.current_time())
+            return await accept()
+
+        for starts, count in (
+            ([accept], 0),
+            ([report_and_accept], 1),
+            ([fail, report_and_accept], 1),
+        ):
+            with self.subTest(starts=starts):
+                requests.clear()
+                self.carry_out(starts)
+                self.assertEqual(len(requests), count)
+
     def test_refused_repeat_of_an_unanswered_call_is_stopped(self):
         """The unanswered call may take effect later; the task ran twice."""
         self.check_stopped(OrderOutcome.UNHEALTHY)
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -19,6 +19,7 @@
     has_survived,
     is_isolated,
 )
+from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
 from tests.batch.test_scheduler import SMALL, SchedulerTestCase
 from tests.batch.world import job
 
@@ -229,7 +230,13 @@
 
     def keep_running(self):
         """Have every host report its runs, which have just started."""
+        self.keep_running_but(None)
+
+    def keep_running_but(self, lost):
+        """Have every host except a lost one report its runs."""
         for host in self.hosts:
+            if host is lost:
+                continue
             rows = [
                 RunningRow(str(run.task.id), run.attempt, "", 0)
                 for run in host.runs.values()
@@ -252,6 +259,28 @@
         self.crash(second.runs[0].host, str(second.id), survived_s=SURVIVAL_S)
         self.assertEqual(owned.suspects, {first})
 
+    def test_run_on_a_lost_host_does_not_hold_up_a_suspect(self):
+        owned = self.add_job(job(steps=(SMALL,)))
+        self.place()
+        first, second = owned.tasks()
+        self.crash(first.runs[0].host, str(first.id))
+        self.keep_running()
+        (run,) = second.runs
+        row = RunningRow(str(second.id), run.attempt, "", 0)
+        incarnation = run.host.executor.incarnation
+        self.report(run.host, [row], may_start_late=[True], incarnation=incarnation)
+        self.assertEqual(self.place(), [])
+        self.scheduler.cluster.end_stream(run.host)
+        self.now += TASK_LEASE_S
+        self.keep_running_but(run.host)
+        self.scheduler.drop_lapsed_hosts(self.now)
+        self.assertEqual(self.place(), [])
+        self.now += LEASE_MARGIN_S
+        self.keep_running_but(run.host)
+        self.scheduler.drop_lapsed_hosts(self.now)
+        self.assertEqual(second.runs, [run])
+        self.assertEqual([task for _host, task in self.place()], [str(first.id)])
+
     def test_job_fails_after_two_clear_crashes(self):
         owned = self.add_job(job(steps=(SMALL,)))
         self.place()
