Drop start calls without effect whenever one is sent

What callers saw: nothing; found in review. On an executor that does not exit, start calls without an answer whose repeat was answered stayed in the memory of the agent.

Cause: they were dropped only by the query that an exit or a silence leads to.

Change: sending a call drops those older than 26 s, the oldest first.

Test: 1000 calls one second apart; before, the 28th was over the bound of 27.

--- a/rattanwing/batch/liveness.py
+++ b/rattanwing/batch/liveness.py
@@ -72,7 +72,7 @@
     A call stays here although a repeat of it was answered: the next incarnation does
     not know that the run has been started.
 
-    :param calls: the newest unsettled call for each run.
+    :param calls: the newest unsettled call for each run, in the order of sending.
     """
 
     __slots__ = ("calls",)
@@ -86,7 +86,8 @@
         :returns: the call to be passed to :meth:`settle`, with an earlier one that is
             not settled.
         """
-        earlier = self.calls.get(key)
+        self.drop_expired(call.sent_at)
+        earlier = self.calls.pop(key, None)
         self.calls[key] = call
         return earlier
 
@@ -106,17 +107,21 @@
 
         By default these are the calls that may still be carried out.
         """
-        self.calls = {
-            key: call
-            for key, call in self.calls.items()
-            if now - call.sent_at <= LATE_RUN_S
-        }
+        self.drop_expired(now)
         return {
             key: call
             for key, call in self.calls.items()
             if now - call.sent_at <= within_s
         }
 
+    def drop_expired(self, now: float) -> None:
+        """Drop the calls that can have no effect any more, the oldest first."""
+        while self.calls:
+            key = next(iter(self.calls))
+            if now - self.calls[key].sent_at <= LATE_RUN_S:
+                return
+            del self.calls[key]
+
 
 def may_outlive_lease(run: Run, now: float) -> bool:
     """Return whether a run of a host whose lease has lapsed may still be started there.
--- a/tests/batch/test_start_calls.py
+++ b/tests/batch/test_start_calls.py
@@ -5,6 +5,7 @@
 import trio
 import trio.testing
 
+from rattanwing.batch.liveness import LATE_RUN_S, StartCall, StartCalls
 from rattanwing.batch.ports import OrderOutcome, OrderResult, PollResult, RunningRow
 from rattanwing.batch.runs import ExecutorRuns
 from rattanwing.standin.runs import StandinBatchExecutor
@@ -42,6 +43,16 @@
         return PollResult(1000, [], [])
 
 
+class UnsettledCallTests(unittest.TestCase):
+    def test_calls_that_can_not_take_effect_any_more_are_dropped(self):
+        """Those whose repeat was answered stayed until the executor exited."""
+        calls = StartCalls()
+        for number in range(1000):
+            calls.send((f"job-{number}.0.0.0", 1), StartCall(None, float(number)))
+            self.assertLessEqual(len(calls.calls), LATE_RUN_S + 1)
+        self.assertEqual(len(calls.outstanding(999.0, LATE_RUN_S)), LATE_RUN_S + 1)
+
+
 class StartCallTests(unittest.TestCase):
     """The start calls of one order, and their answers."""
 
