Settle the start call that was answered, not the newest

What callers saw: nothing; found in review. With two start calls for one run on their way, the answer to the first settled the second, which could still be carried out late and was not known any more.

Cause: only the newest call for a run was recorded, and an answer took it out.

Change: all unsettled calls for a run are recorded, and an answer takes out its own by identity.

Test: all orders and choices of answers to three calls.

--- a/rattanwing/batch/liveness.py
+++ b/rattanwing/batch/liveness.py
@@ -51,7 +51,7 @@
 
 
 class StartCall:
-    """The last start call for a run that was sent and not settled.
+    """A start call for a run that was sent and not settled.
 
     :param properties: properties of its task, ``None`` if they are not known.
     :param sent_at: time when it was sent.
@@ -72,53 +72,48 @@
     A call stays here although a repeat of it was answered: the next incarnation does
     not know that the run has been started.
 
-    :param calls: the newest unsettled call for each run, in the order of sending.
+    :param calls: the unsettled calls for each run, in the order of sending; the runs in
+        the order of their newest call.
     """
 
     __slots__ = ("calls",)
 
     def __init__(self) -> None:
-        self.calls: dict[RunKey, StartCall] = {}
+        self.calls: dict[RunKey, list[StartCall]] = {}
 
-    def send(self, key: RunKey, call: StartCall) -> StartCall | None:
-        """Record that a call is being sent.
-
-        :returns: the call to be passed to :meth:`settle`, with an earlier one that is
-            not settled.
-        """
+    def send(self, key: RunKey, call: StartCall) -> None:
+        """Record that a call is being sent."""
         self.drop_expired(call.sent_at)
-        earlier = self.calls.pop(key, None)
-        self.calls[key] = call
-        return earlier
+        calls = self.calls.pop(key, [])
+        self.calls[key] = [*calls, call]
 
-    def settle(self, key: RunKey, earlier: StartCall | None) -> None:
-        """Record that the newest call was answered, or has surely not been received.
-
-        :param earlier: what :meth:`send` returned for the call.
-        """
-        self.calls.pop(key, None)
-        if earlier is not None:
-            self.calls[key] = earlier
+    def settle(self, key: RunKey, call: StartCall) -> None:
+        """Record that a call was answered, or has surely not been received."""
+        calls = [other for other in self.calls.get(key, ()) if other is not call]
+        if calls:
+            self.calls[key] = calls
+        else:
+            self.calls.pop(key, None)
 
     def outstanding(
         self, now: float, within_s: float = LATE_CALL_S
     ) -> dict[RunKey, StartCall]:
-        """Return the unsettled calls that were sent within a time, in seconds.
+        """Return the newest unsettled call for each run, if sent within a time in s.
 
         By default these are the calls that may still be carried out.
         """
         self.drop_expired(now)
         return {
-            key: call
-            for key, call in self.calls.items()
-            if now - call.sent_at <= within_s
+            key: calls[-1]
+            for key, calls in self.calls.items()
+            if now - calls[-1].sent_at <= within_s
         }
 
     def drop_expired(self, now: float) -> None:
         """Drop the calls that can have no effect any more, the oldest first."""
         while self.calls:
             key = next(iter(self.calls))
-            if now - self.calls[key].sent_at <= LATE_RUN_S:
+            if now - self.calls[key][-1].sent_at <= LATE_RUN_S:
                 return
             del self.calls[key]
 
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -637,7 +637,8 @@
                 continue
             sent_before = run.maybe_sent
             run.maybe_sent = True
-            earlier = self.start_calls.send(key, StartCall(order.properties, now))
+            call = StartCall(order.properties, now)
+            self.start_calls.send(key, call)
             try:
                 result = await self.executor.start(
                     order.task,
@@ -652,11 +653,11 @@
                 self.record_unconfirmed()
                 if error.verdict is Verdict.NOT_RUN:
                     run.maybe_sent = sent_before
-                    self.start_calls.settle(key, earlier)
+                    self.start_calls.settle(key, call)
                 self.check_late_start(key)
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
-            self.start_calls.settle(key, earlier)
+            self.start_calls.settle(key, call)
             self.check_late_start(key)
             self.record_order_answer(result)
             if fence != self.fence or self.runs.get(key) is not run:
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -437,8 +437,9 @@
             run.maybe_sent = run.listed = runs.restarted_under_id = True
             key = ("job-1.0.0.0", 1)
             runs.start_calls.send(key, StartCall(run.properties, now))
-            earlier = runs.start_calls.send(key, StartCall(run.properties, now))
-            runs.start_calls.settle(key, earlier)
+            repeat = StartCall(run.properties, now)
+            runs.start_calls.send(key, repeat)
+            runs.start_calls.settle(key, repeat)
             self.assertEqual([row.ended for row in runs.crashed_runs()], [False])
             await trio.sleep(LATE_CALL_S + 1)
             self.assertEqual([row.ended for row in runs.crashed_runs()], [True])
--- a/tests/batch/test_start_calls.py
+++ b/tests/batch/test_start_calls.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import unittest
+from itertools import permutations, product
 
 import trio
 import trio.testing
@@ -52,6 +53,27 @@
             self.assertLessEqual(len(calls.calls), LATE_RUN_S + 1)
         self.assertEqual(len(calls.outstanding(999.0, LATE_RUN_S)), LATE_RUN_S + 1)
 
+    def test_answer_settles_its_own_call(self):
+        """That to an earlier call settled the newest one."""
+        key = ("job-1.0.0.0", 1)
+        for answered in product((True, False), repeat=3):
+            for order in permutations(range(3)):
+                with self.subTest(answered=answered, order=order):
+                    calls = StartCalls()
+                    sent = [StartCall(None, float(number)) for number in range(3)]
+                    for call in sent:
+                        calls.send(key, call)
+                    for number in order:
+                        if answered[number]:
+                            calls.settle(key, sent[number])
+                    unsettled = [
+                        c for c, a in zip(sent, answered, strict=True) if not a
+                    ]
+                    self.assertEqual(
+                        calls.outstanding(3.0),
+                        {key: unsettled[-1]} if unsettled else {},
+                    )
+
 
 class StartCallTests(unittest.TestCase):
     """The start calls of one order, and their answers."""
