--- a/rattanwing/batch/liveness.py
+++ b/rattanwing/batch/liveness.py
@@ -23,13 +23,17 @@
 """Number of generations under the fence of one stream. The fence of a call is the
 stream's fence times this number plus the generation."""
 
+GENERATIONS_PER_INCARNATION = 2
+"""Number of generations of each incarnation: one for the calls to it, and one for the
+polls that fence its successor until that has announced itself."""
+
 LATE_RUN_S = 26.0
 """Time in seconds after a start call without an answer for which a run may exist that
 it has started: ``LATE_CALL_S``, and the longest lease that an executor grants, on
 a clock that may be slow."""
 
 UNCONFIRMED_FOR_S = 28.0
-"""Time in seconds after its placement for which a run whose start was not confirmed may
+"""Time in seconds after its placement for which a run whose start had no answer may
 exist on a host out of reach: the time until its order is void, and ``LATE_RUN_S``."""
 
 RunKey = tuple[str, int]
@@ -40,14 +44,14 @@
     """Return the fence of a call.
 
     :param stream_fence: the fence of the owner's stream.
-    :param generation: number of the executor's incarnation under its id, as counted by
-        its agent since the stream was opened.
+    :param generation: number that increases with each incarnation of any executor that
+        the agent has controlled since the stream was opened.
     """
     return stream_fence * GENERATIONS_PER_STREAM + generation
 
 
 class StartCall:
-    """The last start call for a run that was sent and not settled.
+    """A start call for a run that was sent and not settled.
 
     :param properties: properties of its task, ``None`` if they are not known.
     :param sent_at: time when it was sent.
@@ -68,59 +72,57 @@
     A call stays here although a repeat of it was answered: the next incarnation does
     not know that the run has been started.
 
-    :param calls: the newest unsettled call for each run.
+    :param calls: the unsettled calls for each run, in the order of sending; the runs in
+        the order of their newest call.
     """
 
     __slots__ = ("calls",)
 
     def __init__(self) -> None:
-        self.calls: dict[RunKey, StartCall] = {}
-
-    def send(self, key: RunKey, call: StartCall) -> StartCall | None:
-        """Record that a call is being sent.
-
-        :returns: the call to be passed to :meth:`settle`, with an earlier one that is
-            not settled.
-        """
-        earlier = self.calls.get(key)
-        self.calls[key] = call
-        return earlier
-
-    def settle(self, key: RunKey, earlier: StartCall | None) -> None:
-        """Record that the newest call was answered, or has surely not been received.
-
-        :param earlier: what :meth:`send` returned for the call.
-        """
-        self.calls.pop(key, None)
-        if earlier is not None:
-            self.calls[key] = earlier
+        self.calls: dict[RunKey, list[StartCall]] = {}
+
+    def send(self, key: RunKey, call: StartCall) -> None:
+        """Record that a call is being sent."""
+        self.drop_expired(call.sent_at)
+        calls = self.calls.pop(key, [])
+        self.calls[key] = [*calls, call]
+
+    def settle(self, key: RunKey, call: StartCall) -> None:
+        """Record that a call was answered, or has surely not been received."""
+        calls = [other for other in self.calls.get(key, ()) if other is not call]
+        if calls:
+            self.calls[key] = calls
+        else:
+            self.calls.pop(key, None)
 
     def outstanding(
         self, now: float, within_s: float = LATE_CALL_S
     ) -> dict[RunKey, StartCall]:
-        """Return the unsettled calls that were sent within a time, in seconds.
+        """Return the newest unsettled call for each run, if sent within a time in s.
 
         By default these are the calls that may still be carried out.
         """
-        self.calls = {
-            key: call
-            for key, call in self.calls.items()
-            if now - call.sent_at <= LATE_RUN_S
-        }
+        self.drop_expired(now)
         return {
-            key: call
-            for key, call in self.calls.items()
-            if now - call.sent_at <= within_s
+            key: calls[-1]
+            for key, calls in self.calls.items()
+            if now - calls[-1].sent_at <= within_s
         }
 
+    def drop_expired(self, now: float) -> None:
+        """Drop the calls that can have no effect any more, the oldest first."""
+        while self.calls:
+            key = next(iter(self.calls))
+            if now - self.calls[key][-1].sent_at <= LATE_RUN_S:
+                return
+            del self.calls[key]
+
 
 def may_outlive_lease(run: Run, now: float) -> bool:
     """Return whether a run of a host whose lease has lapsed may still be started there.
 
     Its deadline does not prevent that, because the clock of an executor that starts
-    again begins anew. A run that the agent has never reported counts as lost with its
-    order.
+    again begins anew. A run whose agent was lost before it could report a call without
+    an answer counts as lost with the lease.
     """
-    return (
-        run.reported and not run.confirmed and now < run.placed_at + UNCONFIRMED_FOR_S
-    )
+    return run.may_start_late and now < run.placed_at + UNCONFIRMED_FOR_S
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -14,6 +14,7 @@
 from rattanwing import events
 from rattanwing.batch import messages
 from rattanwing.batch.liveness import (
+    GENERATIONS_PER_INCARNATION,
     GENERATIONS_PER_STREAM,
     LATE_CALL_S,
     LATE_RUN_S,
@@ -168,6 +169,8 @@
         after a call has failed.
     :param failed_call_at: when a call last failed.
     :param start_calls: see :class:`~rattanwing.batch.liveness.StartCalls`.
+    :param late_reported: runs that the newest report has marked as started by a call
+        without an answer.
     :param failed_at: time of the first call that failed after the last answer, ``None``
         if there was none.
     :param broken: whether that call failed because its connection broke.
@@ -201,6 +204,7 @@
         "confirmed_at",
         "failed_call_at",
         "start_calls",
+        "late_reported",
         "failed_at",
         "broken",
         "exited",
@@ -241,6 +245,7 @@
         self.confirmed_at = float("-inf")
         self.failed_call_at = float("-inf")
         self.start_calls = StartCalls()
+        self.late_reported: set[RunKey] = set()
         self.failed_at: float | None = None
         self.broken = False
         self.exited = False
@@ -254,10 +259,10 @@
         self.poll_scope = trio.CancelScope()
         self.silence_logged = False
 
-    def set_fence(self, fence: int) -> None:
+    def set_fence(self, fence: int, generation: int = 0) -> None:
         """Switch to a later owner's fence; the executor will refuse earlier ones."""
         self.fence = fence
-        self.generation = 0
+        self.generation = generation
         self.poll_scope.cancel()
 
     def extend_lease(self, until: float) -> None:
@@ -298,15 +303,20 @@
         self.exited = True
         self.on_change()
 
-    def succeed(self, previous: ExecutorRuns, now: float) -> bool:
+    def has_generation(self) -> bool:
+        """Return whether the stream's generations suffice for this incarnation.
+
+        Otherwise nothing is called before the next stream.
+        """
+        return self.generation < GENERATIONS_PER_STREAM - 1
+
+    def succeed(self, previous: ExecutorRuns, now: float) -> None:
         """Take over what calls for the previous incarnation may have started here.
 
         These runs are listed until this incarnation has answered a poll. Its fence is
         higher than that of any such call.
 
         :param previous: the earlier incarnation of an executor with the same id.
-        :returns: whether the stream's generations suffice; otherwise nothing is called
-            before the next stream.
         """
         self.leases_end_by = max(self.leases_end_by, previous.leases_end_by)
         self.start_calls = previous.start_calls
@@ -322,9 +332,9 @@
             run.maybe_sent = True
             run.may_be_unlisted_until = float("-inf")
             self.runs[key] = run
-        # The generation between is that of fence_successor.
-        self.generation = previous.generation + 2
-        return self.generation < GENERATIONS_PER_STREAM - 1
+        if previous.fence == self.fence:
+            following = previous.generation + GENERATIONS_PER_INCARNATION
+            self.generation = max(self.generation, following)
 
     def may_outlive(self, key: RunKey, run: AgentRun) -> bool:
         """Return whether the next incarnation under the same id may start a run."""
@@ -418,6 +428,23 @@
         late = self.start_calls.outstanding(now, LATE_RUN_S)
         return [row for row in self.running_rows() if (row.task, row.attempt) in late]
 
+    def report_late_starts(self, now: float) -> list[bool]:
+        """Return for each row of :meth:`running_rows` whether it may start late.
+
+        This is recorded as reported.
+        """
+        late = self.start_calls.outstanding(now, LATE_RUN_S)
+        self.late_reported = late.keys() & self.runs.keys()
+        return [key in late for key in self.runs]
+
+    def check_late_start(self, key: RunKey) -> None:
+        """Request a report if the newest one is wrong about a start call.
+
+        A call that is waiting for its answer is left to the next regular report.
+        """
+        if (key in self.start_calls.calls) != (key in self.late_reported):
+            self.on_change()
+
     def survival_times_s(self) -> list[float]:
         """Return for each row of :meth:`running_rows` how long it is known to run."""
         return [
@@ -626,7 +653,8 @@
                 continue
             sent_before = run.maybe_sent
             run.maybe_sent = True
-            earlier = self.start_calls.send(key, StartCall(order.properties, now))
+            call = StartCall(order.properties, now)
+            self.start_calls.send(key, call)
             try:
                 result = await self.executor.start(
                     order.task,
@@ -641,10 +669,12 @@
                 self.record_unconfirmed()
                 if error.verdict is Verdict.NOT_RUN:
                     run.maybe_sent = sent_before
-                    self.start_calls.settle(key, earlier)
+                    self.start_calls.settle(key, call)
+                self.check_late_start(key)
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
-            self.start_calls.settle(key, earlier)
+            self.start_calls.settle(key, call)
+            self.check_late_start(key)
             self.record_order_answer(result)
             if fence != self.fence or self.runs.get(key) is not run:
                 return
