Report a start as without an answer before its first call

What callers saw: nothing shown. A run that its agent had reported before it called the start, and that was called before the agent was killed, counted as lost with the lease, though its call could be carried out late.

Cause: the report marked only runs with a call on its way.

Change: it also marks runs that are not known to the executor yet.

Test: fails before ([False], not [True]). After: test_start_calls, test_agent, test_crossed_messages, test_scheduler and test_suspicion, 145 pass.

--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -427,17 +427,20 @@
     def report_late_starts(self, now: float) -> list[bool]:
         """Return for each row of :meth:`running_rows` whether it may start late.
 
-        This is recorded as reported.
+        A run that is not known to the executor may: its first call may follow the
+        report. What is returned is recorded as reported.
         """
         late = self.start_calls.outstanding(now, LATE_RUN_S)
-        self.late_reported = late.keys() & self.runs.keys()
-        return [key in late for key in self.runs]
+        flags = [
+            key in late or not run.known_to_executor for key, run in self.runs.items()
+        ]
+        self.late_reported = {
+            key for key, flag in zip(self.runs, flags, strict=True) if flag
+        }
+        return flags
 
     def check_late_start(self, key: RunKey) -> None:
-        """Request a report if the newest one is wrong about a start call.
-
-        A call that is waiting for its answer is left to the next regular report.
-        """
+        """Request a report if the newest one is wrong about a start call."""
         if (key in self.start_calls.calls) != (key in self.late_reported):
             self.on_change()
 
--- a/tests/batch/test_start_calls.py
+++ b/tests/batch/test_start_calls.py
@@ -138,6 +138,18 @@
         self.carry_out([report_and_answer])
         self.assertEqual(flags, [True])
 
+    def test_start_that_was_not_called_yet_is_reported_as_late(self):
+        """Its call followed the report, and its agent was killed before the next."""
+
+        async def accept():
+            return OrderResult(OrderOutcome.ACCEPTED, 1000)
+
+        self.carry_out([accept])
+        self.runs.clock = lambda: 0.0
+        self.runs.runs.clear()
+        self.runs.admit(start_order())
+        self.assertEqual(self.runs.report_late_starts(0.0), [True])
+
     def test_change_of_a_late_start_is_reported_at_once(self):
         requests = []
 
