Failing tests: submissions while the store is slow, and when a relay loses its peer

Each of 35 entries has an append of its own in flight, a partition processes one at a time, and each relay adds another append.

The stand-in of the store can now process appends one at a time and refuse them when too many wait.

--- a/rattanwing/standin/keyed_store.py
+++ b/rattanwing/standin/keyed_store.py
@@ -1,7 +1,8 @@
 """In-memory stand-in for the platform's store of keyed records.
 
-It can simulate these faults: it is unreachable for some clients, answers to appends
-are lost, appends take effect late, and records expire except the newest of each key.
+It can simulate these faults: it is unreachable for some clients, it is slow, answers to
+appends are lost, appends take effect late, and records expire except the newest of each
+key.
 """
 
 from __future__ import annotations
@@ -23,6 +24,9 @@
 PAGE_RECORDS = 500
 """Number of records on a page of :meth:`StandinStoreClient.list_newest`."""
 
+MAX_QUEUE_S = 2.0
+"""Appends are refused while those that wait for a topic take longer than this."""
+
 REMEMBERED_APPENDS = 5
 """Number of latest appends of each producer whose repeats are recognized."""
 
@@ -50,9 +54,17 @@
     :param first_offset: offset of the first of ``records``.
     :param newest: newest record of each key; deleted keys are left out.
     :param appended: set, and replaced by a new event, when a record is appended.
+    :param free_at: when the appends that were received so far have been processed.
     """
 
-    __slots__ = ("records", "first_offset", "newest", "producers", "appended")
+    __slots__ = (
+        "records",
+        "first_offset",
+        "newest",
+        "producers",
+        "appended",
+        "free_at",
+    )
 
     def __init__(self) -> None:
         self.records: list[StoredRecord] = []
@@ -60,6 +72,7 @@
         self.newest: dict[str, StoredRecord] = {}
         self.producers: dict[str, ProducerState] = {}
         self.appended = trio.Event()
+        self.free_at = 0.0
 
     @property
     def end(self) -> int:
@@ -107,6 +120,18 @@
             self.put(key, value)
         return offset
 
+    async def wait_for_turn(self, append_s: float) -> None:
+        """Wait until the appends received before, and this one, have been processed.
+
+        :param append_s: how long each takes, in seconds.
+        :raises LogUnavailableError: when too many appends are waiting.
+        """
+        now = trio.current_time()
+        if self.free_at - now > MAX_QUEUE_S:
+            raise LogUnavailableError("too many appends", may_have_applied=False)
+        self.free_at = max(now, self.free_at) + append_s
+        await trio.sleep_until(self.free_at)
+
     def put(self, key: str, value: bytes | None) -> None:
         """Append one record without checks."""
         record = StoredRecord(key, value, self.end)
@@ -132,10 +157,13 @@
         answers are lost.
     :param late_append_delay_s: delay in seconds before an append with a lost answer
         takes effect; 0 for none.
+    :param append_s: how long a topic takes for each append, in seconds; it processes
+        them one at a time.
     :param append_calls: number of appends received.
     """
 
     __slots__ = (
+        "append_s",
         "topics",
         "disconnected_clients",
         "lose_answers",
@@ -148,6 +176,7 @@
         self.disconnected_clients: set[str] = set()
         self.lose_answers = 0
         self.late_append_delay_s = 0.0
+        self.append_s = 0.0
         self.append_calls = 0
 
     def topic(self, name: str) -> Topic:
@@ -194,6 +223,8 @@
         """Append records, or simulate a lost answer if that fault is set."""
         await self.simulate_call()
         self.store.append_calls += 1
+        if self.store.append_s:
+            await self.store.topic(topic).wait_for_turn(self.store.append_s)
         if self.store.lose_answers > 0:
             self.store.lose_answers -= 1
             if self.store.late_append_delay_s:
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -686,6 +686,39 @@
 
         play(scenario)
 
+    def test_outcome_is_resolved_when_a_peer_has_died_with_the_job(self):
+        """It was left unknown at once, though the caller was still waiting."""
+
+        async def scenario(world):
+            await trio.sleep(2)
+            entry = self.entry_without_store(world)
+            name = entry.settings.name
+            await trio.sleep(4)
+
+            def closing_once(peer):
+                service = peer.relaying_service
+                calls = []
+
+                async def close_first_stream(stream):
+                    calls.append(stream)
+                    if len(calls) > 1:
+                        await service.accept(stream)
+                        return
+                    await stream.receive()
+                    await stream.aclose()
+
+                return SimpleNamespace(accept=close_first_stream)
+
+            for other in world.entries.values():
+                if other.settings.name != name:
+                    other.relaying_service = closing_once(other)
+            answer = await world.submit(job(), entry)
+            self.assertIs(answer, Answer.ACCEPTED)
+            await trio.sleep(3)
+
+        world = play(scenario)
+        self.assertEqual(len(world.history), 2)
+
     def test_job_is_refused_when_no_entry_reaches_the_store(self):
         async def scenario(world):
             await trio.sleep(2)
@@ -701,3 +734,32 @@
 
         world = play(scenario)
         self.assertEqual(world.history, [])
+
+
+class SlowStoreTests(unittest.TestCase):
+    """The store takes long for each append, and processes them one at a time."""
+
+    def test_entries_do_not_wait_for_the_appends_of_one_another(self):
+        """Each stored its own jobs; most got no answer in time."""
+        answers = []
+
+        async def scenario(world):
+            await trio.sleep(3)
+            owner = world.owner().settings.name
+            entries = [e for name, e in world.entries.items() if name != owner]
+
+            async def submit(number):
+                entry = entries[number % len(entries)]
+                answers.append(await world.submit(job(f"job-{number}"), entry))
+
+            world.store.append_s = 0.23
+            async with trio.open_nursery() as nursery:
+                for number in range(40):
+                    nursery.start_soon(submit, number)
+                    await trio.sleep(0.1)
+            world.store.append_s = 0.0
+            await trio.sleep(4)
+
+        world = play(scenario, entries=16)
+        self.assertEqual(Counter(answers), {Answer.ACCEPTED: 40})
+        self.assertEqual(world.reruns(), [])
