Hand a call of unknown outcome in again while its caller waits

Cause: a relay whose peer ended its stream counted as an unknown outcome, and that was the answer, however long the caller was still waiting. Class: an unknown outcome taken for a final one. Beside it, a cancellation of unknown outcome here and 'not ready' at a peer was answered as not run, which is not known.

Ruled out: a refusal in place of 504; the peer may have stored the job.

Change: one loop for submissions and cancellations repeats the call, here and at other entries, until the outcome is definite or the caller stops waiting. After an unknown outcome no refusal is final.

--- a/rattanwing/batch/relay.py
+++ b/rattanwing/batch/relay.py
@@ -18,7 +18,7 @@
 from rattanwing.errors import PeerLostError, ProtocolError, RejectedError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
     from random import Random
 
     from rattanwing.batch import records
@@ -43,6 +43,10 @@
 RELAY_TIMEOUT_S = 1.5
 """Longest wait for all peers together: half of what callers usually wait."""
 
+RESOLVE_PAUSE_S = 0.1
+"""Pause before a call whose outcome is unknown is made again, in seconds; a few round
+trips between entries."""
+
 DEFINITE_ANSWERS = (Answer.ACCEPTED, Answer.NO_SUCH_JOB)
 """Answers that stay true whatever other entries do with the same call."""
 
@@ -78,39 +82,73 @@
         :param wait_s: how long the caller waits for the answer.
         :raises RejectedError: when the job's steps are invalid.
         """
-        ends_at = self.clock() + wait_s
-        local_answer = Answer.NOT_READY
-        if not self.local.is_store_unreachable(self.clock()):
-            local_answer = await self.local.submit(spec, min(wait_s, RELAY_AFTER_S))
-            if local_answer is Answer.ACCEPTED:
-                return local_answer
-        left_s = ends_at - self.clock()
-        relayed = await self.relay(messages.RelayedSubmit(spec, left_s), left_s)
-        if relayed is not None and relayed.answer is Answer.ACCEPTED:
-            return Answer.ACCEPTED
-        if local_answer is Answer.UNKNOWN_OUTCOME:
-            return await self.local.submit(spec, max(0.0, ends_at - self.clock()))
-        return relayed.answer if relayed is not None else local_answer
+        return await self.resolve(
+            lambda left_s: self.local.submit(spec, left_s),
+            lambda left_s: messages.RelayedSubmit(spec, left_s),
+            wait_s,
+        )
 
     async def cancel(self, job_id: str, queue: str, wait_s: float) -> Answer:
         """Cancel a job here or, if that is not confirmed in time, at another entry.
 
         :param wait_s: how long the caller waits for the answer.
         """
+        return await self.resolve(
+            lambda left_s: self.local.cancel(job_id, queue, left_s),
+            lambda left_s: messages.RelayedCancel(job_id, queue, left_s),
+            wait_s,
+        )
+
+    async def resolve(
+        self,
+        carry_out: Callable[[float], Awaitable[Answer]],
+        make_call: Callable[[float], messages.Message],
+        wait_s: float,
+    ) -> Answer:
+        """Make a call until its outcome is known or its caller stops waiting.
+
+        Calls may be repeated: the store keeps one job per id. After an unknown outcome
+        no refusal is final, as the call that had no answer may have been carried out.
+
+        :param carry_out: makes the call here, given the seconds that are left.
+        :param make_call: returns the message that relays it, given the same.
+        """
         ends_at = self.clock() + wait_s
-        local_answer = Answer.NOT_READY
+        unknown = False
+        while True:
+            answer = await self.try_entries(carry_out, make_call, ends_at)
+            if answer in DEFINITE_ANSWERS:
+                return answer
+            if answer is not Answer.UNKNOWN_OUTCOME and not unknown:
+                return answer
+            unknown = True
+            if self.clock() + RESOLVE_PAUSE_S >= ends_at:
+                return Answer.UNKNOWN_OUTCOME
+            await trio.sleep(RESOLVE_PAUSE_S)
+
+    async def try_entries(
+        self,
+        carry_out: Callable[[float], Awaitable[Answer]],
+        make_call: Callable[[float], messages.Message],
+        ends_at: float,
+    ) -> Answer:
+        """Make a call here and, if that gives no definite answer, at other entries.
+
+        :param ends_at: when the caller stops waiting.
+        """
+        answer = Answer.NOT_READY
         if not self.local.is_store_unreachable(self.clock()):
-            local_answer = await self.local.cancel(
-                job_id, queue, min(wait_s, RELAY_AFTER_S)
-            )
-            if local_answer in (Answer.ACCEPTED, Answer.NO_SUCH_JOB):
-                return local_answer
-        left_s = ends_at - self.clock()
-        call = messages.RelayedCancel(job_id, queue, left_s)
-        relayed = await self.relay(call, left_s)
-        if relayed is not None and relayed.answer is not Answer.REFUSED:
+            left_s = max(0.0, ends_at - self.clock())
+            answer = await carry_out(min(left_s, RELAY_AFTER_S))
+            if answer in DEFINITE_ANSWERS:
+                return answer
+        left_s = max(0.0, ends_at - self.clock())
+        relayed = await self.relay(make_call(left_s), left_s)
+        if relayed is not None and relayed.answer in DEFINITE_ANSWERS:
             return relayed.answer
-        return local_answer
+        if answer is Answer.UNKNOWN_OUTCOME or relayed is None:
+            return answer
+        return relayed.answer
 
     async def find(self, job_id: str, queue: str) -> JobState | Answer:
         """Return a job's state, from another entry if the store is unreachable."""
