Have the owner store the calls of all entries while the store is slow

Cause: each entry has an append of its own in flight, and the store processes the appends of a topic one at a time. Class: retries that add load where there is too little room.

Ruled out: longer waits (the queue is longer than any caller waits); several partitions (each entry would have to read all of them); relaying to the owner always (two more round trips for each job while the store is quick).

Change: an entry finds out from its reads and appends whether the store is slow (batch/store_speed.py). While it is, it relays to the owner, whose writer groups all calls in one append; if the owner does not answer, the entry stores the call itself. Refused appends do not count as an outage meanwhile.

--- a/rattanwing/batch/entry.py
+++ b/rattanwing/batch/entry.py
@@ -14,6 +14,7 @@
 from rattanwing.batch.relay import RelayingService
 from rattanwing.batch.replica import Directory, TopicReader, WorkReplica
 from rattanwing.batch.service import JobService
+from rattanwing.batch.store_speed import StoreSpeed
 from rattanwing.batch.writer import RecordWriter
 
 if TYPE_CHECKING:
@@ -55,6 +56,7 @@
         "dial",
         "configuration",
         "replica",
+        "store_speed",
         "reader",
         "directory",
         "directory_reader",
@@ -84,22 +86,35 @@
         self.dial = dial
         self.configuration = CurrentConfiguration()
         self.replica = WorkReplica(clock)
+        self.store_speed = StoreSpeed()
         self.reader = TopicReader(
             store,
             records.WORK_TOPIC,
             clock,
             self.replica.apply,
             load_order=self.replica.load_order,
+            speed=self.store_speed,
         )
         self.directory = Directory()
         self.directory_reader = TopicReader(
-            store, records.DIRECTORY_TOPIC, clock, self.directory.apply
+            store,
+            records.DIRECTORY_TOPIC,
+            clock,
+            self.directory.apply,
+            speed=self.store_speed,
         )
         self.writer = self.make_writer(records.WORK_TOPIC)
         self.directory_writer = self.make_writer(records.DIRECTORY_TOPIC)
-        self.local_service = JobService(self.replica, self.reader, self.writer, clock)
+        self.local_service = JobService(
+            self.replica, self.reader, self.writer, self.store_speed, clock
+        )
         self.relaying_service = RelayingService(
-            settings.name, self.local_service, self.directory, clock, random, dial
+            settings.name,
+            self.local_service,
+            self.directory,
+            clock,
+            random,
+            dial,
         )
         self.candidate = Candidate(
             settings.name,
--- a/rattanwing/batch/relay.py
+++ b/rattanwing/batch/relay.py
@@ -58,7 +58,14 @@
     :param local: this entry's own service.
     """
 
-    __slots__ = ("node", "local", "directory", "clock", "random", "dial")
+    __slots__ = (
+        "node",
+        "local",
+        "directory",
+        "clock",
+        "random",
+        "dial",
+    )
 
     def __init__(
         self,
@@ -132,30 +139,93 @@
         make_call: Callable[[float], messages.Message],
         ends_at: float,
     ) -> Answer:
-        """Make a call here and, if that gives no definite answer, at other entries.
+        """Make a call once: at the owner if the store is slow, else here or elsewhere.
 
         :param ends_at: when the caller stops waiting.
         """
-        answer = Answer.NOT_READY
-        if not self.local.is_store_unreachable(self.clock()):
+        collector = self.find_collector(self.clock())
+        unanswered = False
+        if collector is not None:
             left_s = max(0.0, ends_at - self.clock())
-            answer = await carry_out(min(left_s, RELAY_AFTER_S))
-            if answer in DEFINITE_ANSWERS:
-                return answer
+            collected = await self.relay(make_call(left_s), left_s, [collector])
+            match collected and collected.answer:
+                case Answer.ACCEPTED | Answer.NO_SUCH_JOB | Answer.REFUSED:
+                    return collected.answer
+                case Answer.UNKNOWN_OUTCOME:
+                    unanswered = True
+        answer = await self.try_here_or_elsewhere(carry_out, make_call, ends_at)
+        if unanswered and answer not in DEFINITE_ANSWERS:
+            return Answer.UNKNOWN_OUTCOME
+        return answer
+
+    async def try_here_or_elsewhere(
+        self,
+        carry_out: Callable[[float], Awaitable[Answer]],
+        make_call: Callable[[float], messages.Message],
+        ends_at: float,
+    ) -> Answer:
+        """Make a call here and, if that gives no definite answer, at other entries."""
+        answer = await self.try_here(carry_out, ends_at)
+        if answer in DEFINITE_ANSWERS:
+            return answer
+        if answer is Answer.UNKNOWN_OUTCOME and self.find_collector(self.clock()):
+            return answer
         left_s = max(0.0, ends_at - self.clock())
-        relayed = await self.relay(make_call(left_s), left_s)
+        relayed = await self.relay(make_call(left_s), left_s, self.choose_peers())
         if relayed is not None and relayed.answer in DEFINITE_ANSWERS:
             return relayed.answer
         if answer is Answer.UNKNOWN_OUTCOME or relayed is None:
             return answer
         return relayed.answer
 
+    async def try_here(
+        self, carry_out: Callable[[float], Awaitable[Answer]], ends_at: float
+    ) -> Answer:
+        """Make a call at this entry, unless the store is unreachable from here."""
+        now = self.clock()
+        if self.local.is_store_unreachable(now):
+            return Answer.NOT_READY
+        wait_s = max(0.0, ends_at - now)
+        if not (self.local.store_speed.is_slow(now) and self.is_owner()):
+            wait_s = min(wait_s, RELAY_AFTER_S)
+        answer = await carry_out(wait_s)
+        if self.local.writer.failing_since is None:
+            self.local.store_speed.record(self.clock() - now, self.clock())
+        return answer
+
+    def is_owner(self) -> bool:
+        """Return whether this entry schedules, as far as it knows."""
+        owner = self.local.replica.owner
+        return owner is not None and not owner.resigned and owner.node == self.node
+
+    def find_collector(self, now: float) -> records.EntryAddress | None:
+        """Return the entry that makes the calls of all entries while the store is slow.
+
+        The store processes appends one at a time, and each entry groups the calls that
+        wait for its own append. So one entry gets more calls stored than all entries
+        side by side.
+
+        :returns: the owner; ``None`` if the store is not slow or this is the owner.
+        """
+        owner = self.local.replica.owner
+        if owner is None or owner.resigned or owner.node == self.node:
+            return None
+        if not self.local.store_speed.is_slow(now):
+            return None
+        return self.directory.entries.get(owner.node)
+
+    def choose_peers(self) -> list[records.EntryAddress]:
+        """Return a few other entries in random order."""
+        addresses = [a for n, a in self.directory.entries.items() if n != self.node]
+        self.random.shuffle(addresses)
+        return addresses[:MAX_PEERS]
+
     async def find(self, job_id: str, queue: str) -> JobState | Answer:
         """Return a job's state, from another entry if the store is unreachable."""
         if not self.local.is_store_unreachable(self.clock()):
             return await self.local.find(job_id, queue)
         call = messages.RelayedFind(job_id, queue)
-        relayed = await self.relay(call, RELAY_TIMEOUT_S)
+        relayed = await self.relay(call, RELAY_TIMEOUT_S, self.choose_peers())
         if relayed is None:
             return await self.local.find(job_id, queue)
         return relayed.answer if relayed.state is None else relayed.state
@@ -169,23 +239,26 @@
         return self.local.count_queued(queue)
 
     async def relay(
-        self, call: messages.Message, wait_s: float
+        self,
+        call: messages.Message,
+        wait_s: float,
+        addresses: list[records.EntryAddress],
     ) -> messages.RelayedAnswer | None:
         """Relay a call to other entries in turn.
 
         The next entry is called when the previous one fails or is slow.
 
+        :param addresses: the entries, in the order in which they are called.
+
         :returns: a definite answer if there is one; else an unknown outcome if an
             entry may have received the call but did not answer; else any answer,
             preferably other than ``NOT_READY``; ``None`` if no entry was reached.
         """
-        addresses = [a for n, a in self.directory.entries.items() if n != self.node]
-        self.random.shuffle(addresses)
         answers: list[messages.RelayedAnswer] = []
         unresolved: set[str] = set()
         with trio.move_on_after(max(0.0, min(wait_s, RELAY_TIMEOUT_S))):
             async with trio.open_nursery() as nursery:
-                for address in addresses[:MAX_PEERS]:
+                for address in addresses:
                     finished = trio.Event()
                     nursery.start_soon(
                         self.relay_to_peer,
--- a/rattanwing/batch/replica.py
+++ b/rattanwing/batch/replica.py
@@ -9,6 +9,7 @@
 from rattanwing import events
 from rattanwing.batch import records
 from rattanwing.batch.model import JobSpec, JobState
+from rattanwing.batch.store_speed import StoreSpeed
 from rattanwing.errors import LogUnavailableError, RecordError, RecordExpiredError
 
 if TYPE_CHECKING:
@@ -65,6 +66,7 @@
     :param apply: called with each record, in the order of offsets after the load.
     :param pause_s: pause between two reads.
     :param load_order: sort key of the order in which loaded records are applied.
+    :param speed: told how long reads take.
     :param end_offset: offset after the last record that was applied.
     :param read_sent_at: when the newest successful read was sent.
     :param fresh_since: start of the current uninterrupted series of reads; a series
@@ -84,6 +86,7 @@
         "pause_s",
         "on_loaded",
         "load_order",
+        "speed",
     )
 
     def __init__(
@@ -94,6 +97,7 @@
         apply: Callable[[StoredRecord], None],
         pause_s: float = READ_PAUSE_S,
         load_order: Callable[[StoredRecord], Any] = by_offset,
+        speed: StoreSpeed | None = None,
     ) -> None:
         self.store = store
         self.topic = topic
@@ -106,6 +110,7 @@
         self.pause_s = pause_s
         self.on_loaded: Callable[[set[str]], None] | None = None
         self.load_order = load_order
+        self.speed = speed or StoreSpeed()
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the topic is loaded and its newest read is recent."""
@@ -178,6 +183,10 @@
         """Apply the records appended since the last read."""
         sent_at = self.clock()
         result = await self.store.read(self.topic, self.end_offset, READ_WAIT_S)
+        if not result.records:
+            # Only a read that finds no record is known to have waited to the end.
+            now = self.clock()
+            self.speed.record(now - sent_at - READ_WAIT_S, now)
         for record in result.records:
             self.apply(record)
         self.end_offset = result.end_offset
--- a/rattanwing/batch/service.py
+++ b/rattanwing/batch/service.py
@@ -17,6 +17,7 @@
 
     from rattanwing.batch.model import JobSpec
     from rattanwing.batch.replica import TopicReader, WorkReplica
+    from rattanwing.batch.store_speed import StoreSpeed
     from rattanwing.batch.writer import PendingAppend, RecordWriter
 
 STORE_TIMEOUT_S = 1.5
@@ -37,21 +38,31 @@
 class JobService:
     """Serves one entry's callers from its replica and the store.
 
+    :param store_speed: what the calls of this entry show of the store.
     :param pending_submissions: by job id, the append that stores the job.
     """
 
-    __slots__ = ("replica", "reader", "writer", "clock", "pending_submissions")
+    __slots__ = (
+        "replica",
+        "reader",
+        "writer",
+        "store_speed",
+        "clock",
+        "pending_submissions",
+    )
 
     def __init__(
         self,
         replica: WorkReplica,
         reader: TopicReader,
         writer: RecordWriter,
+        store_speed: StoreSpeed,
         clock: Callable[[], float],
     ) -> None:
         self.replica = replica
         self.reader = reader
         self.writer = writer
+        self.store_speed = store_speed
         self.clock = clock
         self.pending_submissions: dict[str, PendingAppend] = {}
 
@@ -156,6 +167,7 @@
     def are_appends_failing(self, now: float) -> bool:
         """Return whether appends have failed for longer than a short disturbance.
 
+        A slow store refuses appends while too many wait, and takes them a little later.
         A successful read that was sent after the latest failure shows that the
         store answers again. Reads are used because jobs refused during an outage
         queue no append whose success could end it.
@@ -163,6 +175,8 @@
         failing_since = self.writer.failing_since
         if failing_since is None or now - failing_since <= STORE_OUTAGE_AFTER_S:
             return False
+        if self.store_speed.is_slow(now):
+            return False
         return self.reader.read_sent_at <= self.writer.last_failed_at
 
     def outage_s(self, now: float) -> float:
--- a/rattanwing/standin/keyed_store.py
+++ b/rattanwing/standin/keyed_store.py
@@ -157,13 +157,13 @@
         answers are lost.
     :param late_append_delay_s: delay in seconds before an append with a lost answer
         takes effect; 0 for none.
-    :param append_s: how long a topic takes for each append, in seconds; it processes
-        them one at a time.
+    :param slowdown: factor by which answers take longer. Above 1 a topic also processes
+        its appends one at a time.
     :param append_calls: number of appends received.
     """
 
     __slots__ = (
-        "append_s",
+        "slowdown",
         "topics",
         "disconnected_clients",
         "lose_answers",
@@ -176,7 +176,7 @@
         self.disconnected_clients: set[str] = set()
         self.lose_answers = 0
         self.late_append_delay_s = 0.0
-        self.append_s = 0.0
+        self.slowdown = 1.0
         self.append_calls = 0
 
     def topic(self, name: str) -> Topic:
@@ -207,7 +207,7 @@
 
         :raises LogUnavailableError: when this client is disconnected.
         """
-        await trio.sleep(ANSWER_DELAY_S)
+        await trio.sleep(ANSWER_DELAY_S * self.store.slowdown)
         if self.name in self.store.disconnected_clients:
             raise LogUnavailableError(
                 "the store is not reachable", may_have_applied=False
@@ -223,8 +223,9 @@
         """Append records, or simulate a lost answer if that fault is set."""
         await self.simulate_call()
         self.store.append_calls += 1
-        if self.store.append_s:
-            await self.store.topic(topic).wait_for_turn(self.store.append_s)
+        if self.store.slowdown > 1:
+            append_s = ANSWER_DELAY_S * self.store.slowdown
+            await self.store.topic(topic).wait_for_turn(append_s)
         if self.store.lose_answers > 0:
             self.store.lose_answers -= 1
             if self.store.late_append_delay_s:
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -737,7 +737,7 @@
 
 
 class SlowStoreTests(unittest.TestCase):
-    """The store takes long for each append, and processes them one at a time."""
+    """The store takes 57 times as long, and processes appends one at a time."""
 
     def test_entries_do_not_wait_for_the_appends_of_one_another(self):
         """Each stored its own jobs; most got no answer in time."""
@@ -752,14 +752,34 @@
                 entry = entries[number % len(entries)]
                 answers.append(await world.submit(job(f"job-{number}"), entry))
 
-            world.store.append_s = 0.23
+            world.store.slowdown = 57.0
             async with trio.open_nursery() as nursery:
                 for number in range(40):
                     nursery.start_soon(submit, number)
                     await trio.sleep(0.1)
-            world.store.append_s = 0.0
+            world.store.slowdown = 1.0
             await trio.sleep(4)
 
         world = play(scenario, entries=16)
         self.assertEqual(Counter(answers), {Answer.ACCEPTED: 40})
         self.assertEqual(world.reruns(), [])
+
+    def test_job_is_stored_here_when_the_owner_is_silent(self):
+        async def scenario(world):
+            await trio.sleep(3)
+            owner = world.owner()
+
+            async def keep_silent(_stream):
+                await trio.sleep_forever()
+
+            owner.relaying_service = SimpleNamespace(accept=keep_silent)
+            world.store.slowdown = 57.0
+            await trio.sleep(2)
+            for entry in world.entries.values():
+                if entry is owner:
+                    continue
+                spec = job(f"job-{entry.settings.name}")
+                answer = await entry.relaying_service.submit(spec, 2.7)
+                self.assertIs(answer, Answer.ACCEPTED)
+
+        play(scenario)
