--- a/rattanwing/batch/store_speed.py
+++ b/rattanwing/batch/store_speed.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from rattanwing import events
+
 SLOW_CALL_S = 0.15
 """A call that takes longer than this, in seconds, beyond what it was asked to wait,
 shows that the store is slow. It usually takes a round trip between failure domains."""
@@ -24,8 +26,11 @@
 
     def record(self, duration_s: float, now: float) -> None:
         """Record how long a call took beyond what it was asked to wait."""
-        if duration_s > SLOW_CALL_S:
-            self.slow_until = now + SLOW_FOR_S
+        if duration_s <= SLOW_CALL_S:
+            return
+        if not self.is_slow(now):
+            events.write(events.STORE_SLOW, took_s=round(duration_s, 3))
+        self.slow_until = now + SLOW_FOR_S
 
     def is_slow(self, now: float) -> bool:
         """Return whether a recent call took long."""
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -204,6 +204,11 @@
 CALL_RELAYED = Event(
     534, logbook.INFO, "A call was relayed to another entry, which answered it."
 )
+STORE_SLOW = Event(
+    535,
+    logbook.WARNING,
+    "Calls to the store take long; the owner stores the calls of all entries.",
+)
 RUN_PLACED = Event(540, logbook.INFO, "The owner placed a run on a host.")
 RUN_ENDED = Event(541, logbook.INFO, "An executor reported the end of a run.")
 RUN_LOST = Event(
