--- a/tests/test_embedded.py
+++ b/tests/test_embedded.py
@@ -5,6 +5,7 @@
 import unittest
 
 from rattanwing.cmd.cli import COMMANDS, usage_text
+from rattanwing.cmd.embedded import embedded_settings
 
 
 class FirstImpressionTests(unittest.TestCase):
@@ -26,3 +27,15 @@
         for command in COMMANDS:
             found = [line for line in lines if line.startswith(f"  {command.name} ")]
             self.assertEqual(len(found), 1, command.name)
+
+
+class AddressTests(unittest.TestCase):
+    def addresses(self):
+        settings = embedded_settings(None)
+        entry, agent = settings.entry, settings.agent
+        executor, worker = agent.executor.address, agent.worker.address
+        return [entry.http, entry.peers, entry.log, executor, worker]
+
+    def test_no_address_is_given_twice(self):
+        doubled = [a for _ in range(8000) if len(set(a := self.addresses())) < len(a)]
+        self.assertEqual(doubled, [])
