Keep the addresses of a test deployment reserved until it is closed

Seen: a set-up with real processes could end after a minute with "entry-1 has 3 agents", the text of the finding of EndToEndTests, though nothing in the product was wrong.

Cause: free_address lets go of a port before the next is picked and long before its process listens, so that two processes of a deployment, or one of another test, could get the same.

Ruled out as a cause of that text, each by processes stopped by SIGSTOP for 5 s from 0.1, 0.5, 0.7, 0.9, 1.1, 1.4 or 2.0 s after the start of a deployment with two entries (35 starts; the entry, the agent, the log, the executor, the worker): all were ready within 3.5 s of the continuation, and the first request, with a timeout of 30 s, ran.

Change: the deployment keeps a bound socket for each address. The kernel gives the port to nobody who asks for any, and refuses it to others; a process with SO_REUSEADDR, as all of ours, may listen there, also after a restart.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -26,6 +26,18 @@
         return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
+def reserve_address():
+    """Return a bound socket on loopback and its ``ip:port``.
+
+    While the socket is open, nobody is given the port, but a process that knows it may
+    listen there.
+    """
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind(("127.0.0.1", 0))
+    return holder, f"127.0.0.1:{holder.getsockname()[1]}"
+
+
 def call(address, method, target, body=None, headers=None, timeout=20):
     """Send an HTTP request and return the status, headers and body of the response.
 
@@ -71,13 +83,14 @@
     def __init__(self, entries=2, agents=3):
         self.folder = tempfile.TemporaryDirectory()
         self.processes = {}
-        self.log = free_address()
+        self.holders = []
+        self.log = self.reserve()
         self.entries = {
-            f"entry-{n}": (free_address(), free_address())
+            f"entry-{n}": (self.reserve(), self.reserve())
             for n in range(1, entries + 1)
         }
         self.agents = {
-            f"agent-{n}": (free_address(), free_address()) for n in range(1, agents + 1)
+            f"agent-{n}": (self.reserve(), self.reserve()) for n in range(1, agents + 1)
         }
         self.settings = {"log": self.standin("log", "standin_log", self.log)}
         for number, name in enumerate(self.entries, 1):
@@ -92,6 +105,11 @@
             )
             self.settings[name] = self.agent_settings(name, number)
 
+    def reserve(self):
+        holder, address = reserve_address()
+        self.holders.append(holder)
+        return address
+
     def standin(self, name, role, address):
         return {"name": name, "failure_domain": "fd-1", role: {"http": address}}
 
@@ -210,4 +228,6 @@
                 process.kill()
         for process in self.processes.values():
             process.wait(WAIT_LIMIT_S)
+        for holder in self.holders:
+            holder.close()
         self.folder.cleanup()
