--- a/rattanwing/cmd/embedded.py
+++ b/rattanwing/cmd/embedded.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import uuid
 from typing import TYPE_CHECKING, Any
@@ -37,14 +38,16 @@
 SYSTEM_ROLES = ("entry", "agent")
 
 
-def free_address() -> str:
-    """Return an unused loopback address.
+def free_addresses(count: int) -> list[str]:
+    """Return different unused loopback addresses.
 
-    Another process may take the port before the caller binds it.
+    Another process may take a port before the caller binds it.
     """
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return f"{LOOPBACK}:{probe.getsockname()[1]}"
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((LOOPBACK, 0))
+        return [f"{LOOPBACK}:{probe.getsockname()[1]}" for probe in probes]
 
 
 def embedded_settings(http: str | None) -> Settings:
@@ -52,13 +55,12 @@
 
     :param http: address for callers and operators; ``None`` picks a free port.
     """
-    peers, log = free_address(), free_address()
-    executor, worker = free_address(), free_address()
+    free_http, peers, log, executor, worker = free_addresses(5)
     entries = [PeerAddress("embedded", peers)]
     return Settings(
         "embedded",
         "local",
-        entry=EntrySettings(http or free_address(), peers, log, entries, drain_s=0.0),
+        entry=EntrySettings(http or free_http, peers, log, entries, drain_s=0.0),
         agent=AgentSettings(
             entries,
             ExecutorSettings("collections", executor, cpu=2.0, memory_mb=2048),
