Answer not-run when a call finds no free file descriptor

Seen by reading, not by a caller: HttpClient.connect opened its socket outside of the part that turns errors into NoConnectionError. With the descriptors used up, OSError passed through the agent's request service: all of its requests were cancelled without an answer, or the process ended, in place of one not-run.

Change: that error counts as no connection, as a refused one does.

Measured: test_call_without_a_free_file_descriptor_has_not_run failed before with "OSError: [Errno 24] Too many open files" (tests.test_http_client, 17 tests, 1 error) and passes; all 17 pass.

--- a/rattanwing/util/http_client.py
+++ b/rattanwing/util/http_client.py
@@ -246,22 +246,20 @@
     async def connect(self) -> trio.SocketStream:
         """Open a connection.
 
-        :raises NoConnectionError: when there is none within ``CONNECT_TIMEOUT_S``, or
-            the address is invalid.
+        :raises NoConnectionError: when there is none within ``CONNECT_TIMEOUT_S``, the
+            address is invalid or the process has no free file descriptor.
         """
         try:
             host, port = split_address(self.address)
-        except ValueError as error:
-            detail = f"no connection: {error}"
-            raise NoConnectionError(Verdict.NOT_RUN, detail) from error
-        sock = trio.socket.socket()
+            sock = trio.socket.socket()
+        except (ValueError, OSError) as error:
+            raise no_connection(error) from error
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
                 await sock.connect((host, port))
         except (OSError, trio.TooSlowError) as error:
             sock.close()
-            detail = f"no connection: {error}"
-            raise NoConnectionError(Verdict.NOT_RUN, detail) from error
+            raise no_connection(error) from error
         except trio.Cancelled:
             sock.close()
             raise
@@ -286,6 +284,11 @@
             raise HttpCallError(Verdict.MAY_HAVE_RUN, detail) from error
 
 
+def no_connection(error: Exception) -> NoConnectionError:
+    """Return the error of a call for which no connection could be opened."""
+    return NoConnectionError(Verdict.NOT_RUN, f"no connection: {error}")
+
+
 def answer_lost(detail: str) -> HttpCallError:
     """Return the error of a call whose request was sent."""
     return HttpCallError(Verdict.MAY_HAVE_RUN, f"answer lost: {detail}")
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import contextlib
+import resource
 import unittest
 from functools import partial
 from unittest import mock
@@ -126,6 +127,20 @@
 
         self.assertIs(trio.run(main).verdict, Verdict.NOT_RUN)
 
+    def test_call_without_a_free_file_descriptor_has_not_run(self):
+        async def main():
+            client = HttpClient("127.0.0.1:1", 1)
+            limit, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+            resource.setrlimit(resource.RLIMIT_NOFILE, (3, most))
+            try:
+                await client.call("GET", "/", [], b"", 1.0)
+            finally:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (limit, most))
+
+        with self.assertRaises(HttpCallError) as caught:
+            trio.run(main)
+        self.assertIs(caught.exception.verdict, Verdict.NOT_RUN)
+
     def test_unusable_address_has_not_run(self):
         for address in ("", "127.0.0.1", "127.0.0.1:70000", "h:1", "127.0.0.1:1\r\n"):
             client = HttpClient(address, 1)
