End a process whose address is taken, also when the error is in a group

Seen: an entry whose HTTP address is taken by another process goes on: it takes shards and agents, answers no caller, and logs 106 with a trace each second. A stand-in does the same. A process whose peer address is taken ends, as Lifecycle's doc comment says of OSError.

Cause: the HTTP server listens within nurseries, and trio puts the error of a nursery into a group; supervise let only a bare OSError end the process.

Ruled out as a danger: an OSError that passes and was retried in a group before.

Change: a group with an OSError ends the process as well.

Measured: three tests failed before (tests.test_application, two: the task was started again until the time was over; tests.test_processes.StartTests.test_process_ends_if_its_address_is_taken: both processes still ran after 60 s) and pass; tests.test_http_server and test_worker_restart pass.

--- a/rattanwing/lifecycle.py
+++ b/rattanwing/lifecycle.py
@@ -71,7 +71,7 @@
 async def supervise(task: Callable[[], Awaitable[None]]) -> None:
     """Run a task; after an unexpected error, log it and restart the task.
 
-    ``OSError`` is not caught: it ends the process.
+    ``OSError`` is not caught, alone or in a group: it ends the process.
     """
     while True:
         try:
@@ -79,6 +79,8 @@
         except OSError:
             raise
         except Exception as error:
+            if isinstance(error, ExceptionGroup) and error.subgroup(OSError):
+                raise
             detail = "".join(traceback.format_exception(error))
             events.write(events.BACKGROUND_TASK_FAILED, error=repr(error), trace=detail)
             await trio.sleep(RESTART_DELAY_S)
