Let a test deployment start only once its executors can be reached

Seen: (503, not-run) in place of (200, ran) for the first request of a class, as in the finding of test_bad_requests_get_clear_errors, which is the first test of its class and whose last request is the only one that needs the executor.

Cause: start_all waited for the agents only. An executor that gets no processor time while it starts listens after its agent is connected. The entry then did the right thing: it waited until the deadline, 2 s by docs/callers.rst, and answered not-run with no-executor. So the set-up was wrong, not the product, and not the time that the test allows.

Ruled out: an agent or entry that stands still for 5 s from 0.1 to 2.0 s after the start; with a timeout of 30 s the first request ran in all 35 starts with one process stopped.

Change: start_all also waits until each entry knows that it can reach the executor of each agent. No test allows more time than before.

That the one failure of the past came from this is likely, not shown.

--- a/rattanwing/cmd/list_commands.py
+++ b/rattanwing/cmd/list_commands.py
@@ -26,13 +26,14 @@
         if self.wants_json():
             self.line(to_json(services))
             return EXIT_OK
-        columns = ["service", "agent", "failure_domain", "connected", "leaving"]
+        columns = ["service", "agent", "failure_domain", "connected", "reachable"]
+        columns += ["leaving", "slots", "busy", "queued"]
         rows = [
             {"service": service["service"], **executor}
             for service in services
             for executor in service["executors"] or [{}]
         ]
-        return self.print_rows(rows, [*columns, "slots", "busy", "queued"])
+        return self.print_rows(rows, columns)
 
 
 class WorkerListCommand(BaseCommand):
--- a/rattanwing/entry/operators.py
+++ b/rattanwing/entry/operators.py
@@ -264,6 +264,7 @@
                     "agent": handle.name,
                     "failure_domain": handle.hello.failure_domain,
                     "connected": handle.is_responsive(now),
+                    "reachable": handle.heartbeat.executor_reachable,
                     "leaving": handle.heartbeat.leaving,
                     "slots": handle.hello.executor.slots,
                     "busy": handle.heartbeat.busy,
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -167,6 +167,7 @@
             self.start(name)
         for name in self.entries:
             self.wait_until_connected(name, len(self.agents))
+            self.wait_until_executors_serve(name)
 
     def wait_until_connected(self, entry, agents):
         def check():
@@ -175,6 +176,17 @@
 
         wait_for(check, f"{entry} has {agents} agents")
 
+    def wait_until_executors_serve(self, entry):
+        """Wait until the entry sends requests to the executor of every agent."""
+
+        def check():
+            services = json.loads(self.call(entry, "GET", "/api/services")[2])
+            executors = [e for service in services for e in service["executors"]]
+            serving = [e for e in executors if e["connected"] and e["reachable"]]
+            return len(serving) == len(self.agents)
+
+        wait_for(check, f"{entry} can reach {len(self.agents)} executors")
+
     def status(self, entry):
         return json.loads(self.call(entry, "GET", "/api/status")[2])
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -130,7 +130,8 @@
         code, rows = self.run_json("worker list | ")
         self.assertEqual((code, rows[0]["worker"]), (0, "agent-1"))
         code, rows = self.run_json("service list | ")
-        self.assertEqual(rows[0]["executors"][0]["agent"], "agent-1")
+        executor = rows[0]["executors"][0]
+        self.assertEqual((executor["agent"], executor["reachable"]), ("agent-1", True))
         code, status = self.run_json("status | ")
         self.assertEqual(status["owned_shards"], [0, 1, 2])
         for line in ("worker list | ", "service list | ", "status | ", "job list | "):
