--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 import contextlib
-import resource
+import errno
 import unittest
 from functools import partial
 from unittest import mock
@@ -128,14 +128,11 @@
         self.assertIs(trio.run(main).verdict, Verdict.NOT_RUN)
 
     def test_call_without_a_free_file_descriptor_has_not_run(self):
+        error = OSError(errno.EMFILE, "Too many open files")
+
         async def main():
-            client = HttpClient("127.0.0.1:1", 1)
-            limit, most = resource.getrlimit(resource.RLIMIT_NOFILE)
-            resource.setrlimit(resource.RLIMIT_NOFILE, (3, most))
-            try:
-                await client.call("GET", "/", [], b"", 1.0)
-            finally:
-                resource.setrlimit(resource.RLIMIT_NOFILE, (limit, most))
+            with mock.patch("trio.socket.socket", side_effect=error):
+                await HttpClient("127.0.0.1:1", 1).call("GET", "/", [], b"", 1.0)
 
         with self.assertRaises(HttpCallError) as caught:
             trio.run(main)
