An entry registers again when its address is missing from the directory

What callers saw: nothing by itself; the other entries don't relay to an entry whose address is missing, and do not count it as a successor.

Cause: an entry that stops deletes its address; a deletion whose answer is lost may be carried out seconds later, after the next process has registered, which did so once only. Class: an order acted upon after what it was decided for is gone; found beside the same fault of agents.

Ruled out: a deletion under a condition, as for agents: a missing entry harms nobody for 2 s, so that looking again is enough, and it also mends other losses of the record.

Change: every 2 s an entry that reads the directory looks for its address, and writes it again if it is missing and the entry is not stopping.

Measured: tests.batch.test_engine.RegistrationTests failed before (entry-1 not found) and passes; the 58 tests of test_engine and test_ownership pass.

--- a/rattanwing/batch/entry.py
+++ b/rattanwing/batch/entry.py
@@ -29,6 +29,9 @@
 """Longest wait for the resignation to be stored. If none is stored, another entry
 claims ownership once the owner has been silent for ``OWNER_TIMEOUT_S``."""
 
+REGISTRATION_CHECK_S = 2.0
+"""Interval in seconds at which an entry looks for its own address in the directory."""
+
 SUCCESSOR_CHECK_INTERVAL_S = 0.05
 """Interval at which a stopping owner looks for another entry."""
 
@@ -159,10 +162,13 @@
             nursery.start_soon(self.writer.run)
             nursery.start_soon(self.directory_writer.run)
             nursery.start_soon(self.candidate.run)
-            nursery.start_soon(self.register)
+            nursery.start_soon(self.keep_registered)
+
+    async def keep_registered(self) -> None:
+        """Keep the address at which this entry accepts relayed calls in the directory.
 
-    async def register(self) -> None:
-        """Write the address at which this entry accepts relayed calls."""
+        The deletion by an earlier process may be carried out late.
+        """
         if self.settings.peers_address is None:
             return
         settings = self.settings
@@ -171,7 +177,17 @@
         )
         key = records.ENTRY_PREFIX + address.node
         value = records.encode(address)
-        await self.directory_writer.store_records([(key, value)], None)
+        while not self.candidate.stopping:
+            await self.directory_writer.store_records([(key, value)], None)
+            await trio.sleep(REGISTRATION_CHECK_S)
+            while self.is_registered():
+                await trio.sleep(REGISTRATION_CHECK_S)
+
+    def is_registered(self) -> bool:
+        """Return whether this entry is listed, as far as its copy can tell."""
+        if not self.directory_reader.is_fresh(self.clock()):
+            return True
+        return self.settings.name in self.directory.entries
 
     async def schedule_epoch(self, _epoch: int, writer: RecordWriter) -> None:
         """Schedule as the owner of one epoch until cancelled."""
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -783,3 +783,26 @@
                 self.assertIs(answer, Answer.ACCEPTED)
 
         play(scenario)
+
+
+class RegistrationTests(unittest.TestCase):
+    def test_late_deletion_does_not_hide_the_next_process_of_an_entry(self):
+        """No other entry relayed to it until its next start."""
+
+        async def scenario(world):
+            await trio.sleep(2)
+            name = next(n for n in world.entry_names if n != "entry-0")
+            world.store.lose_answers = 1000
+            world.store.late_append_delay_s = 3.0
+            with trio.move_on_after(1.2):
+                await world.entries[name].unregister()
+            world.store.lose_answers = 0
+            world.kill(name)
+            await world.start_entry(name)
+            await trio.sleep(1)
+            other = world.entries["entry-0"].directory.entries
+            self.assertIn(name, other)
+            await trio.sleep(6)
+            self.assertIn(name, other)
+
+        play(scenario)
