--- a/tests/batch/test_schedules.py
+++ b/tests/batch/test_schedules.py
@@ -124,3 +124,7 @@
     def test_unanswered_start_that_reaches_the_next_incarnation_before_any_poll(self):
         """Seed 27 breaks, see KNOWN-RED.txt."""
         self.check(27, same_id=True)
+
+    def test_acknowledgement_that_reaches_the_next_incarnation_hides_no_ends(self):
+        """It was carried out there after starts; their ends were dropped unlisted."""
+        self.check(3464, same_id=True)
