Move the listed ends of an executor into a module of their own

rattanwing/batch/ends.py has one job: which ends are listed, stored and to be acknowledged. The tests that called ExecutorRuns.drop_stored_ends call ListedEnds.drop_stored.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -318,7 +318,7 @@
         """Send the owner the ends of runs that were not yet sent on its stream."""
         if self.executor is None:
             return
-        ends = self.executor.ends
+        ends = self.executor.ends.unstored
         unsent = sorted(number for number in ends if number > self.last_end_sent)
         if not unsent:
             return
@@ -451,7 +451,7 @@
                     )
             case messages.EndsStored() if executor is not None:
                 if executor.view.incarnation == message.incarnation:
-                    executor.drop_stored_ends(message.number)
+                    executor.ends.drop_stored(message.number)
             case messages.CrashStored():
                 self.crashes.pop(message.incarnation, None)
             case messages.RunProperties() if executor is not None:
--- a/rattanwing/batch/metrics.py
+++ b/rattanwing/batch/metrics.py
@@ -67,5 +67,5 @@
         gauges["executor_answer_age_seconds"] = now - executor.answered_at
         gauges["lease_left_seconds"] = executor.lease_until - now
         gauges["runs"] = len(executor.runs)
-        gauges["ends_unstored"] = len(executor.ends)
+        gauges["ends_unstored"] = len(executor.ends.unstored)
     return metrics.render() + "\n".join(render_events()) + "\n"
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -13,6 +13,7 @@
 
 from rattanwing import events
 from rattanwing.batch import messages
+from rattanwing.batch.ends import ListedEnds
 from rattanwing.batch.liveness import (
     GENERATIONS_PER_INCARNATION,
     GENERATIONS_PER_STREAM,
@@ -30,7 +31,6 @@
     ServingLatency,
 )
 from rattanwing.batch.ports import (
-    EndedRow,
     ExecutorView,
     OrderOutcome,
     OrderResult,
@@ -161,10 +161,7 @@
     :param leases_end_by: latest end of any lease on this executor, with margin.
     :param clock_sample: the executor's clock in milliseconds and the agent's clock
         when the answer with it arrived.
-    :param stored_number: the ends of runs up to this number are in the store.
-    :param to_acknowledge: highest number of a stored end in the newest listing; 0 if
-        that listed none or has been followed by a poll.
-    :param ends: listed ends that are not stored yet, by number.
+    :param ends: see :class:`~rattanwing.batch.ends.ListedEnds`.
     :param confirmed_at: when this incarnation last answered a poll; negative infinity
         after a call has failed.
     :param failed_call_at: when a call last failed.
@@ -197,8 +194,6 @@
         "leases_end_by",
         "clock_sample",
         "runs",
-        "stored_number",
-        "to_acknowledge",
         "ends",
         "answered_at",
         "confirmed_at",
@@ -238,9 +233,7 @@
         self.leases_end_by = leases_end_by
         self.clock_sample: tuple[int, float] | None = None
         self.runs: dict[RunKey, AgentRun] = {}
-        self.stored_number = 0
-        self.to_acknowledge = 0
-        self.ends: dict[int, EndedRow] = {}
+        self.ends = ListedEnds()
         self.answered_at = clock()
         self.confirmed_at = float("-inf")
         self.failed_call_at = float("-inf")
@@ -472,12 +465,6 @@
             if run.maybe_sent
         ]
 
-    def drop_stored_ends(self, number: int) -> None:
-        """Drop the ends of runs up to a number that the owner has stored."""
-        self.stored_number = max(self.stored_number, number)
-        for listed in [n for n in self.ends if n <= self.stored_number]:
-            del self.ends[listed]
-
     async def poll_loop(self) -> None:
         """Poll the executor until this incarnation has exited.
 
@@ -492,7 +479,7 @@
             sent_fence = self.fence
             with trio.CancelScope() as self.poll_scope:
                 changed = await self.poll(sent_at, sent_fence)
-                at_once = changed or self.to_acknowledge > 0
+                at_once = changed or self.ends.to_acknowledge > 0
                 if not at_once and self.clock() - sent_at < POLL_PAUSE_S:
                     await trio.sleep(POLL_PAUSE_S)
         while self.restarted_under_id and not self.replaced:
@@ -535,7 +522,7 @@
         """
         confirmed = self.is_confirmed(sent_at)
         wait_s = POLL_WAIT_S if confirmed and self.listed_fence == fence else 0.0
-        acknowledged, self.to_acknowledge = self.to_acknowledge, 0
+        acknowledged = self.ends.take_acknowledgement()
         try:
             result = await self.executor.poll(
                 call_fence(fence, self.generation),
@@ -566,7 +553,7 @@
         if fence == self.fence:
             self.listed_fence = fence
         changed = self.apply_listing(result, sent_at, self.clock())
-        if not self.to_acknowledge:
+        if not self.ends.to_acknowledge:
             await self.pace_best_effort_runs()
         if changed or first:
             self.on_change()
@@ -590,16 +577,9 @@
     def apply_listing(self, result: PollResult, sent_at: float, now: float) -> bool:
         """Apply a listing; return whether ends were added or runs removed."""
         self.record_clock(result.clock_ms, now)
-        changed = False
+        changed = self.ends.apply_listing(result.ended)
         for end in result.ended:
-            if end.number > self.stored_number and end.number not in self.ends:
-                self.ends[end.number] = end
-                changed = True
             self.runs.pop((end.task, end.attempt), None)
-        self.to_acknowledge = max(
-            (end.number for end in result.ended if end.number <= self.stored_number),
-            default=0,
-        )
         listed = {(row.task, row.attempt): row for row in result.running}
         for key, row in listed.items():
             run = self.runs.setdefault(
--- a/tests/batch/paced_host.py
+++ b/tests/batch/paced_host.py
@@ -263,7 +263,7 @@
             await runs.poll_loop()
 
     def store_ends(self):
-        self.runs.drop_stored_ends(max(self.runs.ends, default=0))
+        self.runs.ends.drop_stored(max(self.runs.ends.unstored, default=0))
 
     async def restart_agent(self):
         while "restart" in self.troubles:
--- a/tests/batch/test_agent.py
+++ b/tests/batch/test_agent.py
@@ -307,7 +307,7 @@
                 executor.start("job-1.0.0.0", 1, deadline_ms, FENCE)
                 executor.end_run(("job-1.0.0.0", 1), EndReason.DONE)
                 await runs.poll(trio.current_time(), 1)
-                runs.drop_stored_ends(1)
+                runs.ends.drop_stored(1)
                 while executor.ended:
                     await runs.poll(trio.current_time(), 1)
                 executor.crash()
