Keep acknowledgements apart from starts, and from the next incarnation's runs

Cause: an acknowledgement names no incarnation.

Ruled out: an owner that acknowledged an end before it was stored (the owner plays no part); a waiting poll as such (the acknowledgement takes effect when it arrives, so that a call of its own alone changes nothing); concluding an end from a run that vanishes (done and failed look alike, so that either conclusion is wrong at times); a fence of its own for each acknowledgement (needs a generation for each, of which a stream has 1,024, and does not help if it arrives first).

Change: an acknowledgement is a short call; no start is sent while it has no answer, and it is not sent while a start has none.

Conclusion: acknowledgements do not hide ends of runs that this agent has started knowingly.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -221,6 +221,7 @@
             executor_id: runs
             for executor_id, runs in self.departed.items()
             if runs.start_calls.outstanding(now, LATE_RUN_S)
+            or now <= runs.ends.late_until
         }
         if executor.has_generation():
             return
@@ -362,7 +363,7 @@
                 None if lapsed else executor.view,
                 late_rows if lapsed else executor.running_rows(),
                 executor.is_complete(now),
-                unreachable or executor.listed_fence != executor.fence,
+                executor.accepts_no_runs(now),
                 None
                 if executor.failed_at is None
                 else round(now - executor.failed_at, 3),
--- a/rattanwing/batch/ends.py
+++ b/rattanwing/batch/ends.py
@@ -2,31 +2,72 @@
 
 An executor lists each end until it is acknowledged, and numbers its ends from 1 in each
 incarnation. An end is acknowledged once the owner has stored it.
+
+An executor that starts again under its id accepts the acknowledgement that was meant
+for its earlier incarnation, and then drops its own ends of these numbers unlisted.
+Nothing in the call prevents this, and nothing shows afterwards how such a run ended. So
+an acknowledgement is a call that does not wait, no start is sent beside it, and an
+incarnation that one without an answer may have reached starts no runs.
 """
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
+import trio
+
+from rattanwing.batch.liveness import LATE_CALL_S
+from rattanwing.util.http_client import HttpCallError
+from rattanwing.verdict import Verdict
+
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from rattanwing.batch.ports import EndedRow
 
 
 class ListedEnds:
-    """The ends that one incarnation has listed, and those to acknowledge.
+    """The ends that one incarnation has listed, and their acknowledgement.
 
     :param stored_number: the ends of runs up to this number are in the store.
     :param to_acknowledge: highest number of a stored end in the newest listing; 0 if
         that listed none or has been followed by a poll.
     :param unstored: listed ends that are not stored yet, by number.
+    :param answered: set once the acknowledgement that was sent last is settled or has
+        failed.
+    :param late_until: time until which an acknowledgement without an answer may be
+        carried out; negative infinity if this incarnation has outlived that time.
+    :param may_hide: whether an acknowledgement for an earlier incarnation may have
+        reached this one.
     """
 
-    __slots__ = ("stored_number", "to_acknowledge", "unstored")
+    __slots__ = (
+        "stored_number",
+        "to_acknowledge",
+        "unstored",
+        "answered",
+        "late_until",
+        "may_hide",
+    )
 
     def __init__(self) -> None:
         self.stored_number = 0
         self.to_acknowledge = 0
         self.unstored: dict[int, EndedRow] = {}
+        self.answered = trio.Event()
+        self.answered.set()
+        self.late_until = float("-inf")
+        self.may_hide = False
+
+    def succeed(self, previous: ListedEnds) -> None:
+        """Take over what acknowledgements for the previous incarnation may do here."""
+        self.late_until = previous.late_until
+        self.may_hide = self.may_be_acknowledged_late()
+
+    def may_be_acknowledged_late(self) -> bool:
+        """Return whether an acknowledgement may reach the next incarnation."""
+        return self.late_until > float("-inf")
 
     def drop_stored(self, number: int) -> None:
         """Drop the ends up to a number that the owner has stored."""
@@ -39,6 +80,30 @@
         acknowledged, self.to_acknowledge = self.to_acknowledge, 0
         return acknowledged
 
+    @contextmanager
+    def acknowledging(self, sent_at: float) -> Iterator[Acknowledgement]:
+        """Record that an acknowledgement is being sent, and what becomes of it.
+
+        It counts as having no answer, also when it is cancelled, unless it was settled
+        or has surely not been received.
+        """
+        call = Acknowledgement()
+        self.answered = trio.Event()
+        try:
+            yield call
+        except HttpCallError as error:
+            call.settled = error.verdict is Verdict.NOT_RUN
+            raise
+        finally:
+            if not call.settled:
+                self.late_until = max(self.late_until, sent_at + LATE_CALL_S)
+            self.answered.set()
+
+    def record_answer(self, sent_at: float) -> None:
+        """Record that this incarnation has answered a call sent at a time."""
+        if sent_at > self.late_until:
+            self.late_until = float("-inf")
+
     def apply_listing(self, ended: list[EndedRow]) -> bool:
         """Record the ends of a listing; return whether there are new ones."""
         added = False
@@ -51,3 +116,16 @@
             default=0,
         )
         return added
+
+
+class Acknowledgement:
+    """An acknowledgement that is being sent.
+
+    :param settled: whether its own incarnation has answered it, or it was refused or
+        not received.
+    """
+
+    __slots__ = ("settled",)
+
+    def __init__(self) -> None:
+        self.settled = False
--- a/rattanwing/batch/liveness.py
+++ b/rattanwing/batch/liveness.py
@@ -10,9 +10,12 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from rattanwing.batch import messages
     from rattanwing.batch.hosts import Run
 
@@ -74,12 +77,23 @@
 
     :param calls: the unsettled calls for each run, in the order of sending; the runs in
         the order of their newest call.
+    :param in_flight: number of calls that wait for their answer.
     """
 
-    __slots__ = ("calls",)
+    __slots__ = ("calls", "in_flight")
 
     def __init__(self) -> None:
         self.calls: dict[RunKey, list[StartCall]] = {}
+        self.in_flight = 0
+
+    @contextmanager
+    def sending(self) -> Iterator[None]:
+        """Count a call as in flight until it has been answered or has failed."""
+        self.in_flight += 1
+        try:
+            yield
+        finally:
+            self.in_flight -= 1
 
     def send(self, key: RunKey, call: StartCall) -> None:
         """Record that a call is being sent."""
--- a/rattanwing/batch/messages.py
+++ b/rattanwing/batch/messages.py
@@ -139,7 +139,7 @@
     :param complete: whether ``runs`` lists every run of the host: the executor has
         answered under this stream's fence, or every lease on it has lapsed.
     :param executor_unreachable: whether there is no executor, or it does not answer the
-        agent.
+        agent, or may hide how runs end.
     :param failed_s: time since the first call that the executor did not answer;
         ``None`` if it answers or there is none.
     :param survival_times_s: for each run, how long the executor is known to run it.
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -313,6 +313,13 @@
         """
         self.leases_end_by = max(self.leases_end_by, previous.leases_end_by)
         self.start_calls = previous.start_calls
+        self.ends.succeed(previous.ends)
+        if self.ends.may_hide:
+            events.write(
+                events.EXECUTOR_HIDES_ENDS,
+                executor=self.view.executor_id,
+                incarnation=self.view.incarnation,
+            )
         taken = {
             key: run.properties
             for key, run in previous.runs.items()
@@ -335,6 +342,11 @@
             return False
         return not run.listed or key in self.start_calls.outstanding(self.clock())
 
+    def accepts_no_runs(self, now: float) -> bool:
+        """Return whether the owner must place no runs here, as it reports."""
+        unclean = self.listed_fence != self.fence
+        return self.is_unreachable(now) or unclean or self.ends.may_hide
+
     def is_unreachable(self, now: float) -> bool:
         """Return whether the executor has exited or stopped answering."""
         return self.exited or now - self.answered_at > UNREACHABLE_AFTER_S
@@ -479,7 +491,7 @@
             sent_fence = self.fence
             with trio.CancelScope() as self.poll_scope:
                 changed = await self.poll(sent_at, sent_fence)
-                at_once = changed or self.ends.to_acknowledge > 0
+                at_once = changed or self.may_acknowledge()
                 if not at_once and self.clock() - sent_at < POLL_PAUSE_S:
                     await trio.sleep(POLL_PAUSE_S)
         while self.restarted_under_id and not self.replaced:
@@ -509,6 +521,14 @@
             events.EXECUTOR_SILENT, executor=self.view.executor_id, error=error
         )
 
+    def may_acknowledge(self) -> bool:
+        """Return whether the next poll acknowledges ends, if it is confirmed.
+
+        A start on its way may reach the next incarnation as well, and its run's end
+        would be dropped there.
+        """
+        return self.ends.to_acknowledge > 0 and not self.start_calls.in_flight
+
     async def poll(self, sent_at: float, fence: int) -> bool:
         """Extend the lease and apply the executor's listing.
 
@@ -518,18 +538,16 @@
 
         :param sent_at: time of the call.
         :param fence: the fence at that time.
-        :returns: whether ends were added or runs removed.
+        :returns: whether another poll follows at once: ends were added or acknowledged,
+            or runs removed.
         """
         confirmed = self.is_confirmed(sent_at)
-        wait_s = POLL_WAIT_S if confirmed and self.listed_fence == fence else 0.0
-        acknowledged = self.ends.take_acknowledgement()
+        acknowledges = self.may_acknowledge() and confirmed
+        acknowledged = self.ends.take_acknowledgement() if acknowledges else 0
+        can_wait = confirmed and not acknowledged and self.listed_fence == fence
+        wait_s = POLL_WAIT_S if can_wait else 0.0
         try:
-            result = await self.executor.poll(
-                call_fence(fence, self.generation),
-                acknowledged if confirmed else 0,
-                self.deadline_ms() if confirmed else None,
-                wait_s,
-            )
+            result = await self.call_poll(sent_at, fence, acknowledged, wait_s)
         except HttpCallError as error:
             self.record_unconfirmed()
             self.log_silence(error)
@@ -543,10 +561,11 @@
             self.handle_poll_refusal(result)
             await trio.sleep(RETRY_PAUSE_S)
             return False
-        if result.incarnation not in ("", self.view.incarnation):
+        if self.is_from_another(result):
             self.restarted_under_id = True
             self.handle_poll_refusal(OrderResult(OrderOutcome.OTHER_INCARNATION))
             return False
+        self.ends.record_answer(sent_at)
         if sent_at > self.failed_call_at:
             self.confirmed_at = self.clock()
         first = self.listed_fence != fence and fence == self.fence
@@ -557,7 +576,29 @@
             await self.pace_best_effort_runs()
         if changed or first:
             self.on_change()
-        return changed
+        return changed or acknowledged > 0
+
+    async def call_poll(
+        self, sent_at: float, fence: int, acknowledged: int, wait_s: float
+    ) -> PollResult | OrderResult:
+        """Poll the executor; extend its lease if it is confirmed.
+
+        :param acknowledged: ends up to this number are acknowledged; 0 for none.
+        """
+        deadline_ms = self.deadline_ms() if self.is_confirmed(sent_at) else None
+        fence = call_fence(fence, self.generation)
+        if not acknowledged:
+            return await self.executor.poll(fence, 0, deadline_ms, wait_s)
+        with self.ends.acknowledging(sent_at) as call:
+            result = await self.executor.poll(fence, acknowledged, deadline_ms, wait_s)
+            call.settled = not self.is_from_another(result)
+        return result
+
+    def is_from_another(self, result: PollResult | OrderResult) -> bool:
+        """Return whether another incarnation with the same id has answered a poll."""
+        return isinstance(result, PollResult) and (
+            result.incarnation not in ("", self.view.incarnation)
+        )
 
     def handle_poll_refusal(self, result: OrderResult) -> None:
         """Handle a refused poll; ``OTHER_INCARNATION`` shows that this one exited."""
@@ -630,6 +671,9 @@
             if now >= expires_at:
                 await self.abandon_start(order, run.maybe_sent)
                 return
+            if not self.ends.answered.is_set():
+                await self.ends.answered.wait()
+                continue
             deadline_ms = self.deadline_ms() if self.is_confirmed(now) else None
             if deadline_ms is None:
                 await trio.sleep(POLL_PAUSE_S)
@@ -639,15 +683,16 @@
             call = StartCall(order.properties, now)
             self.start_calls.send(key, call)
             try:
-                result = await self.executor.start(
-                    order.task,
-                    order.attempt,
-                    order.text,
-                    order.checkpoint,
-                    order.ticket,
-                    deadline_ms,
-                    call_fence(fence, self.generation),
-                )
+                with self.start_calls.sending():
+                    result = await self.executor.start(
+                        order.task,
+                        order.attempt,
+                        order.text,
+                        order.checkpoint,
+                        order.ticket,
+                        deadline_ms,
+                        call_fence(fence, self.generation),
+                    )
             except HttpCallError as error:
                 self.record_unconfirmed()
                 if error.verdict is Verdict.NOT_RUN:
@@ -709,6 +754,8 @@
             return "known"
         if self.listed_fence != self.fence:
             return "unclean"
+        if self.ends.may_hide:
+            return "ends-hidden"
         if any(run.properties is None for run in self.runs.values()):
             return "unknown-room"
         cpu, memory_mb, accelerators = self.used_resources()
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -288,6 +288,11 @@
     logbook.WARNING,
     "An exit was announced under the id of an executor that does not drain.",
 )
+EXECUTOR_HIDES_ENDS = Event(
+    623,
+    logbook.WARNING,
+    "An executor starts no runs until its restart; it may not list their ends.",
+)
 
 TASK_STARTED = Event(601, logbook.INFO, "A task has started on this worker.")
 TASK_REFUSED = Event(602, logbook.INFO, "The start of a task was refused.")
