Use an executor that began after every late acknowledgement

Callers would see: an executor that broke off while an acknowledgement was on its way, and starts again under its id much later, is not used until another restart.

Cause: whether the next incarnation may hide ends was decided at its announcement, however late that comes.

Change: its clock bounds its age, as no clock starts after its executor does; one that began after the last moment at which an acknowledgement could be carried out is used.

Measured: the new test failed before (python -m unittest tests.batch.test_acknowledgements, 1 of 7) and passes now, as do test_agent and test_start_calls (52 tests).

--- a/rattanwing/batch/ends.py
+++ b/rattanwing/batch/ends.py
@@ -18,6 +18,7 @@
 import trio
 
 from rattanwing.batch.liveness import LATE_CALL_S
+from rattanwing.batch.timing import CLOCK_DRIFT
 from rattanwing.util.http_client import HttpCallError
 from rattanwing.verdict import Verdict
 
@@ -99,8 +100,19 @@
                 self.late_until = max(self.late_until, sent_at + LATE_CALL_S)
             self.answered.set()
 
-    def record_answer(self, sent_at: float) -> None:
-        """Record that this incarnation has answered a call sent at a time."""
+    def record_answer(self, sent_at: float, clock_ms: int) -> None:
+        """Record that this incarnation has answered a call sent at a time.
+
+        One that began after every late acknowledgement was reached by none.
+
+        :param clock_ms: its clock, which it started at its begin or earlier; 0 if it
+            is not known.
+        """
+        if not self.may_be_acknowledged_late():
+            return
+        age_s = clock_ms / 1000 / (1 - CLOCK_DRIFT)
+        if clock_ms > 0 and sent_at - age_s > self.late_until:
+            self.may_hide = False
         if sent_at > self.late_until:
             self.late_until = float("-inf")
 
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -314,12 +314,6 @@
         self.leases_end_by = max(self.leases_end_by, previous.leases_end_by)
         self.start_calls = previous.start_calls
         self.ends.succeed(previous.ends)
-        if self.ends.may_hide:
-            events.write(
-                events.EXECUTOR_HIDES_ENDS,
-                executor=self.view.executor_id,
-                incarnation=self.view.incarnation,
-            )
         taken = {
             key: run.properties
             for key, run in previous.runs.items()
@@ -565,7 +559,7 @@
             self.restarted_under_id = True
             self.handle_poll_refusal(OrderResult(OrderOutcome.OTHER_INCARNATION))
             return False
-        self.ends.record_answer(sent_at)
+        self.ends.record_answer(sent_at, result.clock_ms)
         if sent_at > self.failed_call_at:
             self.confirmed_at = self.clock()
         first = self.listed_fence != fence and fence == self.fence
@@ -574,6 +568,12 @@
         changed = self.apply_listing(result, sent_at, self.clock())
         if not self.ends.to_acknowledge:
             await self.pace_best_effort_runs()
+        if first and self.ends.may_hide:
+            events.write(
+                events.EXECUTOR_HIDES_ENDS,
+                executor=self.view.executor_id,
+                incarnation=self.view.incarnation,
+            )
         if changed or first:
             self.on_change()
         return changed or acknowledged > 0
--- a/tests/batch/test_acknowledgements.py
+++ b/tests/batch/test_acknowledgements.py
@@ -240,6 +240,30 @@
         self.assertEqual(len(self.history), 3)
         self.assertEqual(self.lost_ends(), [])
 
+    def test_incarnation_that_began_after_all_late_acknowledgements_is_in_use(self):
+        """Its machine was off; its clock shows that it began later."""
+
+        async def restart_after_a_while():
+            self.tell(messages.EndsStored(FIRST, 2))
+            await self.sent.wait()
+            call_delays = self.executor.call_delays
+            self.executor.call_delays = lambda: (0.0, 0.2)
+            await trio.sleep(ACKNOWLEDGEMENT_DELAY_S + 0.1)
+            self.executor.call_delays = call_delays
+            self.executor.crash()
+            await trio.sleep(LATE_CALL_S + 5)
+            self.executor.restart(same_id=True)
+            await trio.sleep(1)
+            self.agent.handle_announcement(self.executor.view())
+            await trio.sleep(0.5)
+            self.order("job-2.0.0.0", SECOND)
+            await trio.sleep(2)
+
+        self.play(restart_after_a_while)
+        self.assertFalse(self.last_report().executor_unreachable)
+        self.assertEqual(len(self.history), 3)
+        self.assertEqual(self.lost_ends(), [])
+
 
 class SlowStartTests(AgentFixture, unittest.TestCase):
     """Start calls that take long."""
