--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -221,6 +221,7 @@
             executor_id: runs
             for executor_id, runs in self.departed.items()
             if runs.start_calls.outstanding(now, LATE_RUN_S)
+            or now <= runs.ends.late_until
         }
         if executor.has_generation():
             return
@@ -318,7 +319,7 @@
         """Send the owner the ends of runs that were not yet sent on its stream."""
         if self.executor is None:
             return
-        ends = self.executor.ends
+        ends = self.executor.ends.unstored
         unsent = sorted(number for number in ends if number > self.last_end_sent)
         if not unsent:
             return
@@ -362,7 +363,7 @@
                 None if lapsed else executor.view,
                 late_rows if lapsed else executor.running_rows(),
                 executor.is_complete(now),
-                unreachable or executor.listed_fence != executor.fence,
+                executor.accepts_no_runs(now),
                 None
                 if executor.failed_at is None
                 else round(now - executor.failed_at, 3),
@@ -451,7 +452,7 @@
                     )
             case messages.EndsStored() if executor is not None:
                 if executor.view.incarnation == message.incarnation:
-                    executor.drop_stored_ends(message.number)
+                    executor.ends.drop_stored(message.number)
             case messages.CrashStored():
                 self.crashes.pop(message.incarnation, None)
             case messages.RunProperties() if executor is not None:
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -13,6 +13,7 @@
 
 from rattanwing import events
 from rattanwing.batch import messages
+from rattanwing.batch.ends import ListedEnds
 from rattanwing.batch.liveness import (
     GENERATIONS_PER_INCARNATION,
     GENERATIONS_PER_STREAM,
@@ -30,7 +31,6 @@
     ServingLatency,
 )
 from rattanwing.batch.ports import (
-    EndedRow,
     ExecutorView,
     OrderOutcome,
     OrderResult,
@@ -161,10 +161,7 @@
     :param leases_end_by: latest end of any lease on this executor, with margin.
     :param clock_sample: the executor's clock in milliseconds and the agent's clock
         when the answer with it arrived.
-    :param stored_number: the ends of runs up to this number are in the store.
-    :param to_acknowledge: highest number of a stored end in the newest listing; 0 if
-        that listed none or has been followed by a poll.
-    :param ends: listed ends that are not stored yet, by number.
+    :param ends: see :class:`~rattanwing.batch.ends.ListedEnds`.
     :param confirmed_at: when this incarnation last answered a poll; negative infinity
         after a call has failed.
     :param failed_call_at: when a call last failed.
@@ -197,8 +194,6 @@
         "leases_end_by",
         "clock_sample",
         "runs",
-        "stored_number",
-        "to_acknowledge",
         "ends",
         "answered_at",
         "confirmed_at",
@@ -238,9 +233,7 @@
         self.leases_end_by = leases_end_by
         self.clock_sample: tuple[int, float] | None = None
         self.runs: dict[RunKey, AgentRun] = {}
-        self.stored_number = 0
-        self.to_acknowledge = 0
-        self.ends: dict[int, EndedRow] = {}
+        self.ends = ListedEnds()
         self.answered_at = clock()
         self.confirmed_at = float("-inf")
         self.failed_call_at = float("-inf")
@@ -320,6 +313,7 @@
         """
         self.leases_end_by = max(self.leases_end_by, previous.leases_end_by)
         self.start_calls = previous.start_calls
+        self.ends.succeed(previous.ends)
         taken = {
             key: run.properties
             for key, run in previous.runs.items()
@@ -342,6 +336,11 @@
             return False
         return not run.listed or key in self.start_calls.outstanding(self.clock())
 
+    def accepts_no_runs(self, now: float) -> bool:
+        """Return whether the owner must place no runs here, as it reports."""
+        unclean = self.listed_fence != self.fence
+        return self.is_unreachable(now) or unclean or self.ends.may_hide
+
     def is_unreachable(self, now: float) -> bool:
         """Return whether the executor has exited or stopped answering."""
         return self.exited or now - self.answered_at > UNREACHABLE_AFTER_S
@@ -472,12 +471,6 @@
             if run.maybe_sent
         ]
 
-    def drop_stored_ends(self, number: int) -> None:
-        """Drop the ends of runs up to a number that the owner has stored."""
-        self.stored_number = max(self.stored_number, number)
-        for listed in [n for n in self.ends if n <= self.stored_number]:
-            del self.ends[listed]
-
     async def poll_loop(self) -> None:
         """Poll the executor until this incarnation has exited.
 
@@ -492,7 +485,7 @@
             sent_fence = self.fence
             with trio.CancelScope() as self.poll_scope:
                 changed = await self.poll(sent_at, sent_fence)
-                at_once = changed or self.to_acknowledge > 0
+                at_once = changed or self.may_acknowledge()
                 if not at_once and self.clock() - sent_at < POLL_PAUSE_S:
                     await trio.sleep(POLL_PAUSE_S)
         while self.restarted_under_id and not self.replaced:
@@ -522,6 +515,14 @@
             events.EXECUTOR_SILENT, executor=self.view.executor_id, error=error
         )
 
+    def may_acknowledge(self) -> bool:
+        """Return whether the next poll acknowledges ends, if it is confirmed.
+
+        A start on its way may reach the next incarnation as well, and its run's end
+        would be dropped there.
+        """
+        return self.ends.to_acknowledge > 0 and not self.start_calls.in_flight
+
     async def poll(self, sent_at: float, fence: int) -> bool:
         """Extend the lease and apply the executor's listing.
 
@@ -531,18 +532,16 @@
 
         :param sent_at: time of the call.
         :param fence: the fence at that time.
-        :returns: whether ends were added or runs removed.
+        :returns: whether another poll follows at once: ends were added or acknowledged,
+            or runs removed.
         """
         confirmed = self.is_confirmed(sent_at)
-        wait_s = POLL_WAIT_S if confirmed and self.listed_fence == fence else 0.0
-        acknowledged, self.to_acknowledge = self.to_acknowledge, 0
+        acknowledges = self.may_acknowledge() and confirmed
+        acknowledged = self.ends.take_acknowledgement() if acknowledges else 0
+        can_wait = confirmed and not acknowledged and self.listed_fence == fence
+        wait_s = POLL_WAIT_S if can_wait else 0.0
         try:
-            result = await self.executor.poll(
-                call_fence(fence, self.generation),
-                acknowledged if confirmed else 0,
-                self.deadline_ms() if confirmed else None,
-                wait_s,
-            )
+            result = await self.call_poll(sent_at, fence, acknowledged, wait_s)
         except HttpCallError as error:
             self.record_unconfirmed()
             self.log_silence(error)
@@ -556,21 +555,50 @@
             self.handle_poll_refusal(result)
             await trio.sleep(RETRY_PAUSE_S)
             return False
-        if result.incarnation not in ("", self.view.incarnation):
+        if self.is_from_another(result):
             self.restarted_under_id = True
             self.handle_poll_refusal(OrderResult(OrderOutcome.OTHER_INCARNATION))
             return False
+        self.ends.record_answer(sent_at, result.clock_ms)
         if sent_at > self.failed_call_at:
             self.confirmed_at = self.clock()
         first = self.listed_fence != fence and fence == self.fence
         if fence == self.fence:
             self.listed_fence = fence
         changed = self.apply_listing(result, sent_at, self.clock())
-        if not self.to_acknowledge:
+        if not self.ends.to_acknowledge:
             await self.pace_best_effort_runs()
+        if first and self.ends.may_hide:
+            events.write(
+                events.EXECUTOR_HIDES_ENDS,
+                executor=self.view.executor_id,
+                incarnation=self.view.incarnation,
+            )
         if changed or first:
             self.on_change()
-        return changed
+        return changed or acknowledged > 0
+
+    async def call_poll(
+        self, sent_at: float, fence: int, acknowledged: int, wait_s: float
+    ) -> PollResult | OrderResult:
+        """Poll the executor; extend its lease if it is confirmed.
+
+        :param acknowledged: ends up to this number are acknowledged; 0 for none.
+        """
+        deadline_ms = self.deadline_ms() if self.is_confirmed(sent_at) else None
+        fence = call_fence(fence, self.generation)
+        if not acknowledged:
+            return await self.executor.poll(fence, 0, deadline_ms, wait_s)
+        with self.ends.acknowledging(sent_at) as call:
+            result = await self.executor.poll(fence, acknowledged, deadline_ms, wait_s)
+            call.settled = not self.is_from_another(result)
+        return result
+
+    def is_from_another(self, result: PollResult | OrderResult) -> bool:
+        """Return whether another incarnation with the same id has answered a poll."""
+        return isinstance(result, PollResult) and (
+            result.incarnation not in ("", self.view.incarnation)
+        )
 
     def handle_poll_refusal(self, result: OrderResult) -> None:
         """Handle a refused poll; ``OTHER_INCARNATION`` shows that this one exited."""
@@ -590,16 +618,9 @@
     def apply_listing(self, result: PollResult, sent_at: float, now: float) -> bool:
         """Apply a listing; return whether ends were added or runs removed."""
         self.record_clock(result.clock_ms, now)
-        changed = False
+        changed = self.ends.apply_listing(result.ended)
         for end in result.ended:
-            if end.number > self.stored_number and end.number not in self.ends:
-                self.ends[end.number] = end
-                changed = True
             self.runs.pop((end.task, end.attempt), None)
-        self.to_acknowledge = max(
-            (end.number for end in result.ended if end.number <= self.stored_number),
-            default=0,
-        )
         listed = {(row.task, row.attempt): row for row in result.running}
         for key, row in listed.items():
             run = self.runs.setdefault(
@@ -650,6 +671,9 @@
             if now >= expires_at:
                 await self.abandon_start(order, run.maybe_sent)
                 return
+            if not self.ends.answered.is_set():
+                await self.ends.answered.wait()
+                continue
             deadline_ms = self.deadline_ms() if self.is_confirmed(now) else None
             if deadline_ms is None:
                 await trio.sleep(POLL_PAUSE_S)
@@ -659,15 +683,16 @@
             call = StartCall(order.properties, now)
             self.start_calls.send(key, call)
             try:
-                result = await self.executor.start(
-                    order.task,
-                    order.attempt,
-                    order.text,
-                    order.checkpoint,
-                    order.ticket,
-                    deadline_ms,
-                    call_fence(fence, self.generation),
-                )
+                with self.start_calls.sending():
+                    result = await self.executor.start(
+                        order.task,
+                        order.attempt,
+                        order.text,
+                        order.checkpoint,
+                        order.ticket,
+                        deadline_ms,
+                        call_fence(fence, self.generation),
+                    )
             except HttpCallError as error:
                 self.record_unconfirmed()
                 if error.verdict is Verdict.NOT_RUN:
@@ -729,6 +754,8 @@
             return "known"
         if self.listed_fence != self.fence:
             return "unclean"
+        if self.ends.may_hide:
+            return "ends-hidden"
         if any(run.properties is None for run in self.runs.values()):
             return "unknown-room"
         cpu, memory_mb, accelerators = self.used_resources()
