Set paces while an acknowledgement waits for a start

What callers would see: a serving task over its target beside best-effort runs at full pace, for as long as a start has no answer (0.8 s, and again for each further start).

Cause: paces wait while an acknowledgement is due, as it follows at once. Since it may wait for a start.

Change: paces wait only if the acknowledgement follows at once.

--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -566,7 +566,7 @@
         if fence == self.fence:
             self.listed_fence = fence
         changed = self.apply_listing(result, sent_at, self.clock())
-        if not self.ends.to_acknowledge:
+        if not self.may_acknowledge():
             await self.pace_best_effort_runs()
         if first and self.ends.may_hide:
             events.write(
--- a/tests/batch/test_acknowledgements.py
+++ b/tests/batch/test_acknowledgements.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 import trio
 import trio.testing
@@ -9,6 +10,7 @@
 from rattanwing.batch.agent import BatchAgent, OwnerSession
 from rattanwing.batch.liveness import LATE_CALL_S
 from rattanwing.batch.ports import EndReason
+from rattanwing.batch.runs import ExecutorRuns
 from rattanwing.standin.runs import StandinBatchExecutor
 
 FIRST = "executor-0@1"
@@ -286,3 +288,22 @@
 
         self.play(acknowledge_during_a_start)
         self.assertEqual(self.lost_ends(), [])
+
+    def test_paces_are_set_while_an_acknowledgement_waits_for_a_start(self):
+        """They stood still, whatever the tails of the serving tasks."""
+        paced = []
+
+        async def pace(_runs):
+            paced.append(trio.current_time())
+
+        async def acknowledge_during_a_start():
+            self.order("job-2.0.0.0", FIRST)
+            await trio.sleep(0.01)
+            self.tell(messages.EndsStored(FIRST, 2))
+            await trio.sleep(0.05)
+            paced.clear()
+            await trio.sleep(ACKNOWLEDGEMENT_DELAY_S - 0.1)
+            self.assertNotEqual(paced, [])
+
+        with mock.patch.object(ExecutorRuns, "pace_best_effort_runs", pace):
+            self.play(acknowledge_during_a_start)
