Count an owner's leases from the first attempt of an append

It can break the rule that a task runs once at a time.

Cause: RecordWriter.last_success_sent_at, from which the leases of an owner count, was the time at which a repeat was sent, also if the first attempt had been stored and only its answer was lost. A candidate claims ownership on condition that it has read all records, and waits from the sending of its claim until the leases before it have lapsed. That is safe for an append that adds a record, which the candidate must have read, but a repeat adds none: it may be sent after the claim and be answered before the claim is stored. The leases that count from it outlive the takeover by the time that the claim was on its way, less the margin of 0.4 s. Claims had the same fault for the leases of the claimant.

Ruled out: a repeat that reaches the store after the claim is refused, as the epoch is checked before the sequence number; an append that is stored for the first time moves the end of the topic, and with it refuses the claim.

Change: a success counts from the first attempt that may have been stored; attempts that surely stored nothing do not count. Claims count from their first attempt, before which the end of the topic was read, so that the wait for earlier leases is still long enough.

--- a/rattanwing/batch/ownership.py
+++ b/rattanwing/batch/ownership.py
@@ -180,8 +180,9 @@
         claim = records.Owner(epoch, self.node, self.incarnation)
         claim_records = [(records.OWNER_KEY, records.encode(claim))]
         end_offset = self.reader.end_offset
+        # A repeat may be answered although the first attempt was stored.
+        sent_at = self.clock()
         for _ in range(CLAIM_ATTEMPTS):
-            sent_at = self.clock()
             try:
                 await self.store.append(
                     records.WORK_TOPIC, claim_records, stamp, expected_end=end_offset
--- a/rattanwing/batch/writer.py
+++ b/rattanwing/batch/writer.py
@@ -85,8 +85,9 @@
     :param failing_since: time of the first failure since the last success; ``None``
         after a success.
     :param last_failed_at: time of the newest failure.
-    :param last_success_sent_at: time at which the newest successful append was sent;
-        the leases that an owner grants count from it.
+    :param last_success_sent_at: time at which the newest successful append was sent,
+        in the first attempt that may have stored it; the leases that an owner grants
+        count from it.
     :param on_stored: called with the duration in seconds of each successful append.
     """
 
@@ -198,7 +199,7 @@
         """Append a group, and repeat the call until its outcome is known."""
         self.sequence += 1
         stamp = AppendStamp(self.producer, self.epoch, self.sequence)
-        ambiguous = False
+        unanswered_at: float | None = None
         backoff_s = INITIAL_BACKOFF_S
         while True:
             sent_at = self.clock()
@@ -210,7 +211,8 @@
                     events.WRITER_FENCED, producer=self.producer, epoch=self.epoch
                 )
                 self.fenced = True
-                verdict = Verdict.MAY_HAVE_RUN if ambiguous else Verdict.NOT_RUN
+                stored_maybe = unanswered_at is not None
+                verdict = Verdict.MAY_HAVE_RUN if stored_maybe else Verdict.NOT_RUN
                 finish_all(group, verdict)
                 return
             except LogSequenceError as error:
@@ -221,13 +223,16 @@
                 self.sequence = error.expected
                 stamp = AppendStamp(self.producer, self.epoch, self.sequence)
             except LogUnavailableError as error:
-                ambiguous = ambiguous or error.may_have_applied
+                if error.may_have_applied and unanswered_at is None:
+                    unanswered_at = sent_at
                 self.record_failure(error)
             else:
-                self.record_success(sent_at)
+                self.record_success(
+                    sent_at, sent_at if unanswered_at is None else unanswered_at
+                )
                 finish_all(group, Verdict.RAN)
                 return
-            if not ambiguous:
+            if unanswered_at is None:
                 group = drop_expired(group, self.clock())
                 if not group:
                     self.sequence -= 1
@@ -242,9 +247,18 @@
             self.failing_since = self.clock()
             events.write(events.LOG_UNAVAILABLE, topic=self.topic, reason=str(error))
 
-    def record_success(self, sent_at: float) -> None:
-        """Record a successful append, which ends an outage."""
-        self.last_success_sent_at = sent_at
+    def record_success(self, sent_at: float, first_sent_at: float) -> None:
+        """Record a successful append, which ends an outage.
+
+        A candidate claims ownership only after it has read the records, and waits from
+        its claim on for the leases that count from them. A repeat adds no record, so it
+        may be sent after that claim.
+
+        :param sent_at: when the attempt that was answered was sent.
+        :param first_sent_at: when the first attempt that may have stored the records
+            was sent.
+        """
+        self.last_success_sent_at = first_sent_at
         if self.on_stored is not None:
             self.on_stored(self.clock() - sent_at)
         if self.failing_since is not None:
--- a/tests/batch/test_ownership.py
+++ b/tests/batch/test_ownership.py
@@ -101,6 +101,19 @@
 
         play(scenario, entries=1)
 
+    def test_a_claim_counts_from_its_first_attempt(self):
+        """Leases counted from a repeat, which a later candidate cannot have read."""
+
+        async def scenario(world):
+            await trio.sleep(4)
+            world.store.lose_answers = 2
+            sent_at = world.now()
+            writer = await world.owner().candidate.claim()
+            self.assertGreater(world.now(), sent_at + 0.15)
+            self.assertEqual(writer.last_success_sent_at, sent_at)
+
+        play(scenario, entries=1)
+
 
 class OrderlyStopTests(unittest.TestCase):
     async def stop_in_order(self, world, name, hold_s=3.0):
--- a/tests/batch/test_writer.py
+++ b/tests/batch/test_writer.py
@@ -8,7 +8,7 @@
 
 from rattanwing.batch.ports import AppendStamp
 from rattanwing.batch.writer import MAX_GROUP_BYTES, RecordWriter
-from rattanwing.standin.keyed_store import StandinStore
+from rattanwing.standin.keyed_store import ANSWER_DELAY_S, StandinStore
 from rattanwing.verdict import Verdict
 
 
@@ -55,6 +55,31 @@
         self.run_scenario(scenario)
         self.assertEqual(self.keys(), ["k0.0", "k1.0", "k3.0"])
 
+    def test_success_of_a_repeat_counts_from_the_first_attempt(self):
+        """The append may have been stored then; a later owner has waited since that
+        time for the leases that count from it.
+        """
+
+        async def scenario(writer):
+            self.store.lose_answers = 4
+            stored_at = trio.current_time() + ANSWER_DELAY_S
+            await writer.store_records([("k", b"v")], None)
+            self.assertGreater(trio.current_time(), stored_at + 0.1)
+            self.assertLessEqual(writer.last_success_sent_at, stored_at)
+
+        self.run_scenario(scenario)
+
+    def test_success_counts_from_the_attempt_after_those_that_stored_nothing(self):
+        async def scenario(writer):
+            self.store.disconnected_clients.add("entry")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(writer.store_records, [("k", b"v")], None)
+                await trio.sleep(2.0)
+                self.store.disconnected_clients.clear()
+            self.assertGreaterEqual(writer.last_success_sent_at, 2.0)
+
+        self.run_scenario(scenario)
+
     def test_expired_append_that_was_not_stored_returns_not_run(self):
         async def scenario(writer):
             self.store.disconnected_clients.add("entry")
