Tests: finished tasks run again when an executor cannot list all ends at once

What callers see: tasks that are done run again, and their jobs are late.

Cause: an executor lists the ends that are not acknowledged 500 at a time. A run whose end lies beyond these is neither among the running ones nor among the ends. The agent deletes it as gone (apply_listing in rattanwing/batch/runs.py), its report counts as complete, and the owner takes the run for lost (542, not-reported) and starts the task again. It takes an outage of the store in which more than 500 runs of one executor end; an executor with 64 cores and tasks of one core and 0.8 s has 80 ends a second. The same happens when the agent restarts meanwhile, and has never seen those runs.

Ruled out: the outage itself.

Why no test saw it: the stand-in executor listed all ends. It now lists as many as the platform does.

Conclusion: a listing with 500 ends says nothing about runs that it does not name.

--- a/rattanwing/standin/runs.py
+++ b/rattanwing/standin/runs.py
@@ -31,6 +31,9 @@
 """Longest lease in milliseconds; a deadline further in the future is brought
 forward."""
 
+MAX_LISTED_ENDS = 500
+"""Most ends in the answer to one poll, the oldest first."""
+
 KILL_GRACE_S = 0.2
 """Time that a stopped run takes to end."""
 
@@ -366,7 +369,7 @@
     async def poll(
         self, fence: int, acknowledged: int, deadline_ms: int | None, wait_s: float
     ) -> PollResult | OrderResult:
-        """Extend the lease, acknowledge ends and list all runs.
+        """Extend the lease, acknowledge ends and list all runs and the oldest ends.
 
         If there is no unacknowledged end, wait up to ``wait_s`` for one.
         """
@@ -386,9 +389,8 @@
             RunningRow(record.task, record.attempt, "", self.percent(record))
             for record in self.running.values()
         ]
-        return PollResult(
-            self.clock_ms(), rows, list(self.ended), self.incarnation_name()
-        )
+        listed = self.ended[:MAX_LISTED_ENDS]
+        return PollResult(self.clock_ms(), rows, listed, self.incarnation_name())
 
 
 class StandinExecutorPort:
