Keep ownership for the length of a lease if the owner before lacked agents too

What callers saw: from the loss of many hosts and the owner on, jobs whose tasks had run never went on.

Cause: 12 of the 23 agents in the directory were gone with their hosts; changes of owner had kept their addresses from being deleted. An owner that reaches fewer than half of the agents for 2 s resigns, since another entry may reach them. The next one reaches no more, and resigns as well. The addresses are deleted, and the takeover completed, when the leases of the lost hosts have lapsed, 9.4 s after a claim; no owner lasted that long.

Ruled out: a partition, as every owner had the same 11 agents connected; the store, which was calm from 31.2 s on; the late deletion of an address, which makes agents unknown and not unreachable.

Change: an owner record tells whether the owner resigned for lack of agents. The owner that follows such a resignation keeps ownership until the leases have lapsed, if it reaches any agent; then the lost hosts are removed, and do not count. The first owner that is cut off still resigns after 2 s, and so does each one that reaches no agent at all.

Result: tests.batch.test_ownership.ReachabilityTests. test_jobs_go_on_when_most_agents_are_gone_with_the_owner fails on the code before with each of three seeds (job not done in 30 s; python -m unittest tests.batch.test_ownership.ReachabilityTests) and passes with the change; test_owners_that_are_cut_off_from_all_agents_resign_one_after_the_other passes with both.

Conclusion: a resignation is worth a try once, not a cure. An owner that reaches a few agents after another one that was cut off keeps these for 9.4 s instead of 2 s.

--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -14,7 +14,7 @@
 from rattanwing.batch.ports import AppendStamp
 from rattanwing.batch.replica import RETRY_PAUSE_S
 from rattanwing.batch.scheduler import Scheduler
-from rattanwing.batch.timing import TASK_LEASE_S
+from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
 from rattanwing.batch.unregistering import AddressRemover
 from rattanwing.errors import LogError
 from rattanwing.verdict import Verdict
@@ -67,6 +67,8 @@
     :param retention_s: how long the state of a finished job stays readable.
     :param wakeup: set to start a round of decisions.
     :param store_needed: set when there is progress to store or an end to acknowledge.
+    :param keeps_ownership_until: time until which an owner that reaches any agent does
+        not resign because it does not reach most of them.
     :param last_reachable_at: when at least half of the agents were last connected.
     :param resignation_requested: set when this entry should resign temporarily.
     """
@@ -85,6 +87,7 @@
         "connections",
         "wakeup",
         "store_needed",
+        "keeps_ownership_until",
         "last_reachable_at",
         "resignation_requested",
     )
@@ -102,6 +105,7 @@
         random: Random,
         dial: Dial,
         retention_s: float,
+        predecessor_lacked_agents: bool = False,
     ) -> None:
         self.epoch = writer.epoch
         self.writer = writer
@@ -134,6 +138,11 @@
         )
         self.wakeup = trio.Event()
         self.store_needed = trio.Event()
+        self.keeps_ownership_until = float("-inf")
+        if predecessor_lacked_agents:
+            # The hosts of agents that are gone are removed in this time.
+            lapsed_at = self.scheduler.claimed_at + TASK_LEASE_S + LEASE_MARGIN_S
+            self.keeps_ownership_until = lapsed_at
         self.last_reachable_at = clock()
         self.resignation_requested = trio.Event()
 
@@ -246,11 +255,14 @@
         """Request a resignation once most agents have been disconnected for some time.
 
         Another entry may be able to reach them. If none of them claims ownership,
-        this entry claims it again.
+        this entry claims it again. If the owner before has resigned for the same
+        reason, the agents may be gone, and only an owner that waits for their leases to
+        lapse can go on without them.
         """
         hosts = self.scheduler.cluster.hosts.values()
         connected = sum(host.connected for host in hosts)
-        if not hosts or connected * 2 >= len(hosts):
+        keeps = connected > 0 and now < self.keeps_ownership_until
+        if keeps or not hosts or connected * 2 >= len(hosts):
             self.last_reachable_at = now
             return
         if now - self.last_reachable_at > UNREACHABLE_LIMIT_S:
--- a/rattanwing/batch/ownership.py
+++ b/rattanwing/batch/ownership.py
@@ -83,6 +83,8 @@
     :param writer: the writer of the owner's records while this entry is the owner.
     :param stopping: whether the process is about to stop; it then claims nothing.
     :param may_claim_from: time before which this entry does not claim ownership.
+    :param predecessor_lacked_agents: whether the owner before this one resigned because
+        it could not reach most agents.
     """
 
     __slots__ = (
@@ -99,6 +101,7 @@
         "writer",
         "stopping",
         "may_claim_from",
+        "predecessor_lacked_agents",
     )
 
     def __init__(
@@ -127,6 +130,7 @@
         self.writer: RecordWriter | None = None
         self.stopping = False
         self.may_claim_from = clock()
+        self.predecessor_lacked_agents = False
 
     def may_claim(self, now: float, jitter_s: float) -> bool:
         """Return whether this entry may claim ownership.
@@ -198,6 +202,7 @@
                 self.store, records.WORK_TOPIC, stamp, self.clock, self.random
             )
             writer.last_success_sent_at = sent_at
+            self.predecessor_lacked_agents = owner is not None and owner.lacks_agents
             return writer
         return None
 
@@ -234,21 +239,25 @@
             await trio.sleep(CLAIM_CHECK_INTERVAL_S)
         scope.cancel()
 
-    async def write_owner(self, writer: RecordWriter, resigned: bool) -> None:
+    async def write_owner(
+        self, writer: RecordWriter, resigned: bool, lacks_agents: bool = False
+    ) -> None:
         """Store an owner record of this epoch."""
-        owner = records.Owner(writer.epoch, self.node, self.incarnation, resigned)
+        owner = records.Owner(
+            writer.epoch, self.node, self.incarnation, resigned, lacks_agents
+        )
         value = records.encode(owner)
         await writer.store_records([(records.OWNER_KEY, value)], None)
 
     async def resign_temporarily(self) -> None:
-        """Resign, and claim ownership again only after ``CLAIM_HOLD_OFF_S``.
+        """Resign for lack of agents, and claim again only after ``CLAIM_HOLD_OFF_S``.
 
         The other entries may claim at once.
         """
         if self.writer is None:
             return
         self.may_claim_from = self.clock() + CLAIM_HOLD_OFF_S
-        await self.write_owner(self.writer, resigned=True)
+        await self.write_owner(self.writer, resigned=True, lacks_agents=True)
         if self.writer is not None:
             self.writer.fence()
 
--- a/rattanwing/batch/records.py
+++ b/rattanwing/batch/records.py
@@ -46,12 +46,14 @@
     :param incarnation: unique to one start of the owner's process.
     :param resigned: the owner has given up ownership; any entry may claim it
         without waiting for the owner's timeout.
+    :param lacks_agents: it has done so because it could not reach most agents.
     """
 
     epoch: Epoch
     node: str
     incarnation: str
     resigned: bool = False
+    lacks_agents: bool = False
 
 
 class Progress(msgspec.Struct, array_like=True):
--- a/tests/batch/test_ownership.py
+++ b/tests/batch/test_ownership.py
@@ -5,7 +5,7 @@
 import trio
 
 from rattanwing.batch.messages import Answer
-from rattanwing.batch.model import JobState
+from rattanwing.batch.model import JobState, StepSpec
 from rattanwing.batch.ownership import WEAK_CLAIM_DELAY_S, claim_delay_s
 from rattanwing.batch.records import EntryAddress, Owner
 from tests.batch.world import job, play
@@ -168,3 +168,46 @@
             self.assertTrue(owner.replica.owner.resigned)
 
         play(scenario, entries=1)
+
+
+class ReachabilityTests(unittest.TestCase):
+    def test_jobs_go_on_when_most_agents_are_gone_with_the_owner(self):
+        """Each owner resigned before the leases of the lost hosts had lapsed, so that
+        no takeover was completed and no address of a lost agent was ever deleted.
+        """
+
+        async def scenario(world):
+            await trio.sleep(5)
+            world.durations = lambda _task: 3.0
+            await world.submit(
+                job("job-1", steps=(StepSpec(24, cpu=500, memory_mb=10),))
+            )
+            await trio.sleep(1)
+            for index in range(4):
+                world.executors[index].crash()
+                world.kill(f"agent-{index}")
+            world.kill(world.owner().settings.name)
+            completed = await world.wait_for_state("job-1", JobState.COMPLETED, 30)
+            self.assertTrue(completed)
+            self.assertLess(world.owner().owner_loop.epoch, 5)
+            self.assertEqual(
+                set(world.owner().directory.agents), {"agent-4", "agent-5"}
+            )
+
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                play(scenario, hosts=6, seed=seed)
+
+    def test_owners_that_are_cut_off_from_all_agents_resign_one_after_the_other(self):
+        async def scenario(world):
+            await trio.sleep(5)
+            first, second = world.owner().settings.name, None
+            world.disconnected.add(first)
+            await trio.sleep(5)
+            second = world.owner().settings.name
+            self.assertNotEqual(second, first)
+            world.disconnected.add(second)
+            await trio.sleep(5)
+            self.assertNotIn(world.owner().settings.name, (first, second))
+
+        play(scenario, hosts=6)
