Delete an agent's own address only while the directory is as it was read

Cause: the deletion had no condition, and the store may carry it out after the next process of the agent has registered. A later owner does not know of that agent, completes its takeover without it and starts its tasks again.

Ruled out: a longer wait for the answer (the platform bounds the time to stop); registering again after each loss, as entries do (the takeover may come first).

Change: the deletion names the end of the directory that it holds for, as those of owners do.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -10,10 +10,17 @@
 from rattanwing import events
 from rattanwing.batch import messages, records
 from rattanwing.batch.liveness import GENERATIONS_PER_INCARNATION, LATE_RUN_S
+from rattanwing.batch.ports import AppendStamp
 from rattanwing.batch.runs import ExecutorRuns
 from rattanwing.batch.suspicion import SURVIVAL_S
 from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
-from rattanwing.errors import PeerLostError, ProtocolError
+from rattanwing.errors import (
+    LogConditionError,
+    LogSequenceError,
+    LogUnavailableError,
+    PeerLostError,
+    ProtocolError,
+)
 from rattanwing.peer.session import PeerSession
 
 if TYPE_CHECKING:
@@ -43,6 +50,10 @@
 """Longest wait for the store when an agent stops. If it does not answer, the owner
 deletes the address later."""
 
+UNREGISTER_RETRY_PAUSE_S = 0.05
+"""Pause before a deletion that was not accepted is tried again; about ten round trips
+to the store."""
+
 
 class OwnerSession:
     """The stream from the owner whose orders this agent carries out.
@@ -483,13 +494,32 @@
     """Delete the agent's address before a stop, if its executor has exited.
 
     With the address left in the directory, a later owner would wait for this agent
-    to connect.
+    to connect. The store may carry the deletion out after the next process of the agent
+    has registered; it is accepted only while the directory ends where it was read.
     """
     if agent.executor is not None or not agent.executor_exited:
         return
-    expires_at = agent.clock() + UNREGISTER_TIMEOUT_S
+    stamp = AppendStamp(f"{writer.producer}-exit", 1, 1)
+    deletion = [(records.AGENT_PREFIX + node, None)]
+    topic = records.DIRECTORY_TOPIC
+    failing = False
     with trio.move_on_after(UNREGISTER_TIMEOUT_S):
-        await writer.store_records([(records.AGENT_PREFIX + node, None)], expires_at)
+        while True:
+            try:
+                page = await writer.store.list_newest(topic, deletion[0][0])
+                await writer.store.append(topic, deletion, stamp, page.end_offset)
+                return
+            except LogSequenceError:
+                # An earlier attempt, whose answer was lost, was stored.
+                return
+            except LogConditionError:
+                pass
+            except LogUnavailableError as error:
+                if not failing:
+                    reason = f"deletion of the own address: {error}"
+                    events.write(events.LOG_UNAVAILABLE, topic=topic, reason=reason)
+                failing = True
+            await trio.sleep(UNREGISTER_RETRY_PAUSE_S)
 
 
 async def keep_registered(
