Take no run for lost while an executor has ends that it has not listed

Cause: an executor lists 500 ends at a time. A run that has ended beyond those is neither running nor listed, and counted as gone; the owner took it for lost and started its task again. Class: an incomplete answer taken for a complete one.

Ruled out: reading further pages (an end is listed until it is acknowledged, so the next page comes only then).

Change: the adapter says whether all ends are listed. While they are not, no run is dropped, and the listing does not make a report complete for a new process or owner; ends go to the owner as before, and the rest follows their acknowledgement.

--- a/rattanwing/batch/ports.py
+++ b/rattanwing/batch/ports.py
@@ -141,16 +141,19 @@
 
 
 class PollResult(msgspec.Struct):
-    """An executor's answer to a poll: all running runs and all unacknowledged ends.
+    """An executor's answer to a poll: all running runs and unacknowledged ends.
 
     :param clock_ms: the executor's clock when it answered, in milliseconds.
     :param incarnation: the incarnation that answered; empty if it is not known.
+    :param lists_all_ends: whether ``ended`` has all unacknowledged ends; otherwise
+        later ones follow once these are acknowledged.
     """
 
     clock_ms: int
     running: list[RunningRow]
     ended: list[EndedRow]
     incarnation: str = ""
+    lists_all_ends: bool = True
 
 
 class OrderOutcome(Enum):
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -562,8 +562,9 @@
         self.ends.record_answer(sent_at, result.clock_ms)
         if sent_at > self.failed_call_at:
             self.confirmed_at = self.clock()
-        first = self.listed_fence != fence and fence == self.fence
-        if fence == self.fence:
+        current = fence == self.fence and result.lists_all_ends
+        first = current and self.listed_fence != fence
+        if current:
             self.listed_fence = fence
         changed = self.apply_listing(result, sent_at, self.clock())
         if not self.may_acknowledge():
@@ -633,6 +634,8 @@
                 row.progress_percent,
                 row.measurement,
             )
+        if not result.lists_all_ends:
+            return changed
         for key, run in list(self.runs.items()):
             resolved = run.known_to_executor or run.fence < self.listed_fence
             if key not in listed and resolved and run.may_be_unlisted_until < sent_at:
--- a/rattanwing/platform/executor.py
+++ b/rattanwing/platform/executor.py
@@ -46,6 +46,9 @@
 """Time limit of a call, without the time that the executor is asked to wait. Calls
 stay on one host; the caller repeats one that takes longer."""
 
+MAX_LISTED_ENDS = 500
+"""Most ends that an executor lists in one answer."""
+
 MAX_CLOCK_AHEAD_MS = 3_600_000
 """Most milliseconds by which an executor's wall clock may be ahead of the agent's."""
 
@@ -219,7 +222,13 @@
             return parse_order_answer(status, data)
         answer = decode(HoldAnswer, data)
         incarnation = f"{self.executor_id}@{answer.born}" if answer.born else ""
-        return PollResult(answer.clock_ms, answer.running, answer.ended, incarnation)
+        return PollResult(
+            answer.clock_ms,
+            answer.running,
+            answer.ended,
+            incarnation,
+            len(answer.ended) < MAX_LISTED_ENDS,
+        )
 
     async def send_order(self, target: str, body: dict[str, Any]) -> OrderResult:
         """Send an order and return its outcome."""
--- a/rattanwing/standin/runs.py
+++ b/rattanwing/standin/runs.py
@@ -390,7 +390,13 @@
             for record in self.running.values()
         ]
         listed = self.ended[:MAX_LISTED_ENDS]
-        return PollResult(self.clock_ms(), rows, listed, self.incarnation_name())
+        return PollResult(
+            self.clock_ms(),
+            rows,
+            listed,
+            self.incarnation_name(),
+            len(listed) == len(self.ended),
+        )
 
 
 class StandinExecutorPort:
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import json
 import unittest
 
 import msgspec
@@ -307,6 +308,14 @@
         self.assertEqual(sent["ack_offset"], 57)
         self.assertIn((b"rattanwing-expect-instance", b"i-1"), client.client.headers)
 
+    def test_full_page_of_ends_may_not_list_all(self):
+        for count, complete in ((0, True), (499, True), (500, False)):
+            with self.subTest(count=count):
+                ended = [[n, f"j.0.1.{n}", 1, "done", ""] for n in range(1, count + 1)]
+                body = json.dumps({"clock_ms": 1, "running": [], "ended": ended})
+                result = trio.run(self.client(200, body.encode()).poll, 7, 0, None, 0.0)
+                self.assertIs(result.lists_all_ends, complete)
+
     def test_malformed_hold_answers_raise_a_call_error(self):
         for body in (
             b'{"clock_ms":1,"running":[[1]],"ended":[]}',
