Tell the state of the processes when a test deployment does not get ready

Seen: "condition not met in time: entry-1 has 3 agents" was all that remained of a failed set-up; the logs are removed with the deployment, so that the finding could not be traced.

Change: the message of a wait of a deployment also says of each process whether it runs or with what it has ended, and has the last lines of its log.

Measured: with the peer address of entry-1 taken the message names "entry-1 ended with 1" and "already in use" (tests.test_processes.StartTests .test_failed_start_tells_which_process_has_ended_and_why; without the change the message has the condition only).

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -19,6 +19,10 @@
 """Seconds after which a wait fails, so that a test does not hang."""
 
 
+DESCRIBED_LINES = 12
+"""Number of the last lines of a process's log that the message of a failure has."""
+
+
 def free_address():
     """Return an ``ip:port`` on loopback that was free a moment ago."""
     with socket.socket() as probe:
@@ -174,7 +178,7 @@
             status = self.status(entry)
             return status["agents"] == agents and status["log_available"]
 
-        wait_for(check, f"{entry} has {agents} agents")
+        self.wait_for(check, f"{entry} has {agents} agents")
 
     def wait_until_executors_serve(self, entry):
         """Wait until the entry sends requests to the executor of every agent."""
@@ -185,7 +189,22 @@
             serving = [e for e in executors if e["connected"] and e["reachable"]]
             return len(serving) == len(self.agents)
 
-        wait_for(check, f"{entry} can reach {len(self.agents)} executors")
+        self.wait_for(check, f"{entry} can reach {len(self.agents)} executors")
+
+    def wait_for(self, check, condition):
+        """Poll as :func:`wait_for`; a failure tells the state of the processes."""
+        try:
+            return wait_for(check, condition)
+        except AssertionError as error:
+            states = [self.describe(name) for name in self.processes]
+            raise AssertionError("\n".join([str(error), *states])) from error
+
+    def describe(self, name):
+        """Return whether a process runs, and the end of its log."""
+        code = self.processes[name].poll()
+        state = "runs" if code is None else f"ended with {code}"
+        lines = self.log_text(name).splitlines()[-DESCRIBED_LINES:]
+        return "\n  ".join([f"{name} {state}", *lines])
 
     def status(self, entry):
         return json.loads(self.call(entry, "GET", "/api/status")[2])
@@ -202,7 +221,7 @@
             row = self.job(entry, name)
             return row if row and row["state"] == state else None
 
-        return wait_for(check, f"job {name} is {state}")
+        return self.wait_for(check, f"job {name} is {state}")
 
     def finished_without_rerun(self, job):
         """Return whether the job ended once and none of its work was repeated.
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -6,13 +6,18 @@
 import socket
 import threading
 import unittest
+from unittest import mock
 
 from rattanwing.util.address import split_address
+from tests import processes
 from tests.processes import Deployment
 
 EXECUTOR_PAUSE_S = 4.0
 """Longer than the default timeout of a request."""
 
+SHORT_WAIT_LIMIT_S = 0.2
+"""Limit of a wait that is to fail, in seconds."""
+
 
 class LateExecutorDeployment(Deployment):
     """A deployment whose executors get no processor time when they start."""
@@ -66,6 +71,30 @@
         verdict = headers["rattanwing-verdict"]
         self.assertEqual((status, verdict), (200, "ran"), body)
 
+    def take(self, address):
+        """Listen at an address, as another process would."""
+        other = socket.socket()
+        self.addCleanup(other.close)
+        other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        other.bind(split_address(address))
+        other.listen()
+
+    def test_failed_start_tells_which_process_has_ended_and_why(self):
+        deployment = Deployment(entries=1, agents=1)
+        self.addCleanup(deployment.close)
+        self.take(deployment.entries["entry-1"][1])
+        deployment.start("entry-1")
+        deployment.wait("entry-1")
+        deployment.start("agent-1")
+        with (
+            mock.patch.object(processes, "WAIT_LIMIT_S", SHORT_WAIT_LIMIT_S),
+            self.assertRaises(AssertionError) as caught,
+        ):
+            deployment.wait_until_connected("entry-1", 1)
+        text = str(caught.exception)
+        for part in ("entry-1 ended with 1", "already in use", "agent-1 runs"):
+            self.assertIn(part, text)
+
     def test_process_ends_if_its_address_is_taken(self):
         deployment = Deployment(entries=1, agents=1)
         self.addCleanup(deployment.close)
@@ -73,10 +102,8 @@
             ("entry-1", deployment.entries["entry-1"][0]),
             ("executor-1", deployment.agents["agent-1"][0]),
         ):
-            with self.subTest(name), socket.socket() as other:
-                other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                other.bind(split_address(address))
-                other.listen()
+            with self.subTest(name):
+                self.take(address)
                 deployment.start(name)
                 self.assertEqual(deployment.wait(name), 1)
                 self.assertIn("already in use", deployment.log_text(name))
