--- a/tests/processes.py
+++ b/tests/processes.py
@@ -18,7 +18,6 @@
 WAIT_LIMIT_S = 60.0
 """Seconds after which a wait fails, so that a test does not hang."""
 
-
 DESCRIBED_LINES = 12
 """Number of the last lines of a process's log that the message of a failure has."""
 
@@ -30,18 +29,6 @@
         return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
-def reserve_address():
-    """Return a bound socket on loopback and its ``ip:port``.
-
-    While the socket is open, nobody is given the port, but a process that knows it may
-    listen there.
-    """
-    holder = socket.socket()
-    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    holder.bind(("127.0.0.1", 0))
-    return holder, f"127.0.0.1:{holder.getsockname()[1]}"
-
-
 def call(address, method, target, body=None, headers=None, timeout=20):
     """Send an HTTP request and return the status, headers and body of the response.
 
@@ -82,6 +69,7 @@
 
     :param entries: number of entries.
     :param agents: number of agents.
+    :ivar holders: bound sockets that reserve the addresses of the processes.
     """
 
     def __init__(self, entries=2, agents=3):
@@ -110,9 +98,16 @@
             self.settings[name] = self.agent_settings(name, number)
 
     def reserve(self):
-        holder, address = reserve_address()
+        """Return an address on loopback that nobody else gets until the close.
+
+        A bound socket keeps the port. A process that knows the address may listen
+        there, as it sets ``SO_REUSEADDR`` as well.
+        """
+        holder = socket.socket()
         self.holders.append(holder)
-        return address
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{holder.getsockname()[1]}"
 
     def standin(self, name, role, address):
         return {"name": name, "failure_domain": "fd-1", role: {"http": address}}
