--- a/tests/processes.py
+++ b/tests/processes.py
@@ -18,6 +18,9 @@
 WAIT_LIMIT_S = 60.0
 """Seconds after which a wait fails, so that a test does not hang."""
 
+DESCRIBED_LINES = 12
+"""Number of the last lines of a process's log that the message of a failure has."""
+
 
 def free_address():
     """Return an ``ip:port`` on loopback that was free a moment ago."""
@@ -26,18 +29,6 @@
         return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
-def reserve_address():
-    """Return a bound socket on loopback and its ``ip:port``.
-
-    While the socket is open, nobody is given the port, but a process that knows it may
-    listen there.
-    """
-    holder = socket.socket()
-    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    holder.bind(("127.0.0.1", 0))
-    return holder, f"127.0.0.1:{holder.getsockname()[1]}"
-
-
 def call(address, method, target, body=None, headers=None, timeout=20):
     """Send an HTTP request and return the status, headers and body of the response.
 
@@ -78,6 +69,7 @@
 
     :param entries: number of entries.
     :param agents: number of agents.
+    :ivar holders: bound sockets that reserve the addresses of the processes.
     """
 
     def __init__(self, entries=2, agents=3):
@@ -106,9 +98,16 @@
             self.settings[name] = self.agent_settings(name, number)
 
     def reserve(self):
-        holder, address = reserve_address()
+        """Return an address on loopback that nobody else gets until the close.
+
+        A bound socket keeps the port. A process that knows the address may listen
+        there, as it sets ``SO_REUSEADDR`` as well.
+        """
+        holder = socket.socket()
         self.holders.append(holder)
-        return address
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{holder.getsockname()[1]}"
 
     def standin(self, name, role, address):
         return {"name": name, "failure_domain": "fd-1", role: {"http": address}}
@@ -174,7 +173,7 @@
             status = self.status(entry)
             return status["agents"] == agents and status["log_available"]
 
-        wait_for(check, f"{entry} has {agents} agents")
+        self.wait_for(check, f"{entry} has {agents} agents")
 
     def wait_until_executors_serve(self, entry):
         """Wait until the entry sends requests to the executor of every agent."""
@@ -185,7 +184,22 @@
             serving = [e for e in executors if e["connected"] and e["reachable"]]
             return len(serving) == len(self.agents)
 
-        wait_for(check, f"{entry} can reach {len(self.agents)} executors")
+        self.wait_for(check, f"{entry} can reach {len(self.agents)} executors")
+
+    def wait_for(self, check, condition):
+        """Poll as :func:`wait_for`; a failure tells the state of the processes."""
+        try:
+            return wait_for(check, condition)
+        except AssertionError as error:
+            states = [self.describe(name) for name in self.processes]
+            raise AssertionError("\n".join([str(error), *states])) from error
+
+    def describe(self, name):
+        """Return whether a process runs, and the end of its log."""
+        code = self.processes[name].poll()
+        state = "runs" if code is None else f"ended with {code}"
+        lines = self.log_text(name).splitlines()[-DESCRIBED_LINES:]
+        return "\n  ".join([f"{name} {state}", *lines])
 
     def status(self, entry):
         return json.loads(self.call(entry, "GET", "/api/status")[2])
@@ -202,7 +216,7 @@
             row = self.job(entry, name)
             return row if row and row["state"] == state else None
 
-        return wait_for(check, f"job {name} is {state}")
+        return self.wait_for(check, f"job {name} is {state}")
 
     def finished_without_rerun(self, job):
         """Return whether the job ended once and none of its work was repeated.
