Take only answered appends as the measure of the store's speed

Seen (simulated, 6 entries, jobs accepted elsewhere meanwhile): an entry and the owner get no answers from the store. Also event 535, and all calls to the owner for 2 s, after the cancellation of an unknown id.

Cause: try_here recorded the duration of the whole call, also of one without an answer and of the wait for a read that precedes a cancellation. Class: an unknown outcome taken for something that is known. While the store counts as slow, only the owner is called.

Ruled out: the peers (they accept at once when called); the rounds of resolve (the first round already calls no peer).

Change: the writer records how long an append took that was answered.

Conclusion: the store's speed is measured on calls that were answered.

--- a/rattanwing/batch/entry.py
+++ b/rattanwing/batch/entry.py
@@ -136,7 +136,9 @@
     def make_writer(self, topic: str) -> RecordWriter:
         """Return a writer that appends to a topic under this entry's producer name."""
         stamp = AppendStamp(self.incarnation, 1, 0)
-        return RecordWriter(self.store, topic, stamp, self.clock, self.random)
+        return RecordWriter(
+            self.store, topic, stamp, self.clock, self.random, self.store_speed
+        )
 
     def is_ready(self, now: float) -> bool:
         """Return whether callers may be sent to this entry.
--- a/rattanwing/batch/relay.py
+++ b/rattanwing/batch/relay.py
@@ -188,10 +188,7 @@
         wait_s = max(0.0, ends_at - now)
         if not (self.local.store_speed.is_slow(now) and self.is_owner()):
             wait_s = min(wait_s, RELAY_AFTER_S)
-        answer = await carry_out(wait_s)
-        if self.local.writer.failing_since is None:
-            self.local.store_speed.record(self.clock() - now, self.clock())
-        return answer
+        return await carry_out(wait_s)
 
     def is_owner(self) -> bool:
         """Return whether this entry schedules, as far as it knows."""
--- a/rattanwing/batch/writer.py
+++ b/rattanwing/batch/writer.py
@@ -13,6 +13,7 @@
 
 from rattanwing import events
 from rattanwing.batch.ports import AppendStamp
+from rattanwing.batch.store_speed import StoreSpeed
 from rattanwing.errors import (
     LogFencedError,
     LogSequenceError,
@@ -88,6 +89,7 @@
     :param last_success_sent_at: time at which the newest successful append was sent;
         the leases that an owner grants count from it.
     :param on_stored: called with the duration in seconds of each successful append.
+    :param speed: told how long successful appends take.
     """
 
     __slots__ = (
@@ -105,6 +107,7 @@
         "last_failed_at",
         "last_success_sent_at",
         "on_stored",
+        "speed",
         "in_flight",
         "scope",
     )
@@ -116,6 +119,7 @@
         stamp: AppendStamp,
         clock: Callable[[], float],
         random: Random,
+        speed: StoreSpeed | None = None,
     ) -> None:
         self.store = store
         self.topic = topic
@@ -131,6 +135,7 @@
         self.last_failed_at = clock()
         self.last_success_sent_at = clock()
         self.on_stored: Callable[[float], None] | None = None
+        self.speed = speed or StoreSpeed()
         self.in_flight: list[PendingAppend] = []
         self.scope = trio.CancelScope()
 
@@ -245,8 +250,10 @@
     def record_success(self, sent_at: float) -> None:
         """Record a successful append, which ends an outage."""
         self.last_success_sent_at = sent_at
+        now = self.clock()
+        self.speed.record(now - sent_at, now)
         if self.on_stored is not None:
-            self.on_stored(self.clock() - sent_at)
+            self.on_stored(now - sent_at)
         if self.failing_since is not None:
             outage_s = round(self.clock() - self.failing_since, 3)
             events.write(events.LOG_AVAILABLE, topic=self.topic, outage_s=outage_s)
--- a/rattanwing/standin/keyed_store.py
+++ b/rattanwing/standin/keyed_store.py
@@ -1,8 +1,8 @@
 """In-memory stand-in for the platform's store of keyed records.
 
-It can simulate these faults: it is unreachable for some clients, it is slow, answers to
-appends are lost, appends take effect late, and records expire except the newest of each
-key.
+It can simulate these faults: it is unreachable for some clients, gives some no answer,
+is slow, loses answers to appends, appends take effect late, and records expire except
+the newest of each key.
 """
 
 from __future__ import annotations
@@ -24,6 +24,9 @@
 PAGE_RECORDS = 500
 """Number of records on a page of :meth:`StandinStoreClient.list_newest`."""
 
+CALL_TIMEOUT_S = 1.5
+"""Time in seconds after which a client gives up a call that has no answer."""
+
 MAX_QUEUE_S = 2.0
 """Appends are refused while those that wait for a topic take longer than this."""
 
@@ -153,6 +156,7 @@
     """The store's topics and simulated faults.
 
     :param disconnected_clients: names of the clients whose calls fail.
+    :param silent_to: names of clients whose calls have no effect and no answer.
     :param lose_answers: number of following appends that take effect but whose
         answers are lost.
     :param late_append_delay_s: delay in seconds before an append with a lost answer
@@ -166,6 +170,7 @@
         "slowdown",
         "topics",
         "disconnected_clients",
+        "silent_to",
         "lose_answers",
         "late_append_delay_s",
         "append_calls",
@@ -174,6 +179,7 @@
     def __init__(self) -> None:
         self.topics: dict[str, Topic] = {}
         self.disconnected_clients: set[str] = set()
+        self.silent_to: set[str] = set()
         self.lose_answers = 0
         self.late_append_delay_s = 0.0
         self.slowdown = 1.0
@@ -205,8 +211,11 @@
     async def simulate_call(self) -> None:
         """Wait for the duration of a call.
 
-        :raises LogUnavailableError: when this client is disconnected.
+        :raises LogUnavailableError: when this client is disconnected or gets no answer.
         """
+        if self.name in self.store.silent_to:
+            await trio.sleep(CALL_TIMEOUT_S)
+            raise LogUnavailableError("no answer", may_have_applied=True)
         await trio.sleep(ANSWER_DELAY_S * self.store.slowdown)
         if self.name in self.store.disconnected_clients:
             raise LogUnavailableError(
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -11,6 +11,7 @@
 from rattanwing import events
 from rattanwing.batch.messages import Answer
 from rattanwing.batch.model import JobState, StepSpec
+from rattanwing.batch.relay import NEXT_PEER_AFTER_S, RELAY_AFTER_S
 from tests.batch.world import job, play
 
 TASK = StepSpec(4, cpu=500, memory_mb=100)
@@ -785,6 +786,53 @@
         play(scenario)
 
 
+class StoreSpeedTests(unittest.TestCase):
+    """What is taken for a slow store."""
+
+    def test_calls_without_an_answer_do_not_show_a_slow_store(self):
+        """While it counted as slow only the owner was called, cut off as well."""
+        waited = []
+
+        async def scenario(world):
+            await trio.sleep(5)
+            owner = world.owner().settings.name
+            name, other = [n for n in world.entry_names if n != owner][:2]
+
+            async def submit_elsewhere():
+                for number in range(1000):
+                    await world.submit(job(f"other-{number}"), world.entries[other])
+                    await trio.sleep(0.1)
+
+            async def submit(number):
+                began = trio.current_time()
+                entry = world.entries[name]
+                answer = await entry.relaying_service.submit(job(f"job-{number}"), 2.7)
+                self.assertIs(answer, Answer.ACCEPTED)
+                waited.append(trio.current_time() - began)
+
+            world.nursery.start_soon(submit_elsewhere)
+            await trio.sleep(2)
+            world.store.silent_to |= {owner, name}
+            async with trio.open_nursery() as nursery:
+                for number in range(20):
+                    nursery.start_soon(submit, number)
+                    await trio.sleep(0.25)
+
+        play(scenario, entries=6)
+        self.assertLess(max(waited), RELAY_AFTER_S + 2 * NEXT_PEER_AFTER_S)
+
+    def test_wait_for_a_read_does_not_show_a_slow_store(self):
+        async def scenario(world):
+            await trio.sleep(3)
+            owner = world.owner()
+            entry = next(e for e in world.entries.values() if e is not owner)
+            answer = await entry.relaying_service.cancel("none", "queue-1", 2.7)
+            self.assertIs(answer, Answer.NO_SUCH_JOB)
+            self.assertFalse(entry.store_speed.is_slow(trio.current_time()))
+
+        play(scenario)
+
+
 class RegistrationTests(unittest.TestCase):
     def test_late_deletion_does_not_hide_the_next_process_of_an_entry(self):
         """No other entry relayed to it until its next start."""
