Drop settled submissions whose callers have stopped waiting

Seen (simulated): 500 submissions whose callers stop waiting leave 500 pending submissions with their records for good. One that was not stored in an outage answers the same job 60 s later: 503 at once, without an attempt, though the store is well. With other entries these accept it.

Cause: only a caller that waits to the end removed its submission. Class: state that stands still, and an answer acted upon without the state that it was decided for.

Ruled out: the writer (its queue is empty); the records in the store (none of the job).

Change: the next submission drops the settled ones; a settled refusal is never used again. One whose append may still be carried out is kept.

Conclusion: what is kept is bounded by the appends that wait.

--- a/rattanwing/batch/service.py
+++ b/rattanwing/batch/service.py
@@ -39,7 +39,8 @@
     """Serves one entry's callers from its replica and the store.
 
     :param store_speed: what the calls of this entry show of the store.
-    :param pending_submissions: by job id, the append that stores the job.
+    :param pending_submissions: by job id, the append that stores the job; settled ones
+        are dropped at the next submission.
     """
 
     __slots__ = (
@@ -79,8 +80,9 @@
         now = self.clock()
         if not self.reader.loaded.is_set():
             return Answer.NOT_READY
+        self.drop_settled()
         pending = self.pending_submissions.get(job_id)
-        if pending is None:
+        if pending is None or pending.verdict is Verdict.NOT_RUN:
             if self.are_appends_failing(now):
                 return self.refuse(job_id, "store-away")
             key = records.JOB_PREFIX + job_id
@@ -92,7 +94,6 @@
         if not pending.done.is_set():
             events.write(events.JOB_OUTCOME_UNKNOWN, job=job_id, waited_s=wait_s)
             return Answer.UNKNOWN_OUTCOME
-        self.pending_submissions.pop(job_id, None)
         match pending.verdict:
             case Verdict.RAN:
                 self.replica.add_stored_job(job_id, spec)
@@ -109,6 +110,17 @@
             case Verdict.MAY_HAVE_RUN:
                 return Answer.UNKNOWN_OUTCOME
 
+    def drop_settled(self) -> None:
+        """Drop the submissions whose outcome is known, the oldest first.
+
+        Their callers may have stopped waiting. A later call is decided anew.
+        """
+        while self.pending_submissions:
+            job_id, pending = next(iter(self.pending_submissions.items()))
+            if pending.verdict is Verdict.MAY_HAVE_RUN:
+                return
+            del self.pending_submissions[job_id]
+
     def refuse(self, job_id: str, reason: str) -> Answer:
         """Log the refusal of a job and return the answer for its caller."""
         events.write(events.JOB_REFUSED, job=job_id, reason=reason)
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -786,6 +786,37 @@
         play(scenario)
 
 
+class AbandonedSubmissionTests(unittest.TestCase):
+    """Submissions whose callers stop waiting before the outcome is known."""
+
+    def test_they_are_not_kept(self):
+        async def scenario(world):
+            await trio.sleep(3)
+            service = world.entries["entry-0"].local_service
+            for number in range(50):
+                with trio.move_on_after(0.001):
+                    await service.submit(job(f"job-{number}"), 2.0)
+            await trio.sleep(5)
+            self.assertIs(await service.submit(job("last"), 2.0), Answer.ACCEPTED)
+            self.assertLessEqual(len(service.pending_submissions), 1)
+
+        play(scenario)
+
+    def test_refusal_that_nobody_waited_for_does_not_answer_a_later_call(self):
+        async def scenario(world):
+            await trio.sleep(3)
+            service = world.entries["entry-0"].local_service
+            world.store.disconnected_clients.update(world.entry_names)
+            with trio.move_on_after(0.3):
+                await service.submit(job(), 2.0)
+            await trio.sleep(3)
+            world.store.disconnected_clients.clear()
+            await trio.sleep(30)
+            self.assertIs(await service.submit(job(), 2.0), Answer.ACCEPTED)
+
+        play(scenario)
+
+
 class StoreSpeedTests(unittest.TestCase):
     """What is taken for a slow store."""
 
