Refuse no repeat of a request whose append may still be carried out

Seen (simulated): the append of a job has no answer and is carried out 4 s later. Meanwhile the store goes away; the caller's second request for the same job, at the same entry, gets 503. The job is stored and runs. The same when the second request is relayed to that entry.

Cause: an entry that can't reach the store answers not ready, without a look at its own append of the job in flight. Class: a refusal answered although the call may have been carried out.

Ruled out: rounds of one request (resolve takes no refusal after an unknown outcome); a second request while the store answers (it waits for the same append).

Change: such a request begins with an unknown outcome, so that it waits until the outcome is known or its caller stops waiting, and a relayed one is answered so.

Measured: unknown outcome (504) while the store is away, accepted once it is back within the caller's time.

Conclusion: an entry refuses no job that it may store itself. Another entry, which does not know of the first request, may still refuse the second one.

--- a/rattanwing/batch/relay.py
+++ b/rattanwing/batch/relay.py
@@ -93,6 +93,7 @@
             lambda left_s: self.local.submit(spec, left_s),
             lambda left_s: messages.RelayedSubmit(spec, left_s),
             wait_s,
+            unknown=self.local.may_be_stored(spec.job_id),
         )
 
     async def cancel(self, job_id: str, queue: str, wait_s: float) -> Answer:
@@ -111,6 +112,7 @@
         carry_out: Callable[[float], Awaitable[Answer]],
         make_call: Callable[[float], messages.Message],
         wait_s: float,
+        unknown: bool = False,
     ) -> Answer:
         """Make a call until its outcome is known or its caller stops waiting.
 
@@ -119,9 +121,9 @@
 
         :param carry_out: makes the call here, given the seconds that are left.
         :param make_call: returns the message that relays it, given the same.
+        :param unknown: whether the outcome of an earlier such call is not known.
         """
         ends_at = self.clock() + wait_s
-        unknown = False
         while True:
             answer = await self.try_entries(carry_out, make_call, ends_at)
             if answer in DEFINITE_ANSWERS:
@@ -340,7 +342,7 @@
     async def answer(self, call: messages.Message) -> messages.RelayedAnswer:
         """Answer a relayed call from this entry's own service only."""
         if self.local.is_store_unreachable(self.clock()):
-            return messages.RelayedAnswer(Answer.NOT_READY)
+            return messages.RelayedAnswer(self.answer_without_store(call))
         try:
             match call:
                 case messages.RelayedSubmit():
@@ -358,3 +360,10 @@
         if isinstance(found, Answer):
             return messages.RelayedAnswer(found)
         return messages.RelayedAnswer(Answer.ACCEPTED, found)
+
+    def answer_without_store(self, call: messages.Message) -> Answer:
+        """Return the answer to a relayed call while the store is unreachable here."""
+        match call:
+            case messages.RelayedSubmit() if self.local.may_be_stored(call.spec.job_id):
+                return Answer.UNKNOWN_OUTCOME
+        return Answer.NOT_READY
--- a/rattanwing/batch/service.py
+++ b/rattanwing/batch/service.py
@@ -110,6 +110,11 @@
             case Verdict.MAY_HAVE_RUN:
                 return Answer.UNKNOWN_OUTCOME
 
+    def may_be_stored(self, job_id: str) -> bool:
+        """Return whether an earlier call's append of a job may still be carried out."""
+        pending = self.pending_submissions.get(job_id)
+        return pending is not None and pending.verdict is Verdict.MAY_HAVE_RUN
+
     def drop_settled(self) -> None:
         """Drop the submissions whose outcome is known, the oldest first.
 
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -9,6 +9,7 @@
 import trio.testing  # noqa: F401
 
 from rattanwing import events
+from rattanwing.batch import messages
 from rattanwing.batch.messages import Answer
 from rattanwing.batch.model import JobState, StepSpec
 from rattanwing.batch.relay import NEXT_PEER_AFTER_S, RELAY_AFTER_S
@@ -817,6 +818,66 @@
         play(scenario)
 
 
+class RepeatedSubmissionTests(unittest.TestCase):
+    """A caller repeats a request that had no answer; the store goes away meanwhile.
+
+    The append of the first request is carried out late.
+    """
+
+    async def leave_append_in_flight(self, world):
+        """Submit a job without getting an answer, and return the entry."""
+        await trio.sleep(3)
+        owner = world.owner()
+        entry = next(e for e in world.entries.values() if e is not owner)
+        world.store.lose_answers = 1
+        world.store.late_append_delay_s = 4.0
+        with trio.move_on_after(0.02):
+            await entry.local_service.submit(job(), 2.0)
+        world.store.disconnected_clients.update(world.entry_names)
+        await trio.sleep(1.5)
+        return entry
+
+    def test_repeat_is_not_refused(self):
+        async def scenario(world):
+            entry = await self.leave_append_in_flight(world)
+            answer = await entry.relaying_service.submit(job(), 1.0)
+            self.assertIs(answer, Answer.UNKNOWN_OUTCOME)
+            await trio.sleep(2)
+            world.store.disconnected_clients.clear()
+            done = await world.wait_for_state("job-1", JobState.COMPLETED)
+            self.assertTrue(done)
+
+        play(scenario)
+
+    def test_relayed_repeat_is_not_refused(self):
+        async def scenario(world):
+            entry = await self.leave_append_in_flight(world)
+            call = messages.RelayedSubmit(job(), 1.0)
+            relayed = await entry.relaying_service.answer(call)
+            self.assertIs(relayed.answer, Answer.UNKNOWN_OUTCOME)
+            other = messages.RelayedSubmit(job("job-2"), 1.0)
+            relayed = await entry.relaying_service.answer(other)
+            self.assertIs(relayed.answer, Answer.NOT_READY)
+
+        play(scenario)
+
+    def test_repeat_is_accepted_when_the_store_comes_back(self):
+        async def scenario(world):
+            entry = await self.leave_append_in_flight(world)
+            answers = []
+
+            async def submit():
+                answers.append(await entry.relaying_service.submit(job(), 2.7))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(submit)
+                await trio.sleep(0.5)
+                world.store.disconnected_clients.clear()
+            self.assertEqual(answers, [Answer.ACCEPTED])
+
+        play(scenario)
+
+
 class StoreSpeedTests(unittest.TestCase):
     """What is taken for a slow store."""
 
