Make a call of unknown outcome again after growing pauses

Cause: resolve makes the call again, through three other entries, every 0.1 s, and entries that can't reach the store answer at once. Class: relays that add load where there is too little room.

Ruled out: circles (a relayed call is never relayed on).

Change: each pause is twice the one before; the last round is 0.1 s before the caller's time ends.

--- a/rattanwing/batch/relay.py
+++ b/rattanwing/batch/relay.py
@@ -45,7 +45,8 @@
 
 RESOLVE_PAUSE_S = 0.1
 """Pause before a call whose outcome is unknown is made again, in seconds; a few round
-trips between entries."""
+trips between entries. Each further pause is twice as long, but the call is made once
+more at this time before its caller stops waiting."""
 
 DEFINITE_ANSWERS = (Answer.ACCEPTED, Answer.NO_SUCH_JOB)
 """Answers that stay true whatever other entries do with the same call."""
@@ -124,6 +125,7 @@
         :param unknown: whether the outcome of an earlier such call is not known.
         """
         ends_at = self.clock() + wait_s
+        pause_s = RESOLVE_PAUSE_S
         while True:
             answer = await self.try_entries(carry_out, make_call, ends_at)
             if answer in DEFINITE_ANSWERS:
@@ -131,9 +133,11 @@
             if answer is not Answer.UNKNOWN_OUTCOME and not unknown:
                 return answer
             unknown = True
-            if self.clock() + RESOLVE_PAUSE_S >= ends_at:
+            last_at = ends_at - RESOLVE_PAUSE_S
+            if self.clock() >= last_at:
                 return Answer.UNKNOWN_OUTCOME
-            await trio.sleep(RESOLVE_PAUSE_S)
+            await trio.sleep(min(pause_s, last_at - self.clock()))
+            pause_s *= 2
 
     async def try_entries(
         self,
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections import Counter
+from math import ceil, log2
 from types import SimpleNamespace
 from unittest import mock
 
@@ -12,7 +13,12 @@
 from rattanwing.batch import messages
 from rattanwing.batch.messages import Answer
 from rattanwing.batch.model import JobState, StepSpec
-from rattanwing.batch.relay import NEXT_PEER_AFTER_S, RELAY_AFTER_S
+from rattanwing.batch.relay import (
+    MAX_PEERS,
+    NEXT_PEER_AFTER_S,
+    RELAY_AFTER_S,
+    RESOLVE_PAUSE_S,
+)
 from tests.batch.world import job, play
 
 TASK = StepSpec(4, cpu=500, memory_mb=100)
@@ -849,6 +855,26 @@
 
         play(scenario)
 
+    def test_relays_grow_with_the_logarithm_of_the_wait(self):
+        """All entries relayed each call to three others every 0.1 s."""
+        relays = []
+
+        async def scenario(world):
+            entry = await self.leave_append_in_flight(world)
+            dial = entry.relaying_service.dial
+
+            async def count_and_dial(address, handler):
+                relays.append(address)
+                await dial(address, handler)
+
+            entry.relaying_service.dial = count_and_dial
+            await entry.relaying_service.submit(job(), 2.0)
+
+        play(scenario, entries=6)
+        rounds = 2 + ceil(log2(2.0 / RESOLVE_PAUSE_S))
+        self.assertGreater(len(relays), 0)
+        self.assertLessEqual(len(relays), MAX_PEERS * rounds)
+
     def test_relayed_repeat_is_not_refused(self):
         async def scenario(world):
             entry = await self.leave_append_in_flight(world)
