Check a submitted job before it is relayed

Seen (simulated): while the store is slow a job without tasks is answered with 503 and a time to return, in place of 400.

Cause: the call goes to the owner at once, and a relayed answer has no word for an invalid job.

Ruled out: the entry's own check, which follows only after the relay.

Change: the entry that the caller has called checks the job first.

Conclusion: an invalid job is never relayed.

--- a/rattanwing/batch/relay.py
+++ b/rattanwing/batch/relay.py
@@ -14,6 +14,7 @@
 from rattanwing import events
 from rattanwing.batch import messages
 from rattanwing.batch.messages import Answer
+from rattanwing.batch.model import check_job
 from rattanwing.batch.returns import retry_after_s
 from rattanwing.errors import PeerLostError, ProtocolError, RejectedError
 
@@ -90,6 +91,7 @@
         :param wait_s: how long the caller waits for the answer.
         :raises RejectedError: when the job's steps are invalid.
         """
+        check_job(spec)
         return await self.resolve(
             lambda left_s: self.local.submit(spec, left_s),
             lambda left_s: messages.RelayedSubmit(spec, left_s),
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -19,6 +19,7 @@
     RELAY_AFTER_S,
     RESOLVE_PAUSE_S,
 )
+from rattanwing.errors import RejectedError
 from tests.batch.world import job, play
 
 TASK = StepSpec(4, cpu=500, memory_mb=100)
@@ -772,6 +773,21 @@
         self.assertEqual(Counter(answers), {Answer.ACCEPTED: 40})
         self.assertEqual(world.reruns(), [])
 
+    def test_invalid_job_is_rejected_here(self):
+        """The owner's answer was passed on as a refusal, after which callers return."""
+
+        async def scenario(world):
+            await trio.sleep(3)
+            owner = world.owner()
+            entry = next(e for e in world.entries.values() if e is not owner)
+            world.store.slowdown = 57.0
+            await trio.sleep(3)
+            spec = job(steps=(StepSpec(0, cpu=500),))
+            with self.assertRaises(RejectedError):
+                await entry.relaying_service.submit(spec, 2.7)
+
+        play(scenario)
+
     def test_job_is_stored_here_when_the_owner_is_silent(self):
         async def scenario(world):
             await trio.sleep(3)
