--- a/rattanwing/batch/relay.py
+++ b/rattanwing/batch/relay.py
@@ -14,6 +14,7 @@
 from rattanwing import events
 from rattanwing.batch import messages
 from rattanwing.batch.messages import Answer
+from rattanwing.batch.model import check_job
 from rattanwing.batch.returns import retry_after_s
 from rattanwing.errors import PeerLostError, ProtocolError, RejectedError
 
@@ -45,7 +46,8 @@
 
 RESOLVE_PAUSE_S = 0.1
 """Pause before a call whose outcome is unknown is made again, in seconds; a few round
-trips between entries."""
+trips between entries. Each further pause is twice as long, but the call is made once
+more at this time before its caller stops waiting."""
 
 DEFINITE_ANSWERS = (Answer.ACCEPTED, Answer.NO_SUCH_JOB)
 """Answers that stay true whatever other entries do with the same call."""
@@ -89,10 +91,12 @@
         :param wait_s: how long the caller waits for the answer.
         :raises RejectedError: when the job's steps are invalid.
         """
+        check_job(spec)
         return await self.resolve(
             lambda left_s: self.local.submit(spec, left_s),
             lambda left_s: messages.RelayedSubmit(spec, left_s),
             wait_s,
+            unknown=self.local.may_be_stored(spec.job_id),
         )
 
     async def cancel(self, job_id: str, queue: str, wait_s: float) -> Answer:
@@ -111,6 +115,7 @@
         carry_out: Callable[[float], Awaitable[Answer]],
         make_call: Callable[[float], messages.Message],
         wait_s: float,
+        unknown: bool = False,
     ) -> Answer:
         """Make a call until its outcome is known or its caller stops waiting.
 
@@ -119,9 +124,10 @@
 
         :param carry_out: makes the call here, given the seconds that are left.
         :param make_call: returns the message that relays it, given the same.
+        :param unknown: whether the outcome of an earlier such call is not known.
         """
         ends_at = self.clock() + wait_s
-        unknown = False
+        pause_s = RESOLVE_PAUSE_S
         while True:
             answer = await self.try_entries(carry_out, make_call, ends_at)
             if answer in DEFINITE_ANSWERS:
@@ -129,9 +135,11 @@
             if answer is not Answer.UNKNOWN_OUTCOME and not unknown:
                 return answer
             unknown = True
-            if self.clock() + RESOLVE_PAUSE_S >= ends_at:
+            last_at = ends_at - RESOLVE_PAUSE_S
+            if self.clock() >= last_at:
                 return Answer.UNKNOWN_OUTCOME
-            await trio.sleep(RESOLVE_PAUSE_S)
+            await trio.sleep(min(pause_s, last_at - self.clock()))
+            pause_s *= 2
 
     async def try_entries(
         self,
@@ -188,10 +196,7 @@
         wait_s = max(0.0, ends_at - now)
         if not (self.local.store_speed.is_slow(now) and self.is_owner()):
             wait_s = min(wait_s, RELAY_AFTER_S)
-        answer = await carry_out(wait_s)
-        if self.local.writer.failing_since is None:
-            self.local.store_speed.record(self.clock() - now, self.clock())
-        return answer
+        return await carry_out(wait_s)
 
     def is_owner(self) -> bool:
         """Return whether this entry schedules, as far as it knows."""
@@ -343,7 +348,7 @@
     async def answer(self, call: messages.Message) -> messages.RelayedAnswer:
         """Answer a relayed call from this entry's own service only."""
         if self.local.is_store_unreachable(self.clock()):
-            return messages.RelayedAnswer(Answer.NOT_READY)
+            return messages.RelayedAnswer(self.answer_without_store(call))
         try:
             match call:
                 case messages.RelayedSubmit():
@@ -361,3 +366,10 @@
         if isinstance(found, Answer):
             return messages.RelayedAnswer(found)
         return messages.RelayedAnswer(Answer.ACCEPTED, found)
+
+    def answer_without_store(self, call: messages.Message) -> Answer:
+        """Return the answer to a relayed call while the store is unreachable here."""
+        match call:
+            case messages.RelayedSubmit() if self.local.may_be_stored(call.spec.job_id):
+                return Answer.UNKNOWN_OUTCOME
+        return Answer.NOT_READY
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections import Counter
+from math import ceil, log2
 from types import SimpleNamespace
 from unittest import mock
 
@@ -9,8 +10,16 @@
 import trio.testing  # noqa: F401
 
 from rattanwing import events
+from rattanwing.batch import messages
 from rattanwing.batch.messages import Answer
 from rattanwing.batch.model import JobState, StepSpec
+from rattanwing.batch.relay import (
+    MAX_PEERS,
+    NEXT_PEER_AFTER_S,
+    RELAY_AFTER_S,
+    RESOLVE_PAUSE_S,
+)
+from rattanwing.errors import RejectedError
 from tests.batch.world import job, play
 
 TASK = StepSpec(4, cpu=500, memory_mb=100)
@@ -764,6 +773,21 @@
         self.assertEqual(Counter(answers), {Answer.ACCEPTED: 40})
         self.assertEqual(world.reruns(), [])
 
+    def test_invalid_job_is_rejected_here(self):
+        """The owner's answer was passed on as a refusal, after which callers return."""
+
+        async def scenario(world):
+            await trio.sleep(3)
+            owner = world.owner()
+            entry = next(e for e in world.entries.values() if e is not owner)
+            world.store.slowdown = 57.0
+            await trio.sleep(3)
+            spec = job(steps=(StepSpec(0, cpu=500),))
+            with self.assertRaises(RejectedError):
+                await entry.relaying_service.submit(spec, 2.7)
+
+        play(scenario)
+
     def test_job_is_stored_here_when_the_owner_is_silent(self):
         async def scenario(world):
             await trio.sleep(3)
@@ -785,6 +809,164 @@
         play(scenario)
 
 
+class AbandonedSubmissionTests(unittest.TestCase):
+    """Submissions whose callers stop waiting before the outcome is known."""
+
+    def test_they_are_not_kept(self):
+        async def scenario(world):
+            await trio.sleep(3)
+            service = world.entries["entry-0"].local_service
+            for number in range(50):
+                with trio.move_on_after(0.001):
+                    await service.submit(job(f"job-{number}"), 2.0)
+            await trio.sleep(5)
+            self.assertIs(await service.submit(job("last"), 2.0), Answer.ACCEPTED)
+            self.assertLessEqual(len(service.pending_submissions), 1)
+
+        play(scenario)
+
+    def test_refusal_that_nobody_waited_for_does_not_answer_a_later_call(self):
+        async def scenario(world):
+            await trio.sleep(3)
+            service = world.entries["entry-0"].local_service
+            world.store.disconnected_clients.update(world.entry_names)
+            with trio.move_on_after(0.3):
+                await service.submit(job(), 2.0)
+            await trio.sleep(3)
+            world.store.disconnected_clients.clear()
+            await trio.sleep(30)
+            self.assertIs(await service.submit(job(), 2.0), Answer.ACCEPTED)
+
+        play(scenario)
+
+
+class RepeatedSubmissionTests(unittest.TestCase):
+    """A caller repeats a request that had no answer; the store goes away meanwhile.
+
+    The append of the first request is carried out late.
+    """
+
+    async def leave_append_in_flight(self, world):
+        """Submit a job without getting an answer, and return the entry."""
+        await trio.sleep(3)
+        owner = world.owner()
+        entry = next(e for e in world.entries.values() if e is not owner)
+        world.store.lose_answers = 1
+        world.store.late_append_delay_s = 4.0
+        with trio.move_on_after(0.02):
+            await entry.local_service.submit(job(), 2.0)
+        world.store.disconnected_clients.update(world.entry_names)
+        await trio.sleep(1.5)
+        return entry
+
+    def test_repeat_is_not_refused(self):
+        async def scenario(world):
+            entry = await self.leave_append_in_flight(world)
+            answer = await entry.relaying_service.submit(job(), 1.0)
+            self.assertIs(answer, Answer.UNKNOWN_OUTCOME)
+            await trio.sleep(2)
+            world.store.disconnected_clients.clear()
+            done = await world.wait_for_state("job-1", JobState.COMPLETED)
+            self.assertTrue(done)
+
+        play(scenario)
+
+    def test_relays_grow_with_the_logarithm_of_the_wait(self):
+        """All entries relayed each call to three others every 0.1 s."""
+        relays = []
+
+        async def scenario(world):
+            entry = await self.leave_append_in_flight(world)
+            dial = entry.relaying_service.dial
+
+            async def count_and_dial(address, handler):
+                relays.append(address)
+                await dial(address, handler)
+
+            entry.relaying_service.dial = count_and_dial
+            await entry.relaying_service.submit(job(), 2.0)
+
+        play(scenario, entries=6)
+        rounds = 2 + ceil(log2(2.0 / RESOLVE_PAUSE_S))
+        self.assertGreater(len(relays), 0)
+        self.assertLessEqual(len(relays), MAX_PEERS * rounds)
+
+    def test_relayed_repeat_is_not_refused(self):
+        async def scenario(world):
+            entry = await self.leave_append_in_flight(world)
+            call = messages.RelayedSubmit(job(), 1.0)
+            relayed = await entry.relaying_service.answer(call)
+            self.assertIs(relayed.answer, Answer.UNKNOWN_OUTCOME)
+            other = messages.RelayedSubmit(job("job-2"), 1.0)
+            relayed = await entry.relaying_service.answer(other)
+            self.assertIs(relayed.answer, Answer.NOT_READY)
+
+        play(scenario)
+
+    def test_repeat_is_accepted_when_the_store_comes_back(self):
+        async def scenario(world):
+            entry = await self.leave_append_in_flight(world)
+            answers = []
+
+            async def submit():
+                answers.append(await entry.relaying_service.submit(job(), 2.7))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(submit)
+                await trio.sleep(0.5)
+                world.store.disconnected_clients.clear()
+            self.assertEqual(answers, [Answer.ACCEPTED])
+
+        play(scenario)
+
+
+class StoreSpeedTests(unittest.TestCase):
+    """What is taken for a slow store."""
+
+    def test_calls_without_an_answer_do_not_show_a_slow_store(self):
+        """While it counted as slow only the owner was called, cut off as well."""
+        waited = []
+
+        async def scenario(world):
+            await trio.sleep(5)
+            owner = world.owner().settings.name
+            name, other = [n for n in world.entry_names if n != owner][:2]
+
+            async def submit_elsewhere():
+                for number in range(1000):
+                    await world.submit(job(f"other-{number}"), world.entries[other])
+                    await trio.sleep(0.1)
+
+            async def submit(number):
+                began = trio.current_time()
+                entry = world.entries[name]
+                answer = await entry.relaying_service.submit(job(f"job-{number}"), 2.7)
+                self.assertIs(answer, Answer.ACCEPTED)
+                waited.append(trio.current_time() - began)
+
+            world.nursery.start_soon(submit_elsewhere)
+            await trio.sleep(2)
+            world.store.silent_to |= {owner, name}
+            async with trio.open_nursery() as nursery:
+                for number in range(20):
+                    nursery.start_soon(submit, number)
+                    await trio.sleep(0.25)
+
+        play(scenario, entries=6)
+        self.assertLess(max(waited), RELAY_AFTER_S + 2 * NEXT_PEER_AFTER_S)
+
+    def test_wait_for_a_read_does_not_show_a_slow_store(self):
+        async def scenario(world):
+            await trio.sleep(3)
+            owner = world.owner()
+            entry = next(e for e in world.entries.values() if e is not owner)
+            answer = await entry.relaying_service.cancel("none", "queue-1", 2.7)
+            self.assertIs(answer, Answer.NO_SUCH_JOB)
+            self.assertFalse(entry.store_speed.is_slow(trio.current_time()))
+
+        play(scenario)
+
+
 class RegistrationTests(unittest.TestCase):
     def test_late_deletion_does_not_hide_the_next_process_of_an_entry(self):
         """No other entry relayed to it until its next start."""
