Count an acknowledgement that waits for its answer when an executor is replaced

Callers would see: ends of the next incarnation are dropped unlisted, so that a finished task is run again.

Cause: the agent takes over from the earlier incarnation at once when the next one announces itself, and cancels its calls afterwards. An acknowledgement in flight became one without an answer only with that cancel, too late.

Change: what is in flight counts as well.

--- a/rattanwing/batch/ends.py
+++ b/rattanwing/batch/ends.py
@@ -37,8 +37,10 @@
     :param unstored: listed ends that are not stored yet, by number.
     :param answered: set once the acknowledgement that was sent last is settled or has
         failed.
-    :param late_until: time until which an acknowledgement without an answer may be
-        carried out; negative infinity if this incarnation has outlived that time.
+    :param sent_until: time until which the acknowledgement that waits for its answer
+        may be carried out; negative infinity if there is none.
+    :param late_until: the same for those without an answer; negative infinity if this
+        incarnation has outlived that time.
     :param may_hide: whether an acknowledgement for an earlier incarnation may have
         reached this one.
     """
@@ -48,6 +50,7 @@
         "to_acknowledge",
         "unstored",
         "answered",
+        "sent_until",
         "late_until",
         "may_hide",
     )
@@ -58,17 +61,18 @@
         self.unstored: dict[int, EndedRow] = {}
         self.answered = trio.Event()
         self.answered.set()
+        self.sent_until = float("-inf")
         self.late_until = float("-inf")
         self.may_hide = False
 
     def succeed(self, previous: ListedEnds) -> None:
         """Take over what acknowledgements for the previous incarnation may do here."""
-        self.late_until = previous.late_until
-        self.may_hide = self.may_be_acknowledged_late()
+        self.late_until = previous.next_may_hide_until()
+        self.may_hide = self.late_until > float("-inf")
 
-    def may_be_acknowledged_late(self) -> bool:
-        """Return whether an acknowledgement may reach the next incarnation."""
-        return self.late_until > float("-inf")
+    def next_may_hide_until(self) -> float:
+        """Return the time until which an acknowledgement may reach the next one."""
+        return max(self.sent_until, self.late_until)
 
     def drop_stored(self, number: int) -> None:
         """Drop the ends up to a number that the owner has stored."""
@@ -90,6 +94,7 @@
         """
         call = Acknowledgement()
         self.answered = trio.Event()
+        self.sent_until = sent_at + LATE_CALL_S
         try:
             yield call
         except HttpCallError as error:
@@ -97,7 +102,8 @@
             raise
         finally:
             if not call.settled:
-                self.late_until = max(self.late_until, sent_at + LATE_CALL_S)
+                self.late_until = self.next_may_hide_until()
+            self.sent_until = float("-inf")
             self.answered.set()
 
     def record_answer(self, sent_at: float, clock_ms: int) -> None:
@@ -108,7 +114,7 @@
         :param clock_ms: its clock, which it started at its begin or earlier; 0 if it
             is not known.
         """
-        if not self.may_be_acknowledged_late():
+        if self.late_until == float("-inf"):
             return
         age_s = clock_ms / 1000 / (1 - CLOCK_DRIFT)
         if clock_ms > 0 and sent_at - age_s > self.late_until:
--- a/tests/batch/test_acknowledgements.py
+++ b/tests/batch/test_acknowledgements.py
@@ -223,6 +223,28 @@
         self.assertEqual(reports[0].executor.incarnation, SECOND)
         self.assertIn("job-3.0.0.0", [run.task for run in self.history])
 
+    def test_announcement_while_the_acknowledgement_has_no_answer(self):
+        """It was carried out, and its call was cancelled only after the switch."""
+
+        async def announce_before_the_answer():
+            self.tell(messages.EndsStored(FIRST, 2))
+            await self.sent.wait()
+            self.executor.crash()
+            self.executor.restart(same_id=True)
+            call_delays = self.executor.call_delays
+            self.executor.call_delays = lambda: (0.0, 0.5)
+            await trio.sleep(ACKNOWLEDGEMENT_DELAY_S + 0.1)
+            self.executor.call_delays = call_delays
+            self.agent.handle_announcement(self.executor.view())
+            await trio.sleep(0.2)
+            self.order("job-2.0.0.0", SECOND)
+            self.order("job-2.0.0.1", SECOND)
+            await trio.sleep(2)
+
+        self.play(announce_before_the_answer)
+        self.assertEqual(self.lost_ends(), [])
+        self.assertTrue(self.last_report().executor_unreachable)
+
     def test_answered_acknowledgement_leaves_the_next_incarnation_in_use(self):
         async def restart_after_the_acknowledgement():
             self.tell(messages.EndsStored(FIRST, 2))
