Let an acknowledgement that waits for a second precede further starts

Seen (simulated): start calls of 50 ms, 20 a second on one executor, runs of 0.3 s: 393 of 399 ends are not acknowledged within 20 s, and the median wait is 9.8 s. Likewise with 100, 300 and 600 ms; with 1 ms and 200 a second the longest wait is 0.13 s.

Cause: no acknowledgement is sent while a start is on its way, and a start waits only for one that has been sent. With starts that overlap its turn never comes. Class: state that stands still while something else waits.

Ruled out: the owner (EndsStored arrives at most 0.05 s after the listing); the poll's wait (it ends with each new end).

Change: once stored ends have been listed for a second, further starts wait, and polls don't wait, until the acknowledgement is sent. Starts on their way are not cut short.

Conclusion: each of the two waits for the other only for the calls that are on their way.

--- a/rattanwing/batch/ends.py
+++ b/rattanwing/batch/ends.py
@@ -28,12 +28,19 @@
     from rattanwing.batch.ports import EndedRow
 
 
+OVERDUE_AFTER_S = 1.0
+"""Time in seconds for which an acknowledgement waits for a moment without a start call.
+After it no start is sent before the acknowledgement."""
+
+
 class ListedEnds:
     """The ends that one incarnation has listed, and their acknowledgement.
 
     :param stored_number: the ends of runs up to this number are in the store.
     :param to_acknowledge: highest number of a stored end in the newest listing; 0 if
         that listed none or has been followed by a poll.
+    :param due_since: time since which there has been such an end; ``None`` if there is
+        none.
     :param unstored: listed ends that are not stored yet, by number.
     :param answered: set once the acknowledgement that was sent last is settled or has
         failed.
@@ -46,6 +53,7 @@
     __slots__ = (
         "stored_number",
         "to_acknowledge",
+        "due_since",
         "unstored",
         "answered",
         "late_until",
@@ -55,6 +63,7 @@
     def __init__(self) -> None:
         self.stored_number = 0
         self.to_acknowledge = 0
+        self.due_since: float | None = None
         self.unstored: dict[int, EndedRow] = {}
         self.answered = trio.Event()
         self.answered.set()
@@ -79,8 +88,13 @@
     def take_acknowledgement(self) -> int:
         """Return the number up to which the next poll acknowledges ends; 0 for none."""
         acknowledged, self.to_acknowledge = self.to_acknowledge, 0
+        self.due_since = None
         return acknowledged
 
+    def is_overdue(self, now: float) -> bool:
+        """Return whether starts must wait until the stored ends are acknowledged."""
+        return self.due_since is not None and now - self.due_since > OVERDUE_AFTER_S
+
     @contextmanager
     def acknowledging(self, sent_at: float) -> Iterator[Acknowledgement]:
         """Record that an acknowledgement is being sent, and what becomes of it.
@@ -116,7 +130,7 @@
         if sent_at > self.late_until:
             self.late_until = float("-inf")
 
-    def apply_listing(self, ended: list[EndedRow]) -> bool:
+    def apply_listing(self, ended: list[EndedRow], now: float) -> bool:
         """Record the ends of a listing; return whether there are new ones."""
         added = False
         for end in ended:
@@ -127,6 +141,10 @@
             (end.number for end in ended if end.number <= self.stored_number),
             default=0,
         )
+        if not self.to_acknowledge:
+            self.due_since = None
+        elif self.due_since is None:
+            self.due_since = now
         return added
 
 
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -539,6 +539,7 @@
         acknowledges = self.may_acknowledge() and confirmed
         acknowledged = self.ends.take_acknowledgement() if acknowledges else 0
         can_wait = confirmed and not acknowledged and self.listed_fence == fence
+        can_wait = can_wait and not self.ends.is_overdue(sent_at)
         wait_s = POLL_WAIT_S if can_wait else 0.0
         try:
             result = await self.call_poll(sent_at, fence, acknowledged, wait_s)
@@ -618,7 +619,7 @@
     def apply_listing(self, result: PollResult, sent_at: float, now: float) -> bool:
         """Apply a listing; return whether ends were added or runs removed."""
         self.record_clock(result.clock_ms, now)
-        changed = self.ends.apply_listing(result.ended)
+        changed = self.ends.apply_listing(result.ended, now)
         for end in result.ended:
             self.runs.pop((end.task, end.attempt), None)
         listed = {(row.task, row.attempt): row for row in result.running}
@@ -674,6 +675,9 @@
             if not self.ends.answered.is_set():
                 await self.ends.answered.wait()
                 continue
+            if self.ends.is_overdue(now):
+                await trio.sleep(POLL_PAUSE_S)
+                continue
             deadline_ms = self.deadline_ms() if self.is_confirmed(now) else None
             if deadline_ms is None:
                 await trio.sleep(POLL_PAUSE_S)
--- a/tests/batch/test_acknowledgements.py
+++ b/tests/batch/test_acknowledgements.py
@@ -16,6 +16,7 @@
 FIRST = "executor-0@1"
 SECOND = "executor-0@2"
 ACKNOWLEDGEMENT_DELAY_S = 0.3
+ACKNOWLEDGED_WITHIN_S = 4.0
 RUN_S = 0.5
 BETWEEN_POLLS_S = 0.0005
 """Less than a call takes, so that the second of two ends falls between two polls."""
@@ -307,3 +308,29 @@
 
         with mock.patch.object(ExecutorRuns, "pace_best_effort_runs", pace):
             self.play(acknowledge_during_a_start)
+
+
+class ManyStartsTests(AgentFixture, unittest.TestCase):
+    """Starts follow each other so closely that one is always on its way."""
+
+    port_class = SlowStartPort
+
+    def test_ends_are_acknowledged_in_time(self):
+        async def order_runs():
+            for number in range(100):
+                self.order(f"job-2.0.0.{number}", FIRST)
+                await trio.sleep(ACKNOWLEDGEMENT_DELAY_S / 3)
+                if self.agent.executor.ends.unstored:
+                    number = max(self.agent.executor.ends.unstored)
+                    self.tell(messages.EndsStored(FIRST, number))
+            self.ended_at = trio.current_time()
+
+        self.play(order_runs)
+        waits = [
+            (run.acknowledged_at or self.ended_at) - run.ended_at
+            for run in self.history
+            if run.ended_at is not None
+        ]
+        self.assertGreater(len(waits), 90)
+        self.assertLess(max(waits), ACKNOWLEDGED_WITHIN_S)
+        self.assertEqual(self.lost_ends(), [])
