Count the failure of an attempt once

The agent repeats the report after 2 s, and the job has two failures of one attempt. Three such reports hold a job that has failed once, and a job that an operator has resumed is held again.

Cause: the owner takes the report of a failure as current as long as no later attempt is placed, and the fold counts each record. Class: an acknowledgement or answer acted upon without the state that it was decided for.

Ruled out: the log (two records were appended, under one id); other records appended twice change nothing (tests.test_properties).

Change: a job names the attempt whose failure was counted last. A second record is refused, and a second report is acknowledged as out of date.

Conclusion: entries of the version before count the second record; in a rolling upgrade such a job may show different counts on old and new entries until its next attempt ends.

--- a/rattanwing/entry/reconciler.py
+++ b/rattanwing/entry/reconciler.py
@@ -414,9 +414,12 @@
 
     The report must be about the latest attempt. Once the log records that the attempt
     stopped, only a report of the task's own end or of a checkpoint changes the job.
+    A failure that the log records changes nothing again.
     """
     if job.attempt != report.attempt or job.worker != handle.name:
         return False
+    if report.state == "failed" and job.failed_attempt == report.attempt:
+        return False
     counts_after_stop = (
         report.state in TASK_ENDED_STATES or report.checkpoint is not None
     )
--- a/rattanwing/jobs/records.py
+++ b/rattanwing/jobs/records.py
@@ -175,6 +175,7 @@
     :param reason: why the latest attempt ended.
     :param failures: number of attempts whose task failed, since an operator last
         resumed the job.
+    :param failed_attempt: number of the latest attempt whose failure was counted.
     :param failed_workers: the workers of all attempts whose task failed.
     :param ended_at: when the log appended the record that ended the job, in seconds
         since the Unix epoch; 0 for an open job.
@@ -196,6 +197,7 @@
     failed_workers: list[str] = []
     ended_at: float = 0.0
     cancel_asked: bool = False
+    failed_attempt: int = 0
 
 
 class ShardSnapshot(Record, tag="snapshot"):
--- a/rattanwing/jobs/shard.py
+++ b/rattanwing/jobs/shard.py
@@ -202,14 +202,19 @@
 
         The record is accepted even if the attempt was recorded as stopped before, as
         long as no later attempt was placed. A failed job is held if it must not run
-        twice or has failed ``MAX_FAILURES`` times.
+        twice or has failed ``MAX_FAILURES`` times. A failure counts once.
+
+        :raises RejectedError: with the rule ``stale-attempt``.
         """
         self.check_epoch(finish.epoch)
         states = ("placed", "held", "pending")
         job = self.get_job_at_attempt(finish.job, finish.attempt, states)
+        if not finish.ok and job.failed_attempt == finish.attempt:
+            raise RejectedError("stale-attempt", f"attempt {finish.attempt} has failed")
         job.reason = finish.detail
         if finish.ok:
             return self.end_job(job, "finished", time)
+        job.failed_attempt = finish.attempt
         job.failures += 1
         job.failed_workers = [*job.failed_workers, job.worker]
         if job.cancel_asked:
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -52,6 +52,7 @@
     st.lists(EDITS, max_size=3),
     st.booleans(),
 )
+JOB_SPEC = {"id": "a", "team": "t", "cpu": 1, "memory_mb": 1}
 JOBS = st.sampled_from(["a", "b"])
 ATTEMPTS = st.integers(0, 3)
 EPOCHS = st.integers(-1, 8)
@@ -193,6 +194,28 @@
         tree.apply(len(changes), START, again)
         self.assertEqual(tree.nodes, nodes)
 
+    @SETTINGS
+    @given(st.booleans(), st.booleans(), st.integers(0, 3))
+    def test_job_record_appended_twice_takes_effect_once(self, ok, ran, again):
+        ends = [
+            {"kind": "finish", "ok": ok},
+            {"kind": "stop", "reason": "", "ran": ran},
+        ]
+        for end in ends:
+            records = [
+                {"kind": "claim", "owner": "e", "expected": -1, "heard": -1},
+                {"kind": "submit", "spec": JOB_SPEC},
+                {"kind": "place", "attempt": 1, "worker": "w", "incarnation": "i"},
+                {"attempt": 1, **end},
+            ]
+            records = [{"id": "r", "epoch": 0, "job": "a", **r} for r in records]
+            state = ShardState()
+            for offset, record in enumerate(records):
+                state.apply(offset, START, json.dumps(record).encode())
+            before = copy.deepcopy(state.find("a"))
+            state.apply(len(records), START, json.dumps(records[again]).encode())
+            self.assertEqual(state.find("a"), before)
+
     @SETTINGS
     @given(st.lists(SHARD_RECORDS, max_size=25), st.integers(0, 25))
     def test_shard_invariants_and_snapshot(self, records, cut):
