--- a/tests/processes.py
+++ b/tests/processes.py
@@ -165,8 +165,12 @@
         for name in self.settings:
             self.start(name)
         for name in self.entries:
-            self.wait_until_connected(name, len(self.agents))
-            self.wait_until_executors_serve(name)
+            self.wait_until_ready(name)
+
+    def wait_until_ready(self, entry):
+        """Wait until the entry has every agent and can reach every executor."""
+        self.wait_until_connected(entry, len(self.agents))
+        self.wait_until_executors_serve(entry)
 
     def wait_until_connected(self, entry, agents):
         def check():
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import threading
+import time
 import unittest
 from unittest import mock
 
@@ -12,8 +13,9 @@
 from tests import processes
 from tests.processes import Deployment
 
-EXECUTOR_PAUSE_S = 4.0
-"""Longer than the default timeout of a request."""
+PAUSE_S = 4.0
+"""Seconds for which a process stands still; longer than the default timeout of a
+request, and than the silence after which a peer is given up."""
 
 SHORT_WAIT_LIMIT_S = 0.2
 """Limit of a wait that is to fail, in seconds."""
@@ -26,9 +28,7 @@
         super().start(name)
         if name.startswith("executor"):
             self.signal(name, signal.SIGSTOP)
-            timer = threading.Timer(
-                EXECUTOR_PAUSE_S, self.signal, [name, signal.SIGCONT]
-            )
+            timer = threading.Timer(PAUSE_S, self.signal, [name, signal.SIGCONT])
             timer.start()
 
 
@@ -71,6 +71,22 @@
         verdict = headers["rattanwing-verdict"]
         self.assertEqual((status, verdict), (200, "ran"), body)
 
+    def test_deployment_gets_ready_though_a_process_stands_still_meanwhile(self):
+        for victim in ("log", "entry-1", "agent-1"):
+            with self.subTest(victim):
+                deployment = Deployment(entries=1, agents=1)
+                self.addCleanup(deployment.close)
+                for name in deployment.settings:
+                    deployment.start(name)
+                deployment.wait_for(
+                    lambda d=deployment, v=victim: d.log_text(v), f"{victim} has begun"
+                )
+                deployment.signal(victim, signal.SIGSTOP)
+                time.sleep(PAUSE_S)
+                deployment.signal(victim, signal.SIGCONT)
+                deployment.wait_until_ready("entry-1")
+                deployment.close()
+
     def take(self, address):
         """Listen at an address, as another process would."""
         other = socket.socket()
