Limit the pauses between the rounds of a call of unknown outcome

Seen (simulated): a caller that waits for up to 600 s hands in a job whose append has no answer; the store is away for 60 s. The caller is answered more than 3 s after the store is back.

Class: state that stands still.

Ruled out: the writer, which repeats the append after 0.9 s at most.

Change: a pause is at most 1 s; the usual deadline of 3 s never reaches it.

Measured: answered within 3 s of the store's return. The test failed before (python -m unittest tests.batch.test_engine.RepeatedSubmissionTests without the limit: TooSlowError).

Conclusion: an outage is followed by an answer within a few round trips and a second.

--- a/rattanwing/batch/relay.py
+++ b/rattanwing/batch/relay.py
@@ -49,6 +49,9 @@
 trips between entries. Each further pause is twice as long, but the call is made once
 more at this time before its caller stops waiting."""
 
+MAX_RESOLVE_PAUSE_S = 1.0
+"""Longest such pause, in seconds. Some callers wait far longer than an outage lasts."""
+
 DEFINITE_ANSWERS = (Answer.ACCEPTED, Answer.NO_SUCH_JOB)
 """Answers that stay true whatever other entries do with the same call."""
 
@@ -139,7 +142,7 @@
             if self.clock() >= last_at:
                 return Answer.UNKNOWN_OUTCOME
             await trio.sleep(min(pause_s, last_at - self.clock()))
-            pause_s *= 2
+            pause_s = min(MAX_RESOLVE_PAUSE_S, 2 * pause_s)
 
     async def try_entries(
         self,
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -15,6 +15,7 @@
 from rattanwing.batch.model import JobState, StepSpec
 from rattanwing.batch.relay import (
     MAX_PEERS,
+    MAX_RESOLVE_PAUSE_S,
     NEXT_PEER_AFTER_S,
     RELAY_AFTER_S,
     RESOLVE_PAUSE_S,
@@ -916,6 +917,27 @@
 
         play(scenario)
 
+    def test_patient_caller_gets_an_answer_soon_after_an_outage(self):
+        """Pauses that doubled without a limit outlasted the outage by as much."""
+
+        async def scenario(world):
+            entry = await self.leave_append_in_flight(world)
+            answered = trio.Event()
+
+            async def submit():
+                answer = await entry.relaying_service.submit(job(), 600.0)
+                self.assertIs(answer, Answer.ACCEPTED)
+                answered.set()
+
+            world.nursery.start_soon(submit)
+            await trio.sleep(60)
+            self.assertFalse(answered.is_set())
+            world.store.disconnected_clients.clear()
+            with trio.fail_after(2 * MAX_RESOLVE_PAUSE_S + 1.0):
+                await answered.wait()
+
+        play(scenario)
+
     def test_relays_grow_with_the_logarithm_of_the_wait(self):
         """All entries relayed each call to three others every 0.1 s."""
         relays = []
