--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -15,6 +15,7 @@
 from rattanwing.batch.model import JobState, StepSpec
 from rattanwing.batch.relay import (
     MAX_PEERS,
+    MAX_RESOLVE_PAUSE_S,
     NEXT_PEER_AFTER_S,
     RELAY_AFTER_S,
     RESOLVE_PAUSE_S,
@@ -788,6 +789,51 @@
 
         play(scenario)
 
+    async def submit_all_the_time(self, world, answers):
+        """Submit ten jobs a second through the entries in turn; add their answers."""
+
+        async def submit(number, entry):
+            answers[number] = await world.submit(job(f"job-{number}"), entry)
+
+        for number in range(1000):
+            entries = list(world.entries.values())
+            entry = entries[number % len(entries)]
+            world.nursery.start_soon(submit, number, entry)
+            await trio.sleep(0.1)
+
+    def test_owner_that_resigns_is_replaced(self):
+        """Claims are refused as long as records are appended by others."""
+
+        async def scenario(world):
+            await trio.sleep(3)
+            owner = world.owner()
+            world.store.slowdown = 57.0
+            world.nursery.start_soon(self.submit_all_the_time, world, {})
+            await trio.sleep(1)
+            world.nursery.start_soon(owner.resign_for_shutdown, 1.0)
+            await trio.sleep(10)
+            self.assertIsNot(world.owner(), owner)
+            self.assertIsNotNone(world.owner())
+
+        play(scenario)
+
+    def test_jobs_are_accepted_when_the_owner_is_lost(self):
+        """Each entry then stored its own jobs."""
+        answers = {}
+
+        async def scenario(world):
+            await trio.sleep(3)
+            world.store.slowdown = 57.0
+            world.nursery.start_soon(self.submit_all_the_time, world, answers)
+            await trio.sleep(1.5)
+            world.kill(world.owner().settings.name)
+            await trio.sleep(6)
+
+        play(scenario, entries=10)
+        # Calls in the first two seconds find out that the owner is lost.
+        later = Counter(answer for number, answer in answers.items() if number >= 35)
+        self.assertEqual(set(later), {Answer.ACCEPTED})
+
     def test_job_is_stored_here_when_the_owner_is_silent(self):
         async def scenario(world):
             await trio.sleep(3)
@@ -871,6 +917,27 @@
 
         play(scenario)
 
+    def test_patient_caller_gets_an_answer_soon_after_an_outage(self):
+        """Pauses that doubled without a limit outlasted the outage by as much."""
+
+        async def scenario(world):
+            entry = await self.leave_append_in_flight(world)
+            answered = trio.Event()
+
+            async def submit():
+                answer = await entry.relaying_service.submit(job(), 600.0)
+                self.assertIs(answer, Answer.ACCEPTED)
+                answered.set()
+
+            world.nursery.start_soon(submit)
+            await trio.sleep(60)
+            self.assertFalse(answered.is_set())
+            world.store.disconnected_clients.clear()
+            with trio.fail_after(2 * MAX_RESOLVE_PAUSE_S + 1.0):
+                await answered.wait()
+
+        play(scenario)
+
     def test_relays_grow_with_the_logarithm_of_the_wait(self):
         """All entries relayed each call to three others every 0.1 s."""
         relays = []
