Tell the next owner while lost agents are still in the directory

Cause: the owner of epoch 5 waited for the leases of the lost hosts to lapse and was killed after 0.6 s. The owner of epoch 6 did not follow a resignation, so it resigned after 2 s, and only epoch 7, from 30.1 s on, lasted.

Ruled out: a longer takeover; that of epoch 7 ends 9.4 s after its claim.

Change: claims and renewals carry lacks_agents as long as the owner keeps ownership for this reason, so that its successor does too. A renewal after that time clears it. If other records take the place of renewals, it stays in the newest owner record; then a later successor that is cut off from most agents resigns after 9.4 s instead of 2 s.

--- a/rattanwing/batch/entry.py
+++ b/rattanwing/batch/entry.py
@@ -172,7 +172,7 @@
             self.random,
             self.dial,
             self.settings.retention_s,
-            self.candidate.predecessor_lacked_agents,
+            self.candidate.keeps_ownership_until,
         )
         try:
             async with trio.open_nursery() as nursery:
--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -14,7 +14,7 @@
 from rattanwing.batch.ports import AppendStamp
 from rattanwing.batch.replica import RETRY_PAUSE_S
 from rattanwing.batch.scheduler import Scheduler
-from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
+from rattanwing.batch.timing import TASK_LEASE_S
 from rattanwing.batch.unregistering import AddressRemover
 from rattanwing.errors import LogError
 from rattanwing.verdict import Verdict
@@ -105,7 +105,7 @@
         random: Random,
         dial: Dial,
         retention_s: float,
-        predecessor_lacked_agents: bool = False,
+        keeps_ownership_until: float,
     ) -> None:
         self.epoch = writer.epoch
         self.writer = writer
@@ -138,11 +138,7 @@
         )
         self.wakeup = trio.Event()
         self.store_needed = trio.Event()
-        self.keeps_ownership_until = float("-inf")
-        if predecessor_lacked_agents:
-            # The hosts of agents that are gone are removed in this time.
-            lapsed_at = self.scheduler.claimed_at + TASK_LEASE_S + LEASE_MARGIN_S
-            self.keeps_ownership_until = lapsed_at
+        self.keeps_ownership_until = keeps_ownership_until
         self.last_reachable_at = clock()
         self.resignation_requested = trio.Event()
 
--- a/rattanwing/batch/ownership.py
+++ b/rattanwing/batch/ownership.py
@@ -14,7 +14,12 @@
 from rattanwing import events
 from rattanwing.batch import records
 from rattanwing.batch.ports import AppendStamp
-from rattanwing.batch.timing import OWNER_RENEWAL_INTERVAL_S, OWNER_TIMEOUT_S
+from rattanwing.batch.timing import (
+    LEASE_MARGIN_S,
+    OWNER_RENEWAL_INTERVAL_S,
+    OWNER_TIMEOUT_S,
+    TASK_LEASE_S,
+)
 from rattanwing.batch.writer import RecordWriter
 from rattanwing.errors import (
     LogConditionError,
@@ -83,8 +88,8 @@
     :param writer: the writer of the owner's records while this entry is the owner.
     :param stopping: whether the process is about to stop; it then claims nothing.
     :param may_claim_from: time before which this entry does not claim ownership.
-    :param predecessor_lacked_agents: whether the owner before this one resigned because
-        it could not reach most agents.
+    :param keeps_ownership_until: time until which this entry, as the owner, does not
+        resign for lack of agents while it reaches any.
     """
 
     __slots__ = (
@@ -101,7 +106,7 @@
         "writer",
         "stopping",
         "may_claim_from",
-        "predecessor_lacked_agents",
+        "keeps_ownership_until",
     )
 
     def __init__(
@@ -130,7 +135,7 @@
         self.writer: RecordWriter | None = None
         self.stopping = False
         self.may_claim_from = clock()
-        self.predecessor_lacked_agents = False
+        self.keeps_ownership_until = float("-inf")
 
     def may_claim(self, now: float, jitter_s: float) -> bool:
         """Return whether this entry may claim ownership.
@@ -181,7 +186,10 @@
         epoch = owner.epoch + 1 if owner else 1
         sequence = self.random.randrange(1, FIRST_SEQUENCE_LIMIT)
         stamp = AppendStamp(OWNER_PRODUCER, epoch, sequence)
-        claim = records.Owner(epoch, self.node, self.incarnation)
+        lacks_agents = owner is not None and owner.lacks_agents
+        claim = records.Owner(
+            epoch, self.node, self.incarnation, lacks_agents=lacks_agents
+        )
         claim_records = [(records.OWNER_KEY, records.encode(claim))]
         end_offset = self.reader.end_offset
         # A repeat may be answered although the first attempt was stored.
@@ -202,7 +210,11 @@
                 self.store, records.WORK_TOPIC, stamp, self.clock, self.random
             )
             writer.last_success_sent_at = sent_at
-            self.predecessor_lacked_agents = owner is not None and owner.lacks_agents
+            self.keeps_ownership_until = float("-inf")
+            if lacks_agents:
+                # The hosts of agents that are gone are removed in this time.
+                lapsed_at = sent_at + TASK_LEASE_S + LEASE_MARGIN_S
+                self.keeps_ownership_until = lapsed_at
             return writer
         return None
 
@@ -243,6 +255,7 @@
         self, writer: RecordWriter, resigned: bool, lacks_agents: bool = False
     ) -> None:
         """Store an owner record of this epoch."""
+        lacks_agents = lacks_agents or self.clock() < self.keeps_ownership_until
         owner = records.Owner(
             writer.epoch, self.node, self.incarnation, resigned, lacks_agents
         )
--- a/rattanwing/batch/records.py
+++ b/rattanwing/batch/records.py
@@ -46,7 +46,8 @@
     :param incarnation: unique to one start of the owner's process.
     :param resigned: the owner has given up ownership; any entry may claim it
         without waiting for the owner's timeout.
-    :param lacks_agents: it has done so because it could not reach most agents.
+    :param lacks_agents: it has done so because it could not reach most agents, or
+        follows such an owner and has not removed the agents that are gone yet.
     """
 
     epoch: Epoch
--- a/tests/batch/test_ownership.py
+++ b/tests/batch/test_ownership.py
@@ -7,7 +7,13 @@
 from rattanwing.batch.messages import Answer
 from rattanwing.batch.model import JobState, StepSpec
 from rattanwing.batch.ownership import WEAK_CLAIM_DELAY_S, claim_delay_s
-from rattanwing.batch.records import EntryAddress, Owner
+from rattanwing.batch.records import (
+    OWNER_KEY,
+    WORK_TOPIC,
+    EntryAddress,
+    Owner,
+    decode,
+)
 from tests.batch.world import job, play
 
 STRONG, WEAK = 2151, 297
@@ -198,6 +204,31 @@
             with self.subTest(seed=seed):
                 play(scenario, hosts=6, seed=seed)
 
+    def test_the_owner_after_one_that_waited_waits_too(self):
+        """It took the loss of the agents for its own, and resigned once more."""
+
+        async def scenario(world):
+            await trio.sleep(5)
+            for index in range(4):
+                world.executors[index].crash()
+                world.kill(f"agent-{index}")
+            world.kill(world.owner().settings.name)
+            await trio.sleep(9)
+            world.kill(world.owner().settings.name)
+            await trio.sleep(16)
+            work = world.store.topic(WORK_TOPIC).records
+            owners = [decode(r.key, r.value) for r in work if r.key == OWNER_KEY]
+            resigned = [owner.epoch for owner in owners if owner.resigned]
+            self.assertEqual(resigned, [2])
+            self.assertEqual(
+                set(world.owner().directory.agents), {"agent-4", "agent-5"}
+            )
+            self.assertFalse(world.owner().replica.owner.lacks_agents)
+
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                play(scenario, entries=5, hosts=6, seed=seed)
+
     def test_owners_that_are_cut_off_from_all_agents_resign_one_after_the_other(self):
         async def scenario(world):
             await trio.sleep(5)
