--- a/tests/batch/test_schedules.py
+++ b/tests/batch/test_schedules.py
@@ -30,6 +30,18 @@
     21: "a job was given up after two crashes of executors that crash by themselves",
     102: "a crashing task of another job started beside a suspect before its verdict",
 }
+UNCLEAR_CRASH_SEEDS = {
+    3236: "four crashes, none clear: the task started beside others, or survived",
+}
+UNCLEAR_CRASH_SAME_ID_SEEDS = {
+    3006: "three crashes of a task of an earlier owner, none clear",
+    3018: "likewise",
+    3109: "likewise",
+    3432: "four crashes, none clear: two of them of one start that never arrived",
+}
+UNCLEAR_CRASH_DEADLY_SAME_ID_SEEDS = {
+    3327: "three crashes of a task of an earlier owner, two beside crashing tasks",
+}
 REGRESSION_SEEDS = {
     37: "ends of a restarted executor were skipped, as their numbers restart at 1",
     236: "an owner started a job whose record followed a later claim in the same read",
@@ -109,6 +121,17 @@
             with self.subTest(seed=seed, deadly=True):
                 self.check(seed, deadly=True)
 
+    def test_no_job_is_given_up_without_a_clear_crash(self):
+        for seed in UNCLEAR_CRASH_SEEDS:
+            with self.subTest(seed=seed):
+                self.check(seed)
+        for seed in UNCLEAR_CRASH_SAME_ID_SEEDS:
+            with self.subTest(seed=seed, same_id=True):
+                self.check(seed, same_id=True)
+        for seed in UNCLEAR_CRASH_DEADLY_SAME_ID_SEEDS:
+            with self.subTest(seed=seed, deadly=True, same_id=True):
+                self.check(seed, deadly=True, same_id=True)
+
     def test_crashes_that_are_noticed_late_count(self):
         """The crashing task seemed to have survived, and was started six times."""
         self.check(1119, deadly=True)
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -85,6 +85,18 @@
             given_up = self.tracker.gives_up(task, 60.0)
             self.assertEqual(given_up, number == MAX_CRASHES_INHERITED)
 
+    def test_no_task_is_given_up_without_a_clear_crash(self):
+        """Jobs were failed by four crashes of which none told anything."""
+        for inherited in (False, True):
+            with self.subTest(inherited=inherited):
+                task = self.task("old@1")
+                task.job.inherited = inherited
+                self.crash("a@1", task, only_suspect=False)
+                self.crash("b@1", task, begun=False)
+                self.crash("c@1", task, isolated=False)
+                self.assertEqual(len(task.crashed_on), MAX_CRASHES)
+                self.assertFalse(self.tracker.gives_up(task, 60.0))
+
     def test_clear_crashes_need_a_third_where_executors_crash_by_themselves(self):
         task = self.task("old@1")
         for number in range(2):
@@ -511,6 +523,29 @@
         free = set(self.hosts) - tested
         self.assertEqual(hosts, {host.name for host in free})
 
+    def test_suspect_that_has_crashed_two_executors_starts_alone(self):
+        """It started beside others that had just started, so its crash told nothing."""
+        self.add_job(job("job-2", (StepSpec(3, cpu=2500, memory_mb=100),)))
+        self.assertEqual(len({host for host, _task in self.place()}), len(self.hosts))
+        owned = self.add_job(job(steps=(StepSpec(1, cpu=500, memory_mb=100),)))
+        for number in (1, 2):
+            owned.suspect(owned.tasks()[0], f"old@{number}")
+        self.assertEqual(self.place(), [])
+        self.survive("job-2.0.0.1")
+        free = self.host_of("job-2.0.0.1").name
+        self.assertEqual(self.place(), [(free, "job-1.0.0.0")])
+
+    def test_suspect_does_not_wait_for_long_to_start_alone(self):
+        self.add_job(job("job-2", (StepSpec(3, cpu=2500, memory_mb=100),)))
+        self.place()
+        owned = self.add_job(job(steps=(StepSpec(1, cpu=500, memory_mb=100),)))
+        for number in (1, 2):
+            owned.suspect(owned.tasks()[0], f"old@{number}")
+        self.assertEqual(self.place(), [])
+        self.now += SUSPECT_WAIT_S + 0.1
+        self.keep_running()
+        self.assertEqual([task for _, task in self.place()], ["job-1.0.0.0"])
+
     def test_job_with_a_suspect_starts_one_task_at_a_time(self):
         owned = self.add_job(job(steps=(StepSpec(4, cpu=500, memory_mb=100),)))
         for task in owned.tasks()[1:3]:
