Tasks that start alone start one after the other

What callers saw: deadly tasks started again and again. Each crash has another at its time, so none is clear, however often it happens. Class: tests run at the same time have the same outcome, which is taken for a common cause.

Failed before: without the change of scheduler.py both new tests fail (two starts in one round). test_nothing_starts_beside_any_suspect_that_has_crashed_two_executors places its two suspects in two rounds now, as they no longer start at once; what it checks is the same.

--- a/rattanwing/batch/crashes.py
+++ b/rattanwing/batch/crashes.py
@@ -9,10 +9,12 @@
 from rattanwing.batch.suspicion import (
     HOLD_S,
     SURVIVAL_S,
+    TEST_SPACING_S,
     chance_of_crash,
     expected_coincidences,
     is_isolated,
     may_hold,
+    must_start_alone,
     should_give_up,
 )
 
@@ -80,9 +82,10 @@
     :param epoch: the owner's epoch, for log lines.
     :param observed_since: time since which the owner hears of crashes.
     :param crashes: recent crashes that agents reported, by executor incarnation.
+    :param tested_at: time of the last start of a task that must start alone.
     """
 
-    __slots__ = ("cluster", "epoch", "observed_since", "crashes")
+    __slots__ = ("cluster", "epoch", "observed_since", "crashes", "tested_at")
 
     def __init__(
         self, cluster: ClusterState, epoch: int, observed_since: float
@@ -91,6 +94,7 @@
         self.epoch = epoch
         self.observed_since = observed_since
         self.crashes: dict[str, Crash] = {}
+        self.tested_at = float("-inf")
 
     def record(
         self, host: Host, report: messages.ExecutorCrashed, now: float
@@ -201,9 +205,20 @@
         )
         return True
 
+    def may_test(self, task: Task, now: float) -> bool:
+        """Return whether a task may start without regard to other suspected tasks.
+
+        Two tests that end at the same time leave open whether they have one cause.
+        """
+        if not must_start_alone(len(task.crashed_on)):
+            return True
+        return now - self.tested_at >= TEST_SPACING_S
+
     def hold(self, run: Run, now: float) -> None:
         """Keep other starts off a host where a suspected task starts, if possible."""
         hosts = self.cluster.hosts.values()
+        if must_start_alone(len(run.task.crashed_on)):
+            self.tested_at = now
         run.host.suspect_run = run
         held = sum(host.is_held(now) for host in hosts)
         if may_hold(held, len(hosts), len(run.task.crashed_on)):
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -628,7 +628,7 @@
         for task in step.tasks:
             if not task.is_waiting():
                 continue
-            if not job.may_start(task, now):
+            if not job.may_start(task, now) or not self.crashes.may_test(task, now):
                 held_back = True
                 continue
             host = choose_host(hosts, job, task, self.interference, now)
@@ -692,6 +692,8 @@
             return True
         if not any(job.may_start(task, now) for task in step.tasks):
             return False
+        if not all(self.crashes.may_test(task, now) for task in step.tasks):
+            return False
         attempt = max(task.next_attempt() for task in step.tasks)
         checkpoint = next(
             (task.checkpoint for task in step.tasks if task.checkpoint), ""
--- a/rattanwing/batch/suspicion.py
+++ b/rattanwing/batch/suspicion.py
@@ -37,6 +37,10 @@
 """Crashes of executors that are no further apart than this, in seconds, may have one
 cause outside the tasks."""
 
+TEST_SPACING_S = 2 * SAME_TIME_S
+"""Shortest time in seconds between the starts of two tasks that must start alone, so
+that their crashes are told apart."""
+
 COINCIDENCE_LIMIT = 0.002
 """Bound on the number of tasks without fault, among those suspected lately, that chance
 makes look as suspicious as a task that is given up."""
--- a/tests/batch/test_suspicion.py
+++ b/tests/batch/test_suspicion.py
@@ -17,6 +17,7 @@
     MAX_CRASHES_INHERITED,
     SAME_TIME_S,
     SURVIVAL_S,
+    TEST_SPACING_S,
     has_survived,
     is_isolated,
 )
@@ -517,6 +518,8 @@
             for number in (1, 2):
                 owned.suspect(owned.tasks()[0], f"{owned.spec.job_id}@{number}")
         self.place()
+        self.now += TEST_SPACING_S + RECHECK_INTERVAL_S
+        self.place()
         tested = {self.host_of(f"job-{n}.0.0.0") for n in (1, 2)}
         self.assertEqual(len(tested), 2)
         self.add_job(job("job-3", (StepSpec(40, cpu=500, memory_mb=100),)))
@@ -537,6 +540,29 @@
         self.now += RECHECK_INTERVAL_S
         self.assertEqual(self.place(), [(free, "job-1.0.0.0")])
 
+    def test_suspects_of_two_jobs_that_start_alone_start_one_after_the_other(self):
+        """Both crashed their executors at once, and neither crash was clear."""
+        for number in (1, 2):
+            owned = self.add_job(job(f"job-{number}", (StepSpec(1, cpu=500),)))
+            for crashed in ("old@1", "old@2"):
+                owned.suspect(owned.tasks()[0], crashed)
+        self.assertEqual([task for _, task in self.place()], ["job-1.0.0.0"])
+        self.assertEqual(self.place(), [])
+        self.now += TEST_SPACING_S + RECHECK_INTERVAL_S
+        self.keep_running()
+        self.assertEqual([task for _, task in self.place()], ["job-2.0.0.0"])
+
+    def test_gangs_that_start_alone_start_one_after_the_other(self):
+        for number in (1, 2):
+            gang = StepSpec(1, cpu=500, memory_mb=100, gang=True)
+            owned = self.add_job(job(f"job-{number}", (gang,)))
+            for crashed in ("old@1", "old@2"):
+                owned.suspect(owned.tasks()[0], crashed)
+        self.assertEqual([task for _, task in self.place()], ["job-1.0.0.0"])
+        self.now += TEST_SPACING_S + RECHECK_INTERVAL_S
+        self.keep_running()
+        self.assertEqual([task for _, task in self.place()], ["job-2.0.0.0"])
+
     def test_suspect_does_not_wait_for_long_to_start_alone(self):
         self.add_job(job("job-2", (StepSpec(3, cpu=2500, memory_mb=100),)))
         self.place()
