No verdict on crashes of which none is clear

Cause: the count alone gave a task up, though each crash had another explanation. Class: the absence of a proof is taken for one if it lasts.

Ruled out: crashes that the owner heard of late (2 of 11 took 3 s or more, and no start of the task lies in between), so agents report as before. Counting only starts that are known to have begun was not taken: a task that crashes its executor before the answer would have no limit.

Change: four crashes, or three of a task of an earlier owner, give a task up only if one of them is clear and the last has no other known cause (other tasks that had just started, other executors at the same time).

--- a/rattanwing/batch/crashes.py
+++ b/rattanwing/batch/crashes.py
@@ -143,8 +143,9 @@
             return False
         # The first crash chose the task among all, and is no test of it.
         tested = task.is_suspect()
-        clear = tested and crash.only_suspect and crash.isolated and begun
-        task.job.suspect(task, crash.incarnation, clear)
+        explained = not (tested and crash.only_suspect and crash.isolated)
+        task.job.suspect(task, crash.incarnation, clear=begun and not explained)
+        task.last_crash_explained = explained
         events.write(
             events.TASK_SUSPECTED,
             task=str(task.id),
@@ -190,7 +191,8 @@
         """Return whether a task is found to crash executors, after its latest crash."""
         coincidences = self.expected_coincidences(task, now)
         crashes = len(task.crashed_on)
-        if not should_give_up(crashes, task.job.inherited, coincidences):
+        decides = bool(task.clear_crashes) and not task.last_crash_explained
+        if not should_give_up(crashes, decides, task.job.inherited, coincidences):
             return False
         for crash in self.crashes.values():
             if task in crash.suspects:
@@ -200,6 +202,7 @@
             job=task.job.spec.job_id,
             task=str(task.id),
             crashed=sorted(task.crashed_on),
+            clear=sorted(task.clear_crashes),
             coincidences=round(coincidences, 6),
             epoch=self.epoch,
         )
--- a/rattanwing/batch/jobs.py
+++ b/rattanwing/batch/jobs.py
@@ -40,6 +40,8 @@
         task, which is suspected of having caused it; empty once it is cleared.
     :param clear_crashes: those of them that followed a start as a suspected task and
         have no other known cause.
+    :param last_crash_explained: whether the last crash that was recorded has another
+        known cause.
     """
 
     __slots__ = (
@@ -57,6 +59,7 @@
         "refused_on",
         "crashed_on",
         "clear_crashes",
+        "last_crash_explained",
     )
 
     def __init__(self, job: OwnedJob, task_id: TaskId, step: StepSpec) -> None:
@@ -74,6 +77,7 @@
         self.refused_on: set[str] = set()
         self.crashed_on: set[str] = set()
         self.clear_crashes: set[str] = set()
+        self.last_crash_explained = False
 
     @property
     def key(self) -> str:
--- a/rattanwing/batch/suspicion.py
+++ b/rattanwing/batch/suspicion.py
@@ -6,7 +6,7 @@
 a job with suspected tasks starts them one at a time, so that the next crash shows which
 task is the cause. A task that has crashed several executors is started alone. Its job
 is given up once its crashes are hardly due to chance, as often as executors crash by
-themselves at present.
+themselves at present, or after a number of crashes of which one is clear.
 """
 
 from __future__ import annotations
@@ -46,12 +46,16 @@
 makes look as suspicious as a task that is given up."""
 
 MAX_CRASHES = 4
-"""Number of crashes after which a task is given up however they came about."""
+"""Number of crashes after which a task is given up however often executors crash by
+themselves, if one of them is clear and the last has no other known cause."""
 
 MAX_CRASHES_INHERITED = 3
 """The same for a task that an earlier owner may have started, of whose crashes some may
 not be known."""
 
+MAX_UNCLEAR_CRASHES = 5
+"""Number of crashes after which a task is given up however they came about."""
+
 ALONE_FROM_CRASHES = 2
 """Number of crashes from which a suspected task starts alone on its host, as its next
 crash may end its job."""
@@ -89,15 +93,22 @@
     return suspects * math.prod(chances)
 
 
-def should_give_up(crashes: int, inherited: bool, coincidences: float) -> bool:
+def should_give_up(
+    crashes: int, decides: bool, inherited: bool, coincidences: float
+) -> bool:
     """Return whether a task is to be given up after a crash.
 
     :param crashes: number of executors that crashed soon after starting the task.
+    :param decides: whether one of these crashes is clear, and the last has no other
+        known cause.
     :param inherited: whether an earlier owner may have started it.
     :param coincidences: see :func:`expected_coincidences`.
     """
-    limit = MAX_CRASHES_INHERITED if inherited else MAX_CRASHES
-    return crashes >= limit or coincidences < COINCIDENCE_LIMIT
+    if coincidences < COINCIDENCE_LIMIT:
+        return True
+    if not decides:
+        return crashes >= MAX_UNCLEAR_CRASHES
+    return crashes >= (MAX_CRASHES_INHERITED if inherited else MAX_CRASHES)
 
 
 def must_start_alone(crashes: int) -> bool:
