--- a/rattanwing/batch/suspicion.py
+++ b/rattanwing/batch/suspicion.py
@@ -49,13 +49,13 @@
 """Number of crashes after which a task is given up however often executors crash by
 themselves, if one of them is clear and the last has no other known cause."""
 
+MAX_UNCLEAR_CRASHES = 5
+"""Number of crashes after which a task is given up however they came about."""
+
 MAX_CRASHES_INHERITED = 3
 """The same for a task that an earlier owner may have started, of whose crashes some may
 not be known."""
 
-MAX_UNCLEAR_CRASHES = 5
-"""Number of crashes after which a task is given up however they came about."""
-
 ALONE_FROM_CRASHES = 2
 """Number of crashes from which a suspected task starts alone on its host, as its next
 crash may end its job."""
@@ -106,9 +106,9 @@
     """
     if coincidences < COINCIDENCE_LIMIT:
         return True
-    if not decides:
-        return crashes >= MAX_UNCLEAR_CRASHES
-    return crashes >= (MAX_CRASHES_INHERITED if inherited else MAX_CRASHES)
+    if inherited:
+        return crashes >= MAX_CRASHES_INHERITED
+    return crashes >= (MAX_CRASHES if decides else MAX_UNCLEAR_CRASHES)
 
 
 def must_start_alone(crashes: int) -> bool:
