--- a/rattanwing/batch/crashes.py
+++ b/rattanwing/batch/crashes.py
@@ -9,10 +9,12 @@
 from rattanwing.batch.suspicion import (
     HOLD_S,
     SURVIVAL_S,
+    TEST_SPACING_S,
     chance_of_crash,
     expected_coincidences,
     is_isolated,
     may_hold,
+    must_start_alone,
     should_give_up,
 )
 
@@ -80,9 +82,10 @@
     :param epoch: the owner's epoch, for log lines.
     :param observed_since: time since which the owner hears of crashes.
     :param crashes: recent crashes that agents reported, by executor incarnation.
+    :param tested_at: time of the last start of a task that must start alone.
     """
 
-    __slots__ = ("cluster", "epoch", "observed_since", "crashes")
+    __slots__ = ("cluster", "epoch", "observed_since", "crashes", "tested_at")
 
     def __init__(
         self, cluster: ClusterState, epoch: int, observed_since: float
@@ -91,6 +94,7 @@
         self.epoch = epoch
         self.observed_since = observed_since
         self.crashes: dict[str, Crash] = {}
+        self.tested_at = float("-inf")
 
     def record(
         self, host: Host, report: messages.ExecutorCrashed, now: float
@@ -139,8 +143,9 @@
             return False
         # The first crash chose the task among all, and is no test of it.
         tested = task.is_suspect()
-        clear = tested and crash.only_suspect and crash.isolated and begun
-        task.job.suspect(task, crash.incarnation, clear)
+        explained = not (tested and crash.only_suspect and crash.isolated)
+        task.job.suspect(task, crash.incarnation, clear=begun and not explained)
+        task.last_crash_explained = explained
         events.write(
             events.TASK_SUSPECTED,
             task=str(task.id),
@@ -186,7 +191,8 @@
         """Return whether a task is found to crash executors, after its latest crash."""
         coincidences = self.expected_coincidences(task, now)
         crashes = len(task.crashed_on)
-        if not should_give_up(crashes, task.job.inherited, coincidences):
+        decides = bool(task.clear_crashes) and not task.last_crash_explained
+        if not should_give_up(crashes, decides, task.job.inherited, coincidences):
             return False
         for crash in self.crashes.values():
             if task in crash.suspects:
@@ -196,14 +202,26 @@
             job=task.job.spec.job_id,
             task=str(task.id),
             crashed=sorted(task.crashed_on),
+            clear=sorted(task.clear_crashes),
             coincidences=round(coincidences, 6),
             epoch=self.epoch,
         )
         return True
 
+    def may_test(self, task: Task, now: float) -> bool:
+        """Return whether a task may start without regard to other suspected tasks.
+
+        Two tests that end at the same time leave open whether they have one cause.
+        """
+        if not must_start_alone(len(task.crashed_on)):
+            return True
+        return now - self.tested_at >= TEST_SPACING_S
+
     def hold(self, run: Run, now: float) -> None:
         """Keep other starts off a host where a suspected task starts, if possible."""
         hosts = self.cluster.hosts.values()
+        if must_start_alone(len(run.task.crashed_on)):
+            self.tested_at = now
         run.host.suspect_run = run
         held = sum(host.is_held(now) for host in hosts)
         if may_hold(held, len(hosts), len(run.task.crashed_on)):
--- a/rattanwing/batch/suspicion.py
+++ b/rattanwing/batch/suspicion.py
@@ -4,8 +4,9 @@
 A task is suspected after an executor has crashed soon after starting it, and cleared
 once it has run for longer. Suspected tasks of different jobs never run on one host, and
 a job with suspected tasks starts them one at a time, so that the next crash shows which
-task is the cause. The job of a task is given up once its crashes are hardly due to
-chance, as often as executors crash by themselves at present.
+task is the cause. A task that has crashed several executors is started alone. Its job
+is given up once its crashes are hardly due to chance, as often as executors crash by
+themselves at present, or after a number of crashes of which one is clear.
 """
 
 from __future__ import annotations
@@ -36,17 +37,29 @@
 """Crashes of executors that are no further apart than this, in seconds, may have one
 cause outside the tasks."""
 
+TEST_SPACING_S = 2 * SAME_TIME_S
+"""Shortest time in seconds between the starts of two tasks that must start alone, so
+that their crashes are told apart."""
+
 COINCIDENCE_LIMIT = 0.002
 """Bound on the number of tasks without fault, among those suspected lately, that chance
 makes look as suspicious as a task that is given up."""
 
 MAX_CRASHES = 4
+"""Number of crashes after which a task is given up however often executors crash by
+themselves, if one of them is clear and the last has no other known cause."""
+
+MAX_UNCLEAR_CRASHES = 5
 """Number of crashes after which a task is given up however they came about."""
 
 MAX_CRASHES_INHERITED = 3
 """The same for a task that an earlier owner may have started, of whose crashes some may
 not be known."""
 
+ALONE_FROM_CRASHES = 2
+"""Number of crashes from which a suspected task starts alone on its host, as its next
+crash may end its job."""
+
 
 def has_survived(survived_s: float, progress_percent: int) -> bool:
     """Return whether a run shows that its task is not a crashing one.
@@ -80,15 +93,30 @@
     return suspects * math.prod(chances)
 
 
-def should_give_up(crashes: int, inherited: bool, coincidences: float) -> bool:
+def should_give_up(
+    crashes: int, decides: bool, inherited: bool, coincidences: float
+) -> bool:
     """Return whether a task is to be given up after a crash.
 
     :param crashes: number of executors that crashed soon after starting the task.
+    :param decides: whether one of these crashes is clear, and the last has no other
+        known cause.
     :param inherited: whether an earlier owner may have started it.
     :param coincidences: see :func:`expected_coincidences`.
     """
-    limit = MAX_CRASHES_INHERITED if inherited else MAX_CRASHES
-    return crashes >= limit or coincidences < COINCIDENCE_LIMIT
+    if coincidences < COINCIDENCE_LIMIT:
+        return True
+    if inherited:
+        return crashes >= MAX_CRASHES_INHERITED
+    return crashes >= (MAX_CRASHES if decides else MAX_UNCLEAR_CRASHES)
+
+
+def must_start_alone(crashes: int) -> bool:
+    """Return whether a suspected task starts only where nothing has just started.
+
+    :param crashes: number of executors that crashed soon after starting it.
+    """
+    return crashes >= ALONE_FROM_CRASHES
 
 
 def may_hold(held: int, hosts: int, crashes: int) -> bool:
@@ -97,10 +125,9 @@
     :param held: number of hosts that are held now.
     :param hosts: number of all hosts.
     :param crashes: number of executors that crashed soon after starting the task to
-        hold it for. A task with more than one is never left to start beside others: its
-        next crash may end its job.
+        hold it for. The host of one that must start alone is always held.
     """
-    return crashes > 1 or held < max(1, int(hosts * HELD_SHARE))
+    return must_start_alone(crashes) or held < max(1, int(hosts * HELD_SHARE))
 
 
 def is_isolated(crashed_at: float, others: Iterable[float]) -> bool:
