--- a/rattanwing/batch/jobs.py
+++ b/rattanwing/batch/jobs.py
@@ -42,6 +42,7 @@
         have no other known cause.
     :param last_crash_explained: whether the last crash that was recorded has another
         known cause.
+    :param moves: how often this owner has stopped a run to move it to another host.
     """
 
     __slots__ = (
@@ -60,6 +61,7 @@
         "crashed_on",
         "clear_crashes",
         "last_crash_explained",
+        "moves",
     )
 
     def __init__(self, job: OwnedJob, task_id: TaskId, step: StepSpec) -> None:
@@ -78,6 +80,7 @@
         self.crashed_on: set[str] = set()
         self.clear_crashes: set[str] = set()
         self.last_crash_explained = False
+        self.moves = 0
 
     @property
     def key(self) -> str:
