List seed 15 of the deadly schedules in a test of its own

Change: seed 15 has a test of its own with the same check, listed in KNOWN-RED.txt; the other seeds of the class stay where they are.

--- a/tests/batch/test_schedules.py
+++ b/tests/batch/test_schedules.py
@@ -14,7 +14,6 @@
 }
 DEADLY_SEEDS = {
     2: "no failure so far",
-    15: "three deaths of all processes, after each of which the count began anew",
     19: "a suspect of a step that was not ready held up the earlier step",
 }
 CRASHING_SEEDS = {
@@ -70,6 +69,11 @@
                 violations, fault_scenario = play_seed(seed, deadly=True)
                 self.assertEqual(violations, [], fault_scenario.faults)
 
+    def test_crashes_before_deaths_of_all_processes_count(self):
+        """After each death the count began anew. Seed 15 breaks, see KNOWN-RED.txt."""
+        violations, fault_scenario = play_seed(15, deadly=True)
+        self.assertEqual(violations, [], fault_scenario.faults)
+
     def test_tasks_that_crash_their_executors_are_given_up(self):
         violations, fault_scenario = play_seed(3, deadly=True)
         self.assertEqual(violations, [], fault_scenario.faults)
