--- a/review/standins.py
+++ b/review/standins.py
@@ -6,6 +6,7 @@
 import asyncio
 import base64
 import contextlib
+import heapq
 import json
 import struct
 import time
@@ -291,6 +292,8 @@
         self.labels = options.get("labels", ["a", "r1-1"])
         self.cpu = options.get("cpu", 32000)
         self.mem_mb = options.get("mem_mb", 128000)
+        self.checkpoint_s = options.get("checkpoint_s", 0.0)
+        self.checkpoint_chars = options.get("checkpoint_chars", 16)
         self.before = lambda _request: None
         self.state = "ready"
         self.up = False
@@ -304,6 +307,7 @@
         self.fence = 0
         self.seq = 0
         self.runs = {}
+        self.due = []
         self.ended = []
         self.next_end = 1
         self.acked = 0
@@ -361,10 +365,12 @@
     async def work(self):
         while True:
             now = time.monotonic()
-            for key, run in list(self.runs.items()):
-                if now >= self.lease_until:
+            if self.runs and now >= self.lease_until:
+                for key in list(self.runs):
                     self.finish(key, "lapsed")
-                elif now >= run.ends_at:
+            while self.due and self.due[0][0] <= now:
+                _, key = heapq.heappop(self.due)
+                if key in self.runs:
                     self.finish(key, "done")
             await asyncio.sleep(0.01)
 
@@ -423,6 +429,7 @@
         work_s = json.loads(body["spec"])["ms"] / 1000
         run = TaskRun(*key, now + work_s, now, body.get("saved", ""))
         self.runs[key] = run
+        heapq.heappush(self.due, (run.ends_at, key))
         self.record(f"start task={run.task} run={run.attempt} on={self.name}")
         return 200, {}
 
@@ -433,6 +440,10 @@
         self.over[body["task"]] = max(self.over.get(body["task"], 0), body["attempt"])
         return 200, {}
 
+    def checkpoint_name(self, run):
+        name = f"{self.name}/{run.task}/{run.attempt}"
+        return name.ljust(self.checkpoint_chars, "0")
+
     async def hold(self, body):
         self.extend(body)
         acked = body.get("ack_offset", 0)
@@ -447,6 +458,8 @@
         running = []
         for run in self.runs.values():
             spent = time.monotonic() - run.began_at
+            if self.checkpoint_s and spent >= self.checkpoint_s and not run.saved:
+                run.saved = self.checkpoint_name(run)
             percent = int(100 * spent / max(0.001, run.ends_at - run.began_at))
             running.append([run.task, run.attempt, run.saved, min(99, percent), 0])
         return 200, {"running": running, "ended": self.ended[:500]}
