--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,92 +1,97 @@
-"""All processes lose power for so long that a job of many tasks lapses."""
+"""A request that is read shortly before an entry's servers stop is cut off."""
 
 import asyncio
+import signal
 import sys
+import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from deployment import CannotRun, Deployment, run  # noqa: E402
+from deployment import HOST, PREFIX, Deployment, run  # noqa: E402
+from standins import read_message  # noqa: E402
 
-WORKERS = 11
-TASKS = 3000
-DOWN_S = 9.5  # herd_kill in the site's list of troubles
-SMALL_MS = 300
-FINISH_S = 14.0
-UNNOTED_LIMIT = 0.2
-BIG = [
-    {
-        "count": TASKS,
-        "cpu": 100,
-        "mem_mb": 64,
-        "estimate_ms": 90_000,
-        "checkpoint": True,
-    }
-]
-SMALL = [{"count": 1, "cpu": 500, "mem_mb": 256, "estimate_ms": SMALL_MS}]
+CLIENTS = 20
+SENT_AFTER_S = (2.00, 2.15)  # after the SIGTERM; grace_s is 6
+LOSS_SLACK_S = 0.2
+DEADLINE_S = 3.0
+ENTRY = "front-2"
 
 
-async def main():
-    deployment = Deployment(
-        HERE / "record.txt", agents=WORKERS, checkpoint_s=2.0, checkpoint_chars=120
-    )
-    plain = deployment.record
-    counts = {"start": 0, "lapsed": 0}
-    big = deployment.new_id()
+class Client:
+    """A client with one connection that stays open between requests."""
 
-    def record(line):
-        if big not in line or line.startswith("client"):
-            plain(line)
-            return
-        counts["start"] += line.startswith("start")
-        counts["lapsed"] += "how=lapsed" in line
+    def __init__(self, deployment, number):
+        self.deployment = deployment
+        self.number = number
+        self.reader = None
+        self.writer = None
 
-    deployment.record = record
-    for executor in deployment.executors.values():
-        executor.record = record
-    nodes = [*deployment.entries.values(), *deployment.agents.values()]
-    try:
-        await deployment.start()
-        if await deployment.submit("front-1", big, BIG, ms=90_000) != 200:
-            raise CannotRun("the large job was not accepted")
+    async def connect(self):
+        node = self.deployment.entries[ENTRY]
+        self.reader, self.writer = await asyncio.open_connection(
+            node.ip, self.deployment.port + 1
+        )
 
-        async def all_run():
-            return counts["start"] >= TASKS
+    async def get(self, path):
+        """Return the status, and None if the connection ended without an answer."""
+        head = f"GET {path} HTTP/1.1\r\nhost: {HOST}\r\n"
+        head += f"rattanwing-deadline-ms: {int(DEADLINE_S * 1000)}\r\n\r\n"
+        self.writer.write(head.encode())
+        try:
+            message = await asyncio.wait_for(read_message(self.reader), DEADLINE_S)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return None
+        except TimeoutError:
+            return 0
+        return message and int(message[0].split(" ")[1])
 
-        await deployment.until(all_run, 40, f"{TASKS} tasks to run")
-        plain(f"{TASKS} tasks of {big} run")
-        await asyncio.sleep(2.5)  # checkpoint_s
+    async def ask(self, sent_at):
+        """Ask for a job that no entry knows; return whether the answer was cut off."""
+        await asyncio.sleep(max(0.0, sent_at - time.monotonic()))
+        job = self.deployment.new_id()
+        began_at = time.monotonic()
+        status = await self.get(PREFIX + job)
+        took_s = time.monotonic() - began_at
+        cut = status is None and took_s > LOSS_SLACK_S
+        result = "no answer, the connection ended" if status is None else status
+        self.deployment.record(
+            f"client {self.number} GET {job}: {result} after {took_s:.3f} s"
+        )
+        return cut
+
+
+async def main():
+    deployment = Deployment(HERE / "record.txt")
+    try:
+        await deployment.start()
+        await asyncio.sleep(3.5)  # contact_ms without any disruption
+        clients = [Client(deployment, number) for number in range(CLIENTS)]
+        for client in clients:
+            await client.connect()
+            await client.get(PREFIX)
+        term_at = time.monotonic()
+        if deployment.trouble:
+            deployment.entries[ENTRY].signal(signal.SIGTERM)
+            deployment.record(f"SIGTERM to {ENTRY}")
+        first, last = SENT_AFTER_S
+        step = (last - first) / CLIENTS
+        async with asyncio.TaskGroup() as group:
+            asks = [
+                group.create_task(client.ask(term_at + first + step * number))
+                for number, client in enumerate(clients)
+            ]
+        cut = sum(ask.result() for ask in asks)
+        deployment.record(f"{cut} of {CLIENTS} requests were cut off")
         if deployment.trouble:
-            plain(f"all processes of the system lose power for {DOWN_S} s")
-            await asyncio.gather(*(node.kill() for node in nodes))
-            await asyncio.sleep(DOWN_S)
-            plain(f"{counts['lapsed']} runs have lapsed")
-            for node in nodes:
-                await node.start()
-            for name in deployment.entries:
-                await deployment.until(
-                    lambda name=name: deployment.is_ready(name), 20, f"{name} ready"
-                )
-        await asyncio.sleep(4.0)
-        small = deployment.new_id()
-        if await deployment.submit("front-1", small, SMALL, ms=SMALL_MS) != 200:
-            raise CannotRun("the small job was not accepted")
-        await asyncio.sleep(FINISH_S)
-        state = await deployment.state("front-1", small)
-        plain(f"the job of one task is {state}, {FINISH_S} s after its 200")
-        return unnoted_share(deployment, plain) > UNNOTED_LIMIT
+            process = deployment.entries[ENTRY].process
+            code = await asyncio.wait_for(process.wait(), 10)
+            spent_s = time.monotonic() - term_at
+            deployment.record(f"{ENTRY} ended with {code}, {spent_s:.3f} s after it")
+        return cut > 0
     finally:
         await deployment.close()
 
 
-def unnoted_share(deployment, record):
-    """Return the share of all ends that are listed and not taken note of."""
-    executors = deployment.executors.values()
-    listed = sum(executor.next_end - 1 for executor in executors)
-    unnoted = sum(len(executor.ended) for executor in executors)
-    record(f"{unnoted} of {listed} ends are not taken note of")
-    return unnoted / max(1, listed)
-
-
 run(main)
