--- a/review/standins.py
+++ b/review/standins.py
@@ -315,8 +315,15 @@
         self.lease_until = 0.0
         self.changed = asyncio.Event()
 
-    async def start(self):
+    async def start(self, first=None):
+        """Start a new incarnation.
+
+        :param first: an earlier start order that it carries out before all others.
+        """
         self.reset()
+        if first is not None:
+            self.fence = first["fence_token"]
+            self.start_run(first)
         self.server = HttpServer(self.host, self.port, self.handle)
         await self.server.start()
         self.up = True
@@ -386,6 +393,8 @@
 
     async def handle(self, request):
         answer = self.before(request)
+        if asyncio.iscoroutine(answer):
+            answer = await answer
         if answer is not None:
             return answer
         if request.headers.get("rattanwing-expect-instance") not in (None, self.name):
