Check with the executors before one is taken for replaced

Cause: BatchAgent.handle_announcement took one announcement of another incarnation for proof that the executor in use had exited. It reported a crash, and the owner marked the runs as lost at once. AnnouncementOrder kept one order by time of start for all incarnations, so that after a later start the real announcements counted as old.

Ruled out: refusing services that no configuration names. Agents have no configuration, services are added while executors run, and late announcements of crashed executors, or of an executor on another host, reach the same code with a service that is known.

Change: an announcement of another incarnation starts a check in the background. The executor in use is polled without effect on lease and ends, and so is the announced one; it is replaced if its address answers for another incarnation, or if it does not answer and the announced one does. Announcements are ordered within an incarnation only. One under the identity of the executor in use that names another service, address or failure domain counts once the next one names the same. An executor that never answered is not reported as crashed. Events 624 and 625 tell the hypotheses apart.

The simulated deployment now passes all announcements, late ones included, through the check. Two tests of OtherExecutorTests, and a third that would have passed without testing anything, took the announcement alone for proof; their executors now answer polls, with the same expectations, and one test is added.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -152,8 +152,11 @@
     def handle_announcement(self, view: ExecutorView) -> None:
         """Update the executor's description, or switch to its new incarnation.
 
-        Only one incarnation runs on a machine, so a new one shows that the
-        previous one has exited.
+        Only one incarnation runs on a machine, so the previous one has exited. An
+        announcement alone does not show that; see
+        :class:`rattanwing.batch.announcements.Announcements`.
+
+        :param view: an executor that is there, or the first that was announced.
         """
         current = self.executor
         if current is not None and current.view.incarnation == view.incarnation:
@@ -175,6 +178,8 @@
                     accelerators=view.accelerators,
                 )
                 self.request_report()
+            if view.address != current.view.address and not current.listed_fence:
+                current.executor = self.connect(view)
             current.view = view
             return
         if current is not None:
@@ -268,9 +273,12 @@
         return True
 
     def record_crash(self, executor: ExecutorRuns) -> None:
-        """Record the crash of an incarnation that ended without an announcement."""
+        """Record the crash of an incarnation that ended without an announcement.
+
+        One that has never answered a poll may not have been there at all.
+        """
         view = executor.view
-        if view.draining or executor.crash_recorded:
+        if view.draining or executor.crash_recorded or not executor.may_have_run():
             return
         executor.crash_recorded = True
         crash = UnstoredCrash(executor)
--- a/rattanwing/batch/ports.py
+++ b/rattanwing/batch/ports.py
@@ -261,6 +261,10 @@
     remaining_ms: Number = 0
     warmup_remaining_ms: Number = 0
 
+    def identity(self) -> tuple[str, str, str]:
+        """Return service, address and failure domain: an incarnation keeps them."""
+        return self.service, self.address, self.failure_domain
+
     def capacity(self) -> tuple[int, int, int]:
         """Return thousandths of a core, megabytes of memory and accelerators."""
         return self.cpu, self.memory_mb, self.accelerators
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -276,6 +276,11 @@
         """Return whether the executor is known to be the one that is there."""
         return not self.exited and (self.listed_fence > 0 or self.replaces_listed)
 
+    def may_have_run(self) -> bool:
+        """Return whether an answer has shown this incarnation, or a run may have."""
+        sent = any(run.maybe_sent for run in self.runs.values())
+        return self.listed_fence > 0 or self.replaces_listed or sent
+
     def is_confirmed(self, now: float) -> bool:
         """Return whether calls surely reach this incarnation.
 
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -298,6 +298,18 @@
     logbook.WARNING,
     "An executor starts no runs until its restart; it may not list their ends.",
 )
+ANNOUNCEMENT_CHECKED = Event(
+    624,
+    logbook.INFO,
+    "An announced executor was polled, and that in use; the field outcome says which is"
+    " there.",
+)
+ANNOUNCEMENT_DIFFERS = Event(
+    625,
+    logbook.WARNING,
+    "An announcement names another service, address or failure domain than before; it"
+    " is used if the next one confirms it.",
+)
 
 TASK_STARTED = Event(601, logbook.INFO, "A task has started on this worker.")
 TASK_REFUSED = Event(602, logbook.INFO, "The start of a task was refused.")
--- a/rattanwing/platform/executor.py
+++ b/rattanwing/platform/executor.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from rattanwing import events
-from rattanwing.batch.announcements import AnnouncementOrder
+from rattanwing.batch.announcements import Announcements
 from rattanwing.batch.model import Finite, Number
 from rattanwing.batch.ports import (
     EndedRow,
@@ -285,20 +285,19 @@
     """Handles the executor's announcements.
 
     :param wall_ms: returns the Unix time in milliseconds.
-    :param order: tells announcements of the executor that is there from others.
     """
 
-    __slots__ = ("agent", "wall_ms", "order")
+    __slots__ = ("agent", "wall_ms", "announcements")
 
     def __init__(
         self, agent: BatchAgent, wall_ms: Callable[[], int] = wall_clock_ms
     ) -> None:
         self.agent = agent
         self.wall_ms = wall_ms
-        self.order = AnnouncementOrder()
+        self.announcements = Announcements(agent)
 
     async def handle_announcement(self, request: Request) -> Response:
-        """Pass an announcement to the agent unless a newer one has arrived before."""
+        """Decode an announcement and pass it on."""
         executor_id = request.match["executor_id"]
         try:
             announcement = decode_json(request.body, Announcement)
@@ -311,13 +310,8 @@
             )
             return error_response(400, "malformed", str(error))
         incarnation = f"{executor_id}@{announcement.born}"
-        current = self.agent.executor
-        if current is not None and current.exited:
-            self.order.record_exit(current.view.incarnation)
-        if self.order.accept(incarnation, announcement.born, announcement.seq):
-            self.agent.handle_announcement(
-                make_view(executor_id, incarnation, announcement)
-            )
+        view = make_view(executor_id, incarnation, announcement)
+        self.announcements.receive(view, announcement.seq)
         return json_response(200, {})
 
     async def handle_departure(self, request: Request) -> Response:
@@ -325,7 +319,7 @@
         executor_id = request.match["executor_id"]
         current = self.agent.executor
         if self.agent.handle_exit(executor_id):
-            self.order.record_exit(current.view.incarnation)
+            self.announcements.record_exit(current.view.incarnation)
         return json_response(200, {})
 
 
--- a/tests/batch/latency.py
+++ b/tests/batch/latency.py
@@ -81,11 +81,11 @@
     )
 
 
-class Announcements:
+class ExecutorAnnouncements:
     """An executor's announcements, of which some are late or lost.
 
-    :param deliver: called with the view and its rank; later announcements of an
-        executor have greater ranks.
+    :param deliver: called with the view and its number; later announcements of an
+        executor have greater numbers.
     """
 
     def __init__(self, executor, random, deliver):
@@ -100,14 +100,13 @@
             incarnation_started = self.executor.incarnation_started
             if self.executor.up:
                 number += 1
-                rank = (self.executor.incarnation, number)
-                nursery.start_soon(self.announce, self.executor.view(), rank)
+                nursery.start_soon(self.announce, self.executor.view(), number)
             with trio.move_on_after(
                 ANNOUNCEMENT_INTERVAL_S * self.random.uniform(0.8, 1.2)
             ):
                 await incarnation_started.wait()
 
-    async def announce(self, view, rank):
+    async def announce(self, view, number):
         """Deliver one announcement, unless it is lost."""
         fate = self.random.random()
         if fate < LOST_SHARE:
@@ -116,4 +115,4 @@
             await trio.sleep(self.random.uniform(0.05, MAX_LATE_S))
         else:
             await trio.sleep(self.random.expovariate(1 / 0.003))
-        self.deliver(view, rank)
+        self.deliver(view, number)
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -11,6 +11,7 @@
 
 from rattanwing.batch import records
 from rattanwing.batch.agent import BatchAgent, keep_registered
+from rattanwing.batch.announcements import Announcements
 from rattanwing.batch.configuration import Configuration, Queue
 from rattanwing.batch.entry import BatchEntry
 from rattanwing.batch.model import JobSpec, QueueRules, StepSpec, parse_task_id
@@ -23,8 +24,8 @@
 from rattanwing.standin.runs import StandinBatchExecutor
 from tests.batch.latency import (
     MAX_NOTICE_S,
-    Announcements,
     Delays,
+    ExecutorAnnouncements,
     delayed_stream_pair,
 )
 
@@ -51,7 +52,7 @@
     :param entry_cpu: thousandths of a core of an entry's host, by name.
     :param latency: whether messages, calls and announcements take time, so that they
         cross, and announcements may be lost.
-    :param announced: rank of the newest announcement that each agent has received.
+    :param announcements: the announcements that arrive at each agent, by its name.
     :param served: cancel scopes of the streams that each process has accepted, by
         name; used with latency.
     """
@@ -61,7 +62,7 @@
         self.latency = latency
         self.latency_random = Random(f"latency-{seed}")
         self.served = {}
-        self.announced = {}
+        self.announcements = {}
         self.store = StandinStore()
         self.history = []
         self.durations = lambda _task: 1.0
@@ -122,7 +123,7 @@
         executor = self.executors[index]
         agent = BatchAgent(self.now, executor.port)
         self.agents[name] = agent
-        self.announced[name] = (0, 0)
+        self.announcements[name] = Announcements(agent)
         self.agent_starts += 1
         incarnation = f"{name}-{self.agent_starts}"
         writer = RecordWriter(
@@ -139,29 +140,29 @@
             partial(keep_registered, agent, writer, address, self.random),
         ]
         if not self.latency:
-            tasks.append(partial(self.announce, agent, executor))
+            tasks.append(partial(self.announce, self.announcements[name], executor))
         self.start_process(name, *tasks)
 
-    async def announce(self, agent, executor):
+    async def announce(self, announcements, executor):
         """Announce the executor to its agent at a fixed interval."""
+        number = 0
         while True:
+            number += 1
             if executor.up:
-                agent.handle_announcement(executor.view())
+                announcements.receive(executor.view(), number)
             await trio.sleep(1.0)
 
-    def deliver_announcement(self, name, view, rank):
-        """Pass an announcement to an agent unless it has received a newer one."""
-        agent = self.agents.get(name)
-        if agent is not None and rank > self.announced[name]:
-            self.announced[name] = rank
-            agent.handle_announcement(view)
+    def deliver_announcement(self, name, view, number):
+        """Pass an announcement to an agent if that is up."""
+        if name in self.agents:
+            self.announcements[name].receive(view, number)
 
     def start_latency(self):
         """Delay calls, and announce the executors with delays and losses."""
         for index, executor in enumerate(self.executors):
             delays = Delays(self.latency_random, means_s=(0.0005, 0.002))
             executor.call_delays = partial(draw_twice, delays)
-            announcements = Announcements(
+            announcements = ExecutorAnnouncements(
                 executor,
                 self.latency_random,
                 partial(self.deliver_announcement, f"agent-{index}"),
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -16,7 +16,13 @@
 from rattanwing.batch.agent import BatchAgent, OwnerSession
 from rattanwing.batch.configuration import CurrentConfiguration
 from rattanwing.batch.model import check_job
-from rattanwing.batch.ports import ExecutorView, StoredRecord
+from rattanwing.batch.ports import (
+    ExecutorView,
+    OrderOutcome,
+    OrderResult,
+    PollResult,
+    StoredRecord,
+)
 from rattanwing.batch.records import encode as encode_record
 from rattanwing.errors import LogUnavailableError, SettingsError
 from rattanwing.platform.callers import CallerRoutes, WireStep
@@ -30,6 +36,7 @@
 from rattanwing.platform.settings import parse_settings
 from rattanwing.util.http_client import HttpCallError, HttpClient
 from rattanwing.util.http_server import call_handler
+from rattanwing.verdict import Verdict
 from tests.platform.test_adapter import (
     ANNOUNCEMENT,
     CONFIG,
@@ -64,12 +71,32 @@
     )
 
 
+class PresencePort:
+    """Answers polls as the executor that is there does."""
+
+    def __init__(self, run, view):
+        self.run = run
+        self.view = view
+
+    async def poll(self, *_call):
+        await trio.lowlevel.checkpoint()
+        if not self.run.there:
+            raise HttpCallError(Verdict.NOT_RUN, "no connection")
+        if self.run.there.partition("@")[0] != self.view.executor_id:
+            return OrderResult(OrderOutcome.OTHER_INCARNATION)
+        return PollResult(1, [], [], self.run.there)
+
+
 class AnnouncementRun:
-    """Passes announcements to an agent and records the events."""
+    """Passes announcements to an agent and records the events.
+
+    :param there: the incarnation that answers polls; empty if none does.
+    """
 
     def __init__(self):
         self.numbers = []
-        self.agent = BatchAgent(lambda: 0.0, lambda _view: None)
+        self.there = ""
+        self.agent = BatchAgent(lambda: 0.0, lambda view: PresencePort(self, view))
         self.routes = AnnouncementRoutes(self.agent, lambda: NOW_MS)
 
     def send(self, body, executor_id="i-1"):
@@ -77,7 +104,15 @@
         with mock.patch.object(
             events, "write", lambda event, **_fields: self.numbers.append(event.number)
         ):
-            return trio.run(self.routes.handle_announcement, made).status
+            return trio.run(self.handle, made).status
+
+    async def handle(self, made):
+        """Handle an announcement, and the first answers to the polls that follow."""
+        async with trio.open_nursery() as self.agent.nursery:
+            response = await self.routes.handle_announcement(made)
+            await trio.testing.wait_all_tasks_blocked()
+            self.agent.nursery.cancel_scope.cancel()
+        return response
 
     def announce(self, executor_id="i-1", **changes):
         body = msgspec.json.encode({**ANNOUNCEMENT, **changes})
@@ -521,11 +556,19 @@
     kept the real one out of use for good.
     """
 
-    def test_executor_is_used_again_once_its_address_refused_the_other_id(self):
+    def test_executor_stays_in_use_after_the_other_entry(self):
         run = AnnouncementRun()
+        run.there = "i-1@1000"
         run.announce("i-1", born=1000, seq=7)
         run.announce("i-odd", born=2000, seq=1)
-        run.agent.executor.exited = True
+        self.assertEqual(run.agent.executor.view.incarnation, "i-1@1000")
+        run.announce("i-1", born=1000, seq=8, state="draining")
+        self.assertTrue(run.agent.executor.view.draining)
+
+    def test_executor_is_used_again_once_its_address_refused_the_other_id(self):
+        run = AnnouncementRun()
+        run.there = "i-1@1000"
+        run.announce("i-odd", born=2000, seq=1)
         run.announce("i-1", born=1000, seq=8)
         self.assertEqual(run.agent.executor.view.incarnation, "i-1@1000")
         run.announce("i-odd", born=2000, seq=2)
@@ -545,6 +588,7 @@
         """The executor that had started again under the id was taken for gone."""
         run = AnnouncementRun()
         run.announce("i-1", born=1000, seq=7, state="draining")
+        run.there = "i-1@2000"
         run.announce("i-1", born=2000, seq=1)
         run.leave("i-1")
         self.assertEqual(run.agent.executor.view.incarnation, "i-1@2000")
@@ -556,7 +600,7 @@
     def test_late_announcement_of_an_earlier_executor_changes_nothing(self):
         run = AnnouncementRun()
         run.announce("i-1", born=1000, seq=7)
-        run.agent.executor.exited = True
+        run.there = "i-2@2000"
         run.announce("i-2", born=2000, seq=1)
         run.announce("i-1", born=1000, seq=8)
         self.assertEqual(run.agent.executor.view.incarnation, "i-2@2000")
