Claim anew when the newest claim is one's own without an answer

With other entries up, one of them claimed after 2.5 s without any scheduling.

Cause: Candidate.claim gives up when a repeat is refused, although an attempt before it may have been stored. The entry then reads its own claim, and Candidate.may_claim took a record with its own name and incarnation for a sign that it schedules.

Ruled out: only repeating the claim until its outcome is known. The same wait follows when an agent ends an epoch and the later owner is lost, which needs no lost answer.

Change: a candidate does not schedule, so a newest record that names its entry is one that nobody acts on, whatever the incarnation; it claims the next epoch at once. The earlier claim can have no effect beside that: both are accepted only at the end that was read.

Tests: UnansweredClaimTests. Both tests fail before ('unexpectedly None': no owner). test_a_claim_counts_from_its_first_attempt calls claim() beside the entry's own loop, which now claims as well once its epoch ends; the test keeps the loop from claiming, and its assertions are unchanged.

--- a/rattanwing/batch/ownership.py
+++ b/rattanwing/batch/ownership.py
@@ -138,7 +138,7 @@
         self.keeps_ownership_until = float("-inf")
 
     def may_claim(self, now: float, jitter_s: float) -> bool:
-        """Return whether this entry may claim ownership.
+        """Return whether this entry, while it does not schedule, may claim ownership.
 
         The owner's silence is counted from its last record or from the start of this
         entry's current uninterrupted series of reads, whichever is later: during an
@@ -156,10 +156,11 @@
             return now - self.reader.fresh_since >= delay_s
         if owner.resigned:
             return now - self.replica.owner_seen_at >= delay_s
-        # An owner of this name and another incarnation was an earlier process of
-        # this entry.
+        # As this entry does not schedule, nobody acts on a claim of its name: an
+        # earlier process made it, no answer said that it was stored, or its epoch has
+        # ended without a resignation.
         if owner.node == self.node:
-            return owner.incarnation != self.incarnation
+            return True
         silent_since = max(self.replica.owner_seen_at, self.reader.fresh_since)
         return now - silent_since > OWNER_TIMEOUT_S + jitter_s + delay_s
 
--- a/tests/batch/test_ownership.py
+++ b/tests/batch/test_ownership.py
@@ -14,10 +14,14 @@
     Owner,
     decode,
 )
+from rattanwing.errors import LogUnavailableError
 from tests.batch.world import job, play
 
 STRONG, WEAK = 2151, 297
 
+OUTAGE_S = 4.5
+"""Length of an outage of the store, in seconds."""
+
 
 def entries(*cpu):
     return [EntryAddress(f"entry-{i}", "", value) for i, value in enumerate(cpu)]
@@ -112,15 +116,86 @@
 
         async def scenario(world):
             await trio.sleep(4)
+            candidate = world.owner().candidate
+            # The entry, whose epoch ends with this claim, makes none beside it.
+            candidate.may_claim_from = float("inf")
             world.store.lose_answers = 2
             sent_at = world.now()
-            writer = await world.owner().candidate.claim()
+            writer = await candidate.claim()
             self.assertGreater(world.now(), sent_at + 0.15)
             self.assertEqual(writer.last_success_sent_at, sent_at)
 
         play(scenario, entries=1)
 
 
+class LostClaimStore:
+    """Carries out a claim without an answer, then is away for a while."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.client = world.store.client(name)
+        self.list_newest = self.client.list_newest
+        self.back_at = None
+
+    async def append(self, *call, **condition):
+        offset = await self.client.append(*call, **condition)
+        if self.back_at is None:
+            self.back_at = self.world.now() + OUTAGE_S
+            self.world.store.disconnected_clients.add(self.name)
+            self.world.nursery.start_soon(self.come_back)
+            raise LogUnavailableError("answer lost", may_have_applied=True)
+        return offset
+
+    async def come_back(self):
+        await trio.sleep(OUTAGE_S)
+        self.world.store.disconnected_clients.discard(self.name)
+
+
+class UnansweredClaimTests(unittest.TestCase):
+    """Guards against an entry that waits for itself to schedule."""
+
+    async def lose_owner(self, world):
+        """Kill the owner, and lose the answer to the first claim that follows."""
+        await trio.sleep(4)
+        killed = world.owner().settings.name
+        stores = []
+        for name, entry in world.entries.items():
+            store = entry.candidate.store = LostClaimStore(world, name)
+            stores.append(store)
+        world.kill(killed)
+        while not any(store.back_at for store in stores):
+            await trio.sleep(0.05)
+        return next(store for store in stores if store.back_at)
+
+    def test_the_last_entry_schedules_after_its_claim_had_no_answer(self):
+        async def scenario(world):
+            store = await self.lose_owner(world)
+            await trio.sleep_until(store.back_at + 1)
+            self.assertIsNotNone(world.owner())
+            self.assertIs(await world.submit(job()), Answer.ACCEPTED)
+            self.assertTrue(await world.wait_for_state("job-1", JobState.COMPLETED))
+
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                play(scenario, entries=2, seed=seed)
+
+    def test_an_owner_that_was_fenced_claims_again(self):
+        """The one that fenced it may be lost, or may not have stored its claim."""
+
+        async def scenario(world):
+            await trio.sleep(4)
+            owner = world.owner()
+            epoch = owner.owner_loop.epoch
+            owner.candidate.writer.fence()
+            await trio.sleep(1)
+            self.assertEqual(world.owner().owner_loop.epoch, epoch + 1)
+            self.assertIs(await world.submit(job()), Answer.ACCEPTED)
+            self.assertTrue(await world.wait_for_state("job-1", JobState.COMPLETED))
+
+        play(scenario, entries=1)
+
+
 class OrderlyStopTests(unittest.TestCase):
     async def stop_in_order(self, world, name, hold_s=3.0):
         """Stop an entry as its program does; return when it has exited."""
