Answer every request that a stopping entry has read

Cause: the servers stopped 2.2 s after the signal and gave requests in progress 1.0 s, both constants, whatever the grace period. A look for an unknown job may take 1.2 s, a submission or a cancellation up to its caller's deadline. With a grace period of 4 s there was no time at all, with one under 2.2 s the process was killed while it served.

Ruled out: a longer constant for requests in progress. No constant fits every grace period, and clients keep their connections, and send requests, until the process is gone.

Change: an entry serves until 0.3 s before it exits and exits 2 s before the kill, or after two thirds of a short grace period (batch/shutdown.py). Each request has a cancel scope that ends with the last answers; what it interrupts is answered with 503 (a look) or 504 (outcome not known, event 310), and what comes later is refused at once.

Tests: test_main.py stops an entry on virtual time, at grace periods of 2, 3, 4, 6 and 12 s and under requests of each method. The test of closed connections sets the stop as the program does now; its assertion is unchanged and one is added.

--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -92,6 +92,11 @@
     308, logbook.WARNING, "The executor refuses connections; requests avoid it."
 )
 EXECUTOR_REACHABLE = Event(309, logbook.INFO, "The executor accepts connections.")
+REQUEST_INTERRUPTED = Event(
+    310,
+    logbook.INFO,
+    "A request was still in progress when the stopping process sent its last answers.",
+)
 REQUEST_FAILED = Event(305, logbook.ERROR, "A request failed with an unexpected error.")
 EXECUTOR_EJECTED = Event(
     304, logbook.WARNING, "An executor is much slower than others; requests avoid it."
--- a/rattanwing/platform/callers.py
+++ b/rattanwing/platform/callers.py
@@ -6,10 +6,12 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+import trio
 
 from rattanwing import events
 from rattanwing.batch.messages import Answer
 from rattanwing.batch.model import JobSpec, JobState, StepSpec
+from rattanwing.batch.shutdown import OpenRequests
 from rattanwing.batch.timing import wall_clock_ms
 from rattanwing.errors import MalformedError, RejectedError
 from rattanwing.util.codec import decode_json
@@ -114,26 +116,40 @@
 class CallerRoutes:
     """Handles callers' requests to submit, find, cancel and count jobs.
 
-    :param closing: set while the entry stops; every answer then closes its
-        connection, so that the caller's next request opens a new one.
+    While the entry stops every answer closes its connection, so that the caller's next
+    request opens a new one.
+
+    :param requests: the requests in progress.
     """
 
-    __slots__ = ("service", "configuration", "closing")
+    __slots__ = ("service", "configuration", "requests")
 
     def __init__(
         self, service: RelayingService, configuration: CurrentConfiguration
     ) -> None:
         self.service = service
         self.configuration = configuration
-        self.closing = False
+        self.requests = OpenRequests()
 
     async def handle(self, request: Request) -> Response:
         """Return the response to a request; close the connection if the entry stops."""
-        response = await self.respond(request)
-        if self.closing:
+        if self.requests.accepts(trio.current_time()):
+            response = await self.requests.carry_out(lambda: self.respond(request))
+            if response is None:
+                response = self.interrupted_response(request)
+        else:
+            response = self.unavailable_response("stopping")
+        if self.requests.is_stopping():
             response.headers.append((b"connection", b"close"))
         return response
 
+    def interrupted_response(self, request: Request) -> Response:
+        """Return the response to a request that the stop of the entry interrupted."""
+        events.write(events.REQUEST_INTERRUPTED, path=request.path)
+        if request.method == "GET":
+            return self.unavailable_response("stopping")
+        return self.to_response(Answer.UNKNOWN_OUTCOME)
+
     async def respond(self, request: Request) -> Response:
         """Find the queue of a request and execute the request.
 
--- a/rattanwing/platform/main.py
+++ b/rattanwing/platform/main.py
@@ -14,6 +14,7 @@
 
 from rattanwing import events
 from rattanwing.batch import records
+from rattanwing.batch.shutdown import SEND_TIME_S, StopTimes
 from rattanwing.batch.timing import steady_clock, wall_clock_ms
 from rattanwing.errors import SettingsError
 from rattanwing.logs import configure_bounded
@@ -42,17 +43,6 @@
 
 ROLES = ("entry", "agent")
 
-DEREGISTRATION_DELAY_S = 2.2
-"""Time from the first "not ready" answer until no new connections arrive: two
-readiness checks, one second apart."""
-
-EXIT_MARGIN_S = 2.0
-"""Time before the platform's kill at which a stopping entry exits."""
-
-DRAIN_TIMEOUT_S = 1.0
-"""Time limit for the requests in progress when a server stops. Requests get less if
-the grace period, less ``EXIT_MARGIN_S``, is shorter."""
-
 SETTINGS_POLL_INTERVAL_S = 1.0
 """Interval between checks of the settings file, which may change without a signal."""
 
@@ -61,8 +51,8 @@
     """Events of an orderly stop.
 
     :param requested: set by SIGTERM or SIGINT.
-    :param servers_may_stop: set by an entry when its servers may finish their requests
-        in progress and stop; an agent never sets it.
+    :param servers_may_stop: set by an entry when its servers may send their last
+        answers and stop; an agent never sets it.
     """
 
     __slots__ = ("requested", "servers_may_stop")
@@ -123,8 +113,8 @@
 async def run_entry(settings: BatchSettings, stop: StopSignal) -> None:
     """Run an entry until a stop is requested and its requests have finished.
 
-    To stop, the entry resigns and answers "not ready". It continues to serve
-    until no new connections arrive, then finishes the requests in progress.
+    To stop, the entry resigns and answers "not ready". It continues to serve until
+    shortly before it exits, as callers may keep their connections until then.
     """
     from rattanwing.batch.entry import RESIGN_TIMEOUT_S, BatchEntry
     from rattanwing.batch.metrics import render_entry
@@ -177,12 +167,14 @@
             serve_until, caller_server, settings.callers_address, stop.servers_may_stop
         )
         await stop.requested.wait()
-        callers.closing = True
-        exit_after_s = max(DEREGISTRATION_DELAY_S, settings.grace_s - EXIT_MARGIN_S)
-        nursery.start_soon(entry.resign_for_shutdown, exit_after_s - RESIGN_TIMEOUT_S)
-        await trio.sleep(DEREGISTRATION_DELAY_S)
+        stopping_at = trio.current_time()
+        times = StopTimes(settings.grace_s)
+        callers.requests.end(stopping_at + times.answers_end_s)
+        hold_s = max(0.0, times.exit_s - RESIGN_TIMEOUT_S)
+        nursery.start_soon(entry.resign_for_shutdown, hold_s)
+        await trio.sleep_until(stopping_at + times.answers_end_s)
         stop.servers_may_stop.set()
-        await trio.sleep(exit_after_s - DEREGISTRATION_DELAY_S)
+        await trio.sleep_until(stopping_at + times.exit_s)
         nursery.cancel_scope.cancel()
 
 
@@ -261,9 +253,9 @@
 
 
 async def serve_until(server: HttpServer, address: str, stop: trio.Event) -> None:
-    """Serve HTTP until ``stop`` is set, then finish the requests in progress."""
+    """Serve HTTP until ``stop`` is set, then send the last answers."""
     events.write(events.LISTENING, address=address)
-    await serve_http(server, address, stop.wait, DRAIN_TIMEOUT_S)
+    await serve_http(server, address, stop.wait, SEND_TIME_S)
 
 
 async def run(role: str, path: Path, settings: BatchSettings) -> None:
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -238,10 +238,18 @@
 
     def test_answers_close_connections_while_the_entry_stops(self):
         self.configure()
-        self.routes.closing = True
+        self.routes.requests.end(1e9)
         response = self.call("GET", "/q/")
+        self.assertEqual(response.status, 200)
         self.assertEqual(dict(response.headers)[b"connection"], b"close")
 
+    def test_requests_after_the_last_answers_are_refused(self):
+        self.configure()
+        self.routes.requests.end(0.0)
+        response = self.call("POST", f"/q/{JOB_ID}", b'{"steps":[{}]}')
+        self.assertEqual(response.status, 503)
+        self.assertIn(b"retry-after", dict(response.headers))
+
 
 class FakeHttp:
     """Records a call and returns a preset answer."""
--- /dev/null
+++ b/tests/platform/test_main.py
@@ -0,0 +1,135 @@
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+import msgspec
+import trio
+import trio.testing
+
+from rattanwing.platform import main as platform_main
+from rattanwing.platform.main import StopSignal, run_entry
+from rattanwing.platform.operator import OPERATOR_TOPIC
+from rattanwing.platform.settings import parse_settings
+from rattanwing.standin.keyed_store import StandinStore
+from rattanwing.util.http_server import call_handler
+from tests.platform.test_adapter import CONFIG, JOB_ID, request
+
+ENTRY_SETTINGS = """
+node = "front-1"
+ip = "{ip}"
+zone = "zone-a"
+port_range = [{port},{port}]
+[listen]
+front = "{ip}:8161"
+ready = "{ip}:8167"
+[bounds]
+grace_s = {grace_s}
+[platform]
+addr = "{ip}:8169"
+"""
+
+
+class ServedRequests:
+    """Stands in for the HTTP servers; each request is one on an open connection.
+
+    :param cut: requests whose connection ended without an answer: when they were sent
+        and when it ended.
+    :param statuses: status of each answer.
+    """
+
+    def __init__(self):
+        self.handlers = {}
+        self.cut = []
+        self.statuses = []
+
+    async def serve(self, server, address, wait_for_stop, grace_s, **_options):
+        """Serve as :func:`rattanwing.util.http_server.serve_http` does."""
+        (_method, _pattern, handler), *_ = server.routes
+        async with trio.open_nursery() as connections:
+            self.handlers[address] = handler, connections
+            await wait_for_stop()
+            del self.handlers[address]
+            connections.cancel_scope.deadline = trio.current_time() + grace_s
+
+    def send(self, address, made):
+        """Send a request; return whether its connection was still open."""
+        if address not in self.handlers:
+            return False
+        handler, connections = self.handlers[address]
+        connections.start_soon(self.exchange, handler, made)
+        return True
+
+    async def exchange(self, handler, made):
+        sent_at = trio.current_time()
+        answered = False
+        try:
+            response = await call_handler(handler, made)
+            answered = True
+            self.statuses.append(response.status)
+        finally:
+            if not answered:
+                self.cut.append((sent_at, trio.current_time()))
+
+
+class StopTests(unittest.TestCase):
+    def stop_entry(self, grace_s, method):
+        """Stop an entry while requests come in; return them and its time to exit."""
+        text = ENTRY_SETTINGS.format(ip="127.0.0.1", port=7720, grace_s=grace_s)
+        settings = parse_settings(text.encode())
+        store = StandinStore()
+        config = msgspec.json.encode(CONFIG)
+        store.topic(OPERATOR_TOPIC).put("config", config)
+        served = ServedRequests()
+        stop = StopSignal()
+        headers = [(b"host", b"h.example")]
+        body = b'{"steps":[{}]}' if method == "POST" else b""
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(run_entry, settings, stop)
+                await trio.sleep(3)
+                # Reads are answered late, and appends not at all.
+                store.slowdown = 400.0
+                store.lose_answers = 10**6
+                stop.requested.set()
+                stopping_at = trio.current_time()
+                number = 0
+                while True:
+                    job_id = f"{int(JOB_ID, 16) + number:016x}"
+                    made = request(method, f"/q/{job_id}", body, headers)
+                    if not served.send(settings.callers_address, made):
+                        break
+                    number += 1
+                    await trio.sleep(0.05)
+                while nursery.child_tasks:
+                    await trio.sleep(0.01)
+                return number, trio.current_time() - stopping_at
+
+        with (
+            mock.patch.object(platform_main, "serve_http", served.serve),
+            mock.patch.object(platform_main, "steady_clock", trio.current_time),
+            mock.patch.object(
+                platform_main, "PlatformStore", lambda _address: store.client("front-1")
+            ),
+            mock.patch("rattanwing.peer.frames.serve_peers", serve_no_peers),
+        ):
+            clock = trio.testing.MockClock(autojump_threshold=0)
+            number, took_s = trio.run(main, clock=clock)
+        return served, number, took_s
+
+    def test_requests_get_an_answer_while_an_entry_stops(self):
+        """Guards against connections that end without an answer to a request."""
+        for method in ("GET", "POST", "DELETE"):
+            for grace_s in (2.0, 3.0, 4.0, 6.0, 12.0):
+                with self.subTest(method=method, grace_s=grace_s):
+                    served, number, took_s = self.stop_entry(grace_s, method)
+                    self.assertEqual(served.cut, [])
+                    self.assertEqual(len(served.statuses), number)
+                    self.assertLess(took_s, grace_s)
+                    self.assertLessEqual(set(served.statuses), {410, 503, 504})
+
+
+async def serve_no_peers(_address, _accept, task_status):
+    task_status.started()
+    await trio.sleep_forever()
