Let no signal end a process that starts or stops

A SIGHUP, which only tells of changed settings, would end a process that loads its modules or that answers its last requests, and so would a second SIGTERM.

Cause: signals were handled from the first step of the event loop until the request to stop. Before and after that they had their default effect. The content of the settings file was compared with what it was when the watcher started, not with what was loaded, and the process ended if the file was missing at that moment.

Tests: SignalTests, one at the import of the program's main module, one with a process that gets SIGTERM, SIGHUP and SIGTERM.

--- a/rattanwing/platform/main.py
+++ b/rattanwing/platform/main.py
@@ -8,7 +8,7 @@
 import time
 from pathlib import Path
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -19,7 +19,7 @@
 from rattanwing.errors import SettingsError
 from rattanwing.logs import configure_bounded
 from rattanwing.metrics import Metrics
-from rattanwing.platform.settings import PATH_VARIABLE, load_settings
+from rattanwing.platform.settings import PATH_VARIABLE, parse_settings, read_settings
 from rattanwing.platform.store import PlatformStore
 from rattanwing.util.address import split_address
 from rattanwing.util.http_server import (
@@ -50,7 +50,7 @@
 class StopSignal:
     """Events of an orderly stop.
 
-    :param requested: set by SIGTERM or SIGINT.
+    :param requested: set by the first SIGTERM or SIGINT.
     :param servers_may_stop: set by an entry when its servers may send their last
         answers and stop; an agent never sets it.
     """
@@ -61,16 +61,24 @@
         self.requested = trio.Event()
         self.servers_may_stop = trio.Event()
 
-    async def watch(self, settings_path: Path, settings: BatchSettings) -> None:
-        """Handle signals until a stop is requested; SIGHUP reloads the settings."""
+    async def watch(
+        self,
+        settings_path: Path,
+        settings: BatchSettings,
+        task_status: Any = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Handle signals until cancelled; SIGHUP reloads the settings.
+
+        No signal that follows the request to stop ends the process early.
+        """
         numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with trio.open_signal_receiver(*numbers) as received:
+            task_status.started()
             async for number in received:
                 if number == signal.SIGHUP:
                     reload_settings(settings_path, settings, "signal")
-                    continue
-                self.requested.set()
-                return
+                else:
+                    self.requested.set()
 
 
 def reload_settings(path: Path, settings: BatchSettings, cause: str) -> None:
@@ -81,7 +89,7 @@
     :param cause: what triggered the reload, for the log.
     """
     try:
-        found = load_settings(path)
+        found = parse_settings(read_settings(path))
     except SettingsError as error:
         events.write(events.SETTINGS_REFUSED, problem=str(error))
         return
@@ -90,9 +98,11 @@
     events.write(events.SETTINGS_RELOADED, cause=cause, name=found.name)
 
 
-async def watch_settings(path: Path, settings: BatchSettings) -> None:
-    """Poll the settings file and reload it when its content has changed."""
-    before = path.read_bytes()
+async def watch_settings(path: Path, settings: BatchSettings, before: bytes) -> None:
+    """Poll the settings file and reload it when its content has changed.
+
+    :param before: the content that ``settings`` was read from.
+    """
     while True:
         await trio.sleep(SETTINGS_POLL_INTERVAL_S)
         try:
@@ -258,10 +268,11 @@
     await serve_http(server, address, stop.wait, SEND_TIME_S)
 
 
-async def run(role: str, path: Path, settings: BatchSettings) -> None:
+async def run(role: str, path: Path, data: bytes, settings: BatchSettings) -> None:
     """Run a role until it has stopped.
 
     :param path: the settings file, which is watched for changes.
+    :param data: the content that ``settings`` was read from.
     """
     stop = StopSignal()
     programs: dict[str, Callable[..., Awaitable[None]]] = {
@@ -269,8 +280,8 @@
         "agent": run_agent,
     }
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(stop.watch, path, settings)
-        nursery.start_soon(watch_settings, path, settings)
+        await nursery.start(stop.watch, path, settings)
+        nursery.start_soon(watch_settings, path, settings, data)
         await programs[role](settings, stop)
         nursery.cancel_scope.cancel()
 
@@ -283,7 +294,8 @@
         print(f"usage: python3 -m rattanwing.platform {'|'.join(ROLES)}")
         return EXIT_BAD_SETTINGS
     try:
-        settings = load_settings(path)
+        data = read_settings(path)
+        settings = parse_settings(data)
     except SettingsError as error:
         configure_bounded(role, "info")
         for problem in error.problems:
@@ -295,6 +307,6 @@
         roles=role,
         cpu_s=round(time.process_time(), 3),
     )
-    trio.run(run, role, path, settings)
+    trio.run(run, role, path, data, settings)
     events.write(events.PROCESS_STOPPED)
     return 0
--- a/rattanwing/platform/settings.py
+++ b/rattanwing/platform/settings.py
@@ -120,12 +120,12 @@
     )
 
 
-def load_settings(path: Path) -> BatchSettings:
-    """Read a settings file.
+def read_settings(path: Path) -> bytes:
+    """Return the content of a settings file.
 
-    :raises SettingsError: when the file can't be read or is invalid.
+    :raises SettingsError: when the file can't be read.
     """
     try:
-        return parse_settings(path.read_bytes())
+        return path.read_bytes()
     except OSError as error:
         raise SettingsError([f".: {path}: {error.strerror}"]) from error
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -1,6 +1,13 @@
 from __future__ import annotations
 
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
 import unittest
+from pathlib import Path
 from unittest import mock
 
 import msgspec
@@ -14,6 +21,9 @@
 from rattanwing.standin.keyed_store import StandinStore
 from rattanwing.util.http_server import call_handler
 from tests.platform.test_adapter import CONFIG, JOB_ID, request
+from tests.processes import call, wait_for
+
+ROOT = Path(__file__).resolve().parent.parent.parent
 
 ENTRY_SETTINGS = """
 node = "front-1"
@@ -133,3 +143,48 @@
 async def serve_no_peers(_address, _accept, task_status):
     task_status.started()
     await trio.sleep_forever()
+
+
+class SignalTests(unittest.TestCase):
+    def test_changed_settings_while_the_modules_are_loaded(self):
+        """Guards against a process that a signal ends before it handles signals."""
+        script = (
+            "import os, runpy, signal, sys\n"
+            "class Finder:\n"
+            "    def find_spec(self, name, *_):\n"
+            "        if name == 'rattanwing.platform.main':\n"
+            "            os.kill(os.getpid(), signal.SIGHUP)\n"
+            "sys.meta_path.insert(0, Finder())\n"
+            "sys.argv = ['platform', 'no-role']\n"
+            "runpy.run_module('rattanwing.platform', run_name='__main__')\n"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", script], cwd=ROOT, timeout=60, capture_output=True
+        )
+        self.assertEqual(done.returncode, 2)
+
+    def test_signals_after_the_request_to_stop(self):
+        """Guards against a process that ends before its requests are answered."""
+        ip = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}.9"
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.toml"
+            path.write_text(ENTRY_SETTINGS.format(ip=ip, port=7720, grace_s=3))
+            process = subprocess.Popen(
+                [sys.executable, "-m", "rattanwing.platform", "entry"],
+                cwd=ROOT,
+                env={"RATTANWING_CONFIG": str(path)},
+                stderr=subprocess.DEVNULL,
+                stdout=subprocess.DEVNULL,
+            )
+            try:
+                ready = f"{ip}:8167", "GET", "/rattanwing/ready"
+                wait_for(lambda: call(*ready)[0] == 503, "the entry listens")
+                stopping_at = time.monotonic()
+                for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+                    process.send_signal(number)
+                    time.sleep(0.2)
+                self.assertEqual(process.wait(30), 0)
+                self.assertGreater(time.monotonic() - stopping_at, 1.5)
+            finally:
+                process.kill()
+                process.wait()
