Bind two memories of announcements to the executor in use

Cause: found when the check of announcements was read again. An announcement that names another service was remembered without its incarnation, so that one of the next incarnation could confirm it. The numbers of newest announcements were dropped oldest first, so that many false announcements could drop the number of the executor in use, and a late announcement of it would have counted as new.

Ruled out: keeping numbers without a limit; another writer could then fill the memory.

Change: the remembered announcement names its incarnation, and the number of the executor in use is never dropped.

--- a/rattanwing/batch/announcements.py
+++ b/rattanwing/batch/announcements.py
@@ -82,8 +82,8 @@
     :param numbers: number of the newest announcement of each incarnation.
     :param exited: the last incarnations that have surely exited.
     :param checks: newest description of each incarnation that is being checked.
-    :param differing: identity and number of an announcement of the incarnation in use
-        that describes another executor; ``None`` unless it was the last one.
+    :param differing: the last announcement of the incarnation in use, and its number,
+        if it describes another executor; else ``None``.
     """
 
     __slots__ = ("agent", "numbers", "exited", "checks", "differing")
@@ -93,7 +93,7 @@
         self.numbers: dict[str, int] = {}
         self.exited: deque[str] = deque(maxlen=MAX_EXITED)
         self.checks: dict[str, ExecutorView] = {}
-        self.differing: tuple[tuple[str, str, str], int] | None = None
+        self.differing: tuple[ExecutorView, int] | None = None
 
     def receive(self, view: ExecutorView, number: int) -> None:
         """Handle one announcement.
@@ -120,11 +120,16 @@
         self.agent.handle_announcement(view)
 
     def record_number(self, incarnation: str, number: int) -> None:
-        """Record the number of the newest announcement of an incarnation."""
+        """Record the number of the newest announcement of an incarnation.
+
+        The oldest one beyond the limit is dropped, but not that of the one in use.
+        """
         self.numbers.pop(incarnation, None)
         self.numbers[incarnation] = number
         if len(self.numbers) > MAX_NUMBERED:
-            del self.numbers[next(iter(self.numbers))]
+            current = self.agent.executor
+            in_use = current.view.incarnation if current is not None else ""
+            del self.numbers[next(key for key in self.numbers if key != in_use)]
 
     def record_exit(self, incarnation: str) -> None:
         """Record that an incarnation has exited; its late announcements are ignored."""
@@ -138,13 +143,15 @@
         names the same: either the first or what was known before came from another
         writer.
         """
-        identity = view.identity()
         previous, self.differing = self.differing, None
-        if identity == known.identity():
+        if view.identity() == known.identity():
             return True
-        if previous is not None and previous[0] == identity and previous[1] < number:
-            return True
-        self.differing = identity, number
+        if previous is not None:
+            before, number_before = previous
+            same = before.incarnation == view.incarnation
+            if same and before.identity() == view.identity() and number_before < number:
+                return True
+        self.differing = view, number
         events.write(
             events.ANNOUNCEMENT_DIFFERS,
             executor=view.executor_id,
--- a/tests/batch/test_announcements.py
+++ b/tests/batch/test_announcements.py
@@ -202,6 +202,11 @@
             self.executor.reachable = True
             await trio.sleep(1)
             self.check_nothing_lost()
+            for number in range(50):
+                await self.announce(f"i-another-{number}", 10**9)
+                await trio.sleep(0.1)
+            await self.announce_executor(seq=1, state="draining")
+            self.assertFalse(self.agent.executor.view.draining)
 
         self.play(announce_many)
 
