Play random schedules with false announcements and lost claims

Ruled out: adding these faults to the schedules that exist; their seeds are regressions.

Change: the option odd of tests.batch.schedules adds false announcements (another id, another start under the id, another service under the identity, repeated, with high numbers) and outages that begin as soon as an append has been carried out without an answer.

Conclusion: kept.

--- a/tests/batch/schedules.py
+++ b/tests/batch/schedules.py
@@ -3,7 +3,9 @@
 ``python -m tests.batch.schedules FIRST LAST`` plays a range of seeds; with the option
 ``latency`` messages take time and cross, with ``same-id`` some executors restart
 under the id that they had, and with ``deadly`` some jobs have a task that crashes each
-executor that starts it. Each combination of options has schedules of its own.
+executor that starts it. With ``odd`` agents get false and repeated announcements, and
+the store goes away just after it has carried out appends without an answer. Each
+combination of options has schedules of its own.
 """
 
 from __future__ import annotations
@@ -11,6 +13,7 @@
 import sys
 from random import Random
 
+import msgspec
 import trio
 
 from rattanwing.batch.messages import Answer
@@ -247,6 +250,33 @@
         self.world.store.lose_answers += self.random.randint(1, 5)
         self.world.store.late_append_delay_s = self.random.choice((0.0, 2.0, 5.0))
 
+    async def lose_answers_before_outage(self):
+        """Lose the answer to the next append, and keep all from the store after it."""
+        self.world.store.late_append_delay_s = 0.0
+        self.world.store.lose_answers = 1
+        while self.world.store.lose_answers:
+            await trio.sleep(0.005)
+        await self.disconnect_store()
+
+    async def announce_falsely(self):
+        """Have an agent hear of an executor that is not there, or is no more."""
+        index = self.random.randrange(len(self.world.executors))
+        view = self.world.executors[index].view()
+        name, _, number = view.incarnation.rpartition("@")
+        changes = self.random.choice(
+            (
+                {"incarnation": "other@1000000", "executor_id": "other"},
+                {"incarnation": f"{name}@{int(number) + 1000}"},
+                {"incarnation": f"{name}@{int(number) - 1}"},
+                {"service": "elsewhere"},
+            )
+        )
+        false = msgspec.structs.replace(view, **changes)
+        for _ in range(self.random.choice((1, 1, 3))):
+            number = self.random.choice((1, 10**6))
+            self.world.deliver_announcement(f"agent-{index}", false, number)
+            await trio.sleep(self.random.choice((0.0, 0.02)))
+
     async def expire_history(self):
         for topic in self.world.store.topics.values():
             topic.expire_records()
@@ -320,6 +350,11 @@
     *["replace_executor_under_load"] * 8,
     *["delay_starts"] * 2,
 ]
+ODD_FAULTS = [
+    *REPLACING_FAULTS,
+    *["announce_falsely"] * 20,
+    *["lose_answers_before_outage"] * 6,
+]
 
 
 def without_spread_limit(step):
@@ -366,15 +401,19 @@
     return found
 
 
-def play_seed(seed, latency=False, same_id=False, deadly=False):
+def play_seed(seed, latency=False, same_id=False, deadly=False, odd=False):
     """Play one seed; return the violated guarantees and the scenario.
 
     :param latency: whether messages take time, and cross.
     :param same_id: whether executors may restart under the id that they had.
     :param deadly: whether some jobs have a task that crashes its executors.
+    :param odd: whether there are false announcements, and outages that follow appends
+        without an answer.
     """
     fault_scenarios = []
     kinds = REPLACING_FAULTS if latency or same_id else FAULTS
+    if odd:
+        kinds = ODD_FAULTS
 
     async def scenario(world):
         fault_scenario = FaultScenario(world, seed, kinds, same_id, deadly)
@@ -407,6 +446,7 @@
             latency="latency" in options,
             same_id="same-id" in options,
             deadly="deadly" in options,
+            odd="odd" in options,
         )
         print(
             seed, len(fault_scenario.accepted), "jobs", violations or "ok", flush=True
--- a/tests/batch/test_schedules.py
+++ b/tests/batch/test_schedules.py
@@ -38,6 +38,7 @@
 UNCLEAR_CRASH_DEADLY_SAME_ID_SEEDS = {
     3327: "three crashes of a task of an earlier owner, two beside crashing tasks",
 }
+ODD_SEEDS = range(1, 7)
 REGRESSION_SEEDS = {
     37: "ends of a restarted executor were skipped, as their numbers restart at 1",
     236: "an owner started a job whose record followed a later claim in the same read",
@@ -89,6 +90,17 @@
         self.assertEqual(violations, [], fault_scenario.faults)
 
 
+class OddScheduleTests(unittest.TestCase):
+    """Plays seeds with false announcements, and outages after lost answers."""
+
+    def test_no_guarantee_is_violated(self):
+        """Guards against two runs at once, and against jobs that nobody schedules."""
+        for seed in ODD_SEEDS:
+            with self.subTest(seed=seed):
+                violations, fault_scenario = play_seed(seed, latency=True, odd=True)
+                self.assertEqual(violations, [], fault_scenario.faults)
+
+
 class LatencyScheduleTests(unittest.TestCase):
     """Plays seeds in which messages take time and cross."""
 
