Test two mends that had no test of their own

Change: SettingsWatchTests, and test_false_identity_of_two_incarnations; no product code.

Measured: both pass, with all of tests.platform.test_main and test_announcements (18). With the old logic put back on a scratch copy both fail: FileNotFoundError, and 'elsewhere' != 'service-1'.

--- a/tests/batch/test_announcements.py
+++ b/tests/batch/test_announcements.py
@@ -224,6 +224,21 @@
 
         self.play(announce_other_service)
 
+    def test_false_identity_of_two_incarnations(self):
+        """Guards against one false announcement that confirms an earlier one."""
+
+        async def announce_before_and_after_a_restart():
+            await self.announce_executor(backend="elsewhere")
+            self.executor.crash()
+            self.executor.restart()
+            await self.announce_executor()
+            await trio.sleep(0.5)
+            self.check_in_use(self.executor.incarnation_name())
+            await self.announce_executor(backend="elsewhere")
+            self.assertEqual(self.agent.executor.view.service, "service-1")
+
+        self.play(announce_before_and_after_a_restart)
+
     def test_false_identity_before_the_first_announcement(self):
         """Guards against a host without work after the start of its agent."""
 
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -15,7 +15,7 @@
 import trio.testing
 
 from rattanwing.platform import main as platform_main
-from rattanwing.platform.main import StopSignal, run_entry
+from rattanwing.platform.main import StopSignal, run_entry, watch_settings
 from rattanwing.platform.operator import OPERATOR_TOPIC
 from rattanwing.platform.settings import parse_settings
 from rattanwing.standin.keyed_store import StandinStore
@@ -145,6 +145,35 @@
     await trio.sleep_forever()
 
 
+class SettingsWatchTests(unittest.TestCase):
+    def test_change_while_the_process_starts(self):
+        """Guards against settings that are missed, or a process that ends by them."""
+        loaded = ENTRY_SETTINGS.format(ip="127.0.0.1", port=7720, grace_s=6).encode()
+        settings = parse_settings(loaded)
+
+        async def main(path):
+            with trio.move_on_after(3.5):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(watch_settings, path, settings, loaded)
+                    await trio.sleep(1.5)
+                    self.assertEqual(settings.grace_s, 6)
+                    path.write_bytes(loaded.replace(b"grace_s = 6", b"grace_s = 9"))
+
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.toml"
+            clock = trio.testing.MockClock(autojump_threshold=0)
+            trio.run(main, path, clock=clock)
+            self.assertEqual(settings.grace_s, 9)
+            settings.grace_s = 6
+            clock = trio.testing.MockClock(autojump_threshold=0)
+            trio.run(self.watch, path, settings, loaded, clock=clock)
+            self.assertEqual(settings.grace_s, 9)
+
+    async def watch(self, path, settings, loaded):
+        with trio.move_on_after(1.5):
+            await watch_settings(path, settings, loaded)
+
+
 class SignalTests(unittest.TestCase):
     def test_changed_settings_while_the_modules_are_loaded(self):
         """Guards against a process that a signal ends before it handles signals."""
