--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -401,6 +401,11 @@
         """Return the name in the record."""
         return f"executor-{self.number}"
 
+    @property
+    def life(self):
+        """Return the name with the number of the life."""
+        return f"{self.name}, life {self.lives}"
+
     async def start(self, new_id=False):
         """Start a life with empty state, under the same id unless told otherwise."""
         if new_id:
@@ -618,9 +623,9 @@
 class Stage:
     """The machines of a small deployment, and the record of what happens.
 
-    :param starts: time, executor, task and attempt of each start of a run.
-    :param ends: time, executor, task, attempt and kind of each end of a run.
-    :param acks: time, executor, task, attempt and kind of each acknowledged end.
+    :param starts: time, life of an executor, task and attempt of each start of a run.
+    :param ends: time, life, task, attempt and kind of each end of a run.
+    :param acks: time, life, task, attempt and kind of each acknowledged end.
     :param counted: ids of jobs whose runs are counted in the record, not listed.
     """
 
@@ -670,19 +675,19 @@
 
     def started(self, executor, run):
         """Record the start of a run."""
-        self.starts.append((self.now(), executor.name, run.task, run.attempt))
+        self.starts.append((self.now(), executor.life, run.task, run.attempt))
         if not self.count(run, "started"):
             self.record(f"{executor.name} starts {run.task} attempt {run.attempt}")
 
     def ended(self, executor, run, how):
         """Record the end of a run."""
-        self.ends.append((self.now(), executor.name, run.task, run.attempt, how))
+        self.ends.append((self.now(), executor.life, run.task, run.attempt, how))
         if not self.count(run, how):
             self.record(f"{executor.name} ends {run.task} attempt {run.attempt}: {how}")
 
     def acknowledged(self, executor, end):
         """Record that the end of a run was acknowledged."""
-        self.acks.append((self.now(), executor.name, end[1], end[2], end[3]))
+        self.acks.append((self.now(), executor.life, end[1], end[2], end[3]))
         if end[1].split(".")[0] not in self.counted:
             self.record(f"{executor.name}: end of {end[1]} attempt {end[2]} is acked")
 
