--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,115 +1,93 @@
-"""An executor that has crashed gets no work again, and its jobs wait for ever."""
+"""A cancel that was acknowledged with 410 does not stop the job that it names."""
 
 import asyncio
-import random
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from stage_2 import TROUBLE, Executor, NoAnswerError, new_job, run_case
+from stage_2 import TROUBLE, Executor, new_job, run_case
 
-HANGING_S = 5.5
-HANGING_SHARE = 0.4
-"""For how long one executor leaves which share of its calls unanswered."""
+AWAY_S = 3.0
+"""For how long the store turns one entry away; the pages allow 9 s."""
 
-TIMES = 2
-"""How often it does so."""
+LEAVES_AFTER_S = 0.125
+"""Half of the objective of 250 ms, as for the clients that give up."""
 
-DOWN_S = 3.5
-EXECUTORS = 11
-FINISH_S = 14.0
-SILENT_S = 50.0
-"""For how long jobs are watched after the executor is back."""
+CANCEL_S = 3.0
+"""``cancel_ms``."""
 
+CONTACT_S = 3.0
+"""``contact_ms``: machines are in touch this long after the end of a disruption."""
 
-def job(label):
-    return {
-        "spec": "x",
-        "steps": [
-            {
-                "count": 1,
-                "cpu": 480,
-                "mem_mb": 960,
-                "estimate_ms": 300,
-                "constraints": label,
-            }
-        ],
-    }
+JOBS = 4
+BOOKING = {
+    "spec": "van",
+    "steps": [
+        {"count": 1, "cpu": 480, "mem_mb": 960, "estimate_ms": 4000},
+        {"count": 1, "cpu": 480, "mem_mb": 960, "estimate_ms": 4000, "after": [0]},
+        {"count": 1, "cpu": 480, "mem_mb": 960, "estimate_ms": 4000, "after": [1]},
+        {"count": 1, "cpu": 480, "mem_mb": 960, "estimate_ms": 4000, "after": [2]},
+    ],
+}
+SMALL = {
+    "spec": "x",
+    "steps": [{"count": 2, "cpu": 480, "mem_mb": 960, "estimate_ms": 200}],
+}
 
 
 async def play(stage):
-    hanging = False
-    luck = random.Random(7)
-
-    def hang(_path, _order):
-        if hanging and luck.random() < HANGING_SHARE:
-            raise NoAnswerError
-        return
-
-    def make(number):
-        kind = "b" if number == EXECUTORS else "a"
-        executor = Executor(
-            stage, number, [kind, f"r1-{(number + 2) // 3}"], lambda _task: 0.3
-        )
-        if kind == "b":
-            executor.on_call = hang
-        return executor
-
-    await stage.start(make)
-    await asyncio.sleep(2)
-    accepted = {}
-
-    async def hand_in(entry, label):
-        name = new_job()
-        at = await stage.submit(entry, name, job(label))
-        if at is not None:
-            accepted[name] = at
-
-    async def traffic(until):
-        number = 0
-        while stage.now() < until:
-            number += 1
-            stage.spawn(hand_in(1 + number % 3, "b" if number % 3 == 0 else "a"))
-            await asyncio.sleep(0.1)
-
-    begin = stage.now()
-    load = stage.spawn(traffic(begin + 2 + TIMES * (HANGING_S + 0.5) + DOWN_S + 3))
-    await asyncio.sleep(2)
-    executor = stage.executors[EXECUTORS]
+    bookings = {}
+
+    def duration_s(task):
+        return 4.0 if task.split(".")[0] in bookings else 0.2
+
+    await stage.start(
+        lambda number: Executor(stage, number, ["a", f"r1-{number}"], duration_s)
+    )
+    others = [n for n in range(1, 4) if f"entry-{n}" != stage.owner()]
+    away, calm = others
+    stage.record(f"the owner is {stage.owner()}")
+    stage.spawn(usual_load(stage, calm))
+    await asyncio.sleep(3)
     if TROUBLE:
-        for _ in range(TIMES):
-            stage.record(f"{executor.name} leaves {HANGING_SHARE} of calls unanswered")
-            hanging = True
-            await asyncio.sleep(HANGING_S)
-            hanging = False
-            stage.record(f"{executor.name} answers all calls")
-            await asyncio.sleep(0.5)
-        await executor.crash()
-        await asyncio.sleep(DOWN_S)
-        await executor.start()
-    await load
-    stage.record("the traffic ends")
-    back_at = stage.now()
-    await asyncio.sleep(FINISH_S)
-    unfinished = []
-    for name in accepted:
-        status, value = await stage.call(1, "GET", name)
-        if status != 200 or value["state"] != "completed":
-            unfinished.append(name)
-    await asyncio.sleep(max(0.0, SILENT_S - (stage.now() - back_at)))
-    broken = []
-    for name in unfinished:
-        _status, value = await stage.call(2, "GET", name)
-        starts = [row for row in stage.starts if row[2].startswith(name)]
-        if value != {"state": "completed"} and not any(
-            row[0] > back_at for row in starts
-        ):
-            broken.append(
-                f"{name} is {value} {stage.now() - back_at:.0f} s after the traffic; "
-                f"nothing of it was started, and {executor.name} runs "
-                f"{len(executor.running)} tasks"
-            )
-    return broken
-
-
-run_case(Path(__file__).parent, play, executors=EXECUTORS)
+        stage.record(f"the store turns entry-{away} away")
+        stage.doors[f"entry-{away}"].closed = True
+    await asyncio.gather(
+        *(book_and_cancel(stage, away, calm, bookings, 0.3 * n) for n in range(JOBS))
+    )
+    await asyncio.sleep(max(0.0, AWAY_S - 1.5))
+    stage.doors[f"entry-{away}"].closed = False
+    stage.record(f"the store serves entry-{away} again")
+    in_touch_from = stage.now() + CONTACT_S
+    await asyncio.sleep(16)
+    for job in bookings:
+        await stage.call(calm, "GET", job)
+    return [
+        f"{task} starts {at - bookings[task.split('.')[0]]:.3f} s after its job's "
+        f"cancel was acknowledged"
+        for at, _executor, task, _attempt in stage.starts
+        if at > bookings.get(task.split(".")[0], at) + CANCEL_S and at > in_touch_from
+    ]
+
+
+async def usual_load(stage, entry):
+    """Hand in small jobs all the while."""
+    while True:
+        stage.spawn(stage.call(entry, "POST", new_job(), SMALL))
+        await asyncio.sleep(0.12)
+
+
+async def book_and_cancel(stage, away, calm, bookings, after_s):
+    """Hand a job in, leave early, and cancel it until that is acknowledged."""
+    await asyncio.sleep(after_s)
+    job = new_job()
+    await stage.call(away, "POST", job, BOOKING, limit_s=LEAVES_AFTER_S)
+    while True:
+        status, _value = await stage.call(calm, "DELETE", job)
+        if status in (200, 410):
+            bookings[job] = stage.now()
+            return
+        await asyncio.sleep(0.1)
+
+
+run_case(Path(__file__).parent, play)
