Use an executor again after an acknowledgement without an answer

An executor leaves calls unanswered, crashes and is back under its id; it gets no start for its life (event 623), and 31 jobs that need its label stay queued 50 s after the traffic.

Cause: ListedEnds.may_hide was set when an incarnation followed one with an acknowledgement without an answer, and only one that had begun 15 s later could lose it.

Ruled out: reports of the owner's view (complete, and of the new incarnation); a missing listing under the current fence (the poll was answered).

The suspicion itself was too wide. It took an acknowledgement for a mark that stays, as the stand-in did. An acknowledgement for an earlier incarnation has a lower fence, which the executor refuses from its first poll on, and no start precedes that poll.

Change: the flag, its times and event 623 are gone. The stand-in drops the ends that exist when the call is carried out. spec/acknowledgements.py proves that no end is lost whenever the acknowledgement arrives, and that each of three rules is needed.

Conclusion: the end of the suspicion is the first answer of the incarnation itself.

--- a/rattanwing/batch/agent.py
+++ b/rattanwing/batch/agent.py
@@ -237,7 +237,6 @@
             executor_id: runs
             for executor_id, runs in self.departed.items()
             if runs.start_calls.outstanding(now, LATE_RUN_S)
-            or now <= runs.ends.next_may_hide_until()
         }
         if executor.has_generation():
             return
--- a/rattanwing/batch/ends.py
+++ b/rattanwing/batch/ends.py
@@ -4,10 +4,11 @@
 incarnation. An end is acknowledged once the owner has stored it.
 
 An executor that starts again under its id accepts the acknowledgement that was meant
-for its earlier incarnation, and then drops its own ends of these numbers unlisted.
-Nothing in the call prevents this, and nothing shows afterwards how such a run ended. So
-an acknowledgement is a call that does not wait, no start is sent beside it, and an
-incarnation that one without an answer may have reached starts no runs.
+for its earlier incarnation, and then drops the ends of these numbers that it has at
+that moment. Nothing shows afterwards how such a run ended. So an acknowledgement is a
+call that does not wait, and no start is sent beside it. From its first poll on the next
+incarnation refuses it, as the polls to that one have a higher fence, and no run is
+started there before.
 """
 
 from __future__ import annotations
@@ -17,11 +18,6 @@
 
 import trio
 
-from rattanwing.batch.liveness import LATE_CALL_S
-from rattanwing.batch.timing import CLOCK_DRIFT
-from rattanwing.util.http_client import HttpCallError
-from rattanwing.verdict import Verdict
-
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -44,12 +40,6 @@
     :param unstored: listed ends that are not stored yet, by number.
     :param answered: set once the acknowledgement that was sent last is settled or has
         failed.
-    :param sent_until: time until which the acknowledgement that waits for its answer
-        may be carried out; negative infinity if there is none.
-    :param late_until: the same for those without an answer; negative infinity if this
-        incarnation has outlived that time.
-    :param may_hide: whether an acknowledgement for an earlier incarnation may have
-        reached this one.
     """
 
     __slots__ = (
@@ -58,9 +48,6 @@
         "due_since",
         "unstored",
         "answered",
-        "sent_until",
-        "late_until",
-        "may_hide",
     )
 
     def __init__(self) -> None:
@@ -70,18 +57,6 @@
         self.unstored: dict[int, EndedRow] = {}
         self.answered = trio.Event()
         self.answered.set()
-        self.sent_until = float("-inf")
-        self.late_until = float("-inf")
-        self.may_hide = False
-
-    def succeed(self, previous: ListedEnds) -> None:
-        """Take over what acknowledgements for the previous incarnation may do here."""
-        self.late_until = previous.next_may_hide_until()
-        self.may_hide = self.late_until > float("-inf")
-
-    def next_may_hide_until(self) -> float:
-        """Return the time until which an acknowledgement may reach the next one."""
-        return max(self.sent_until, self.late_until)
 
     def drop_stored(self, number: int) -> None:
         """Drop the ends up to a number that the owner has stored."""
@@ -100,42 +75,14 @@
         return self.due_since is not None and now - self.due_since > OVERDUE_AFTER_S
 
     @contextmanager
-    def acknowledging(self, sent_at: float) -> Iterator[Acknowledgement]:
-        """Record that an acknowledgement is being sent, and what becomes of it.
-
-        It counts as having no answer, also when it is cancelled, unless it was settled
-        or has surely not been received.
-        """
-        call = Acknowledgement()
+    def acknowledging(self) -> Iterator[None]:
+        """Hold back starts until an acknowledgement is answered or has failed."""
         self.answered = trio.Event()
-        self.sent_until = sent_at + LATE_CALL_S
         try:
-            yield call
-        except HttpCallError as error:
-            call.settled = error.verdict is Verdict.NOT_RUN
-            raise
+            yield
         finally:
-            if not call.settled:
-                self.late_until = self.next_may_hide_until()
-            self.sent_until = float("-inf")
             self.answered.set()
 
-    def record_answer(self, sent_at: float, clock_ms: int) -> None:
-        """Record that this incarnation has answered a call sent at a time.
-
-        One that began after every late acknowledgement was reached by none.
-
-        :param clock_ms: its clock, which it started at its begin or earlier; 0 if it
-            is not known.
-        """
-        if self.late_until == float("-inf"):
-            return
-        age_s = clock_ms / 1000 / (1 - CLOCK_DRIFT)
-        if clock_ms > 0 and sent_at - age_s > self.late_until:
-            self.may_hide = False
-        if sent_at > self.late_until:
-            self.late_until = float("-inf")
-
     def apply_listing(self, ended: list[EndedRow], now: float) -> bool:
         """Record the ends of a listing; return whether there are new ones."""
         added = False
@@ -152,16 +99,3 @@
         elif self.due_since is None:
             self.due_since = now
         return added
-
-
-class Acknowledgement:
-    """An acknowledgement that is being sent.
-
-    :param settled: whether its own incarnation has answered it, or it was refused or
-        not received.
-    """
-
-    __slots__ = ("settled",)
-
-    def __init__(self) -> None:
-        self.settled = False
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -318,7 +318,6 @@
         """
         self.leases_end_by = max(self.leases_end_by, previous.leases_end_by)
         self.start_calls = previous.start_calls
-        self.ends.succeed(previous.ends)
         taken = {
             key: run.properties
             for key, run in previous.runs.items()
@@ -343,8 +342,7 @@
 
     def accepts_no_runs(self, now: float) -> bool:
         """Return whether the owner must place no runs here, as it reports."""
-        unclean = self.listed_fence != self.fence
-        return self.is_unreachable(now) or unclean or self.ends.may_hide
+        return self.is_unreachable(now) or self.listed_fence != self.fence
 
     def is_unreachable(self, now: float) -> bool:
         """Return whether the executor has exited or stopped answering."""
@@ -565,7 +563,6 @@
             self.restarted_under_id = True
             self.handle_poll_refusal(OrderResult(OrderOutcome.OTHER_INCARNATION))
             return False
-        self.ends.record_answer(sent_at, result.clock_ms)
         if sent_at > self.failed_call_at:
             self.confirmed_at = self.clock()
         current = fence == self.fence and result.lists_all_ends
@@ -575,12 +572,6 @@
         changed = self.apply_listing(result, sent_at, self.clock())
         if not self.may_acknowledge():
             await self.pace_best_effort_runs()
-        if first and self.ends.may_hide:
-            events.write(
-                events.EXECUTOR_HIDES_ENDS,
-                executor=self.view.executor_id,
-                incarnation=self.view.incarnation,
-            )
         if changed or first:
             self.on_change()
         return changed or acknowledged > 0
@@ -596,10 +587,8 @@
         fence = call_fence(fence, self.generation)
         if not acknowledged:
             return await self.executor.poll(fence, 0, deadline_ms, wait_s)
-        with self.ends.acknowledging(sent_at) as call:
-            result = await self.executor.poll(fence, acknowledged, deadline_ms, wait_s)
-            call.settled = not self.is_from_another(result)
-        return result
+        with self.ends.acknowledging():
+            return await self.executor.poll(fence, acknowledged, deadline_ms, wait_s)
 
     def is_from_another(self, result: PollResult | OrderResult) -> bool:
         """Return whether another incarnation with the same id has answered a poll."""
@@ -766,8 +755,6 @@
             return "known"
         if self.listed_fence != self.fence:
             return "unclean"
-        if self.ends.may_hide:
-            return "ends-hidden"
         if any(run.properties is None for run in self.runs.values()):
             return "unknown-room"
         cpu, memory_mb, accelerators = self.used_resources()
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -298,11 +298,6 @@
     logbook.WARNING,
     "An exit was announced under the id of an executor that does not drain.",
 )
-EXECUTOR_HIDES_ENDS = Event(
-    623,
-    logbook.WARNING,
-    "An executor starts no runs until its restart; it may not list their ends.",
-)
 ANNOUNCEMENT_CHECKED = Event(
     624,
     logbook.INFO,
--- a/tests/test_proof_model.py
+++ b/tests/test_proof_model.py
@@ -6,7 +6,14 @@
 
 from minicheck import check_safety
 
-from spec import attempts, freshness, ownership, restarts, takeover
+from spec import (
+    acknowledgements,
+    attempts,
+    freshness,
+    ownership,
+    restarts,
+    takeover,
+)
 
 MAX_STATES = 3_000_000
 
@@ -48,6 +55,10 @@
         self.check_holds(attempts)
         self.check_rules_needed(attempts)
 
+    def test_late_acknowledgement_on_an_executor_that_starts_again(self):
+        self.check_holds(acknowledgements)
+        self.check_rules_needed(acknowledgements)
+
     def test_late_start_on_an_executor_that_starts_again(self):
         self.check_holds(restarts)
         self.check_rules_needed(restarts)
