Store the cancellation of a job that is not stored yet

A caller hands a job in at an entry that the store turns away, leaves, and cancels the job at another entry. That answers 410; half a second later the first entry relays the submission, the job is stored and run to its end.

Cause: for an id that the store does not have, a cancel was answered from a fresh read and left nothing behind that the submission would meet later.

Ruled out: an old copy (the read was sent after the cancel); a job that is handed in again after its cancellation was stored (nothing had been stored).

Change: the cancellation is stored with its queue before it is answered with 410. Whatever stores the job later, all entries read the cancellation first and cancel the job as they read it; an entry that has read it refuses the submission. The owner deletes the records after the time for which finished jobs are kept, and the oldest beyond 4,000.

Weighed: asking the other entries (those out of reach matter, and an append on its way is held by nobody); no answer while a submission may be on its way (such an append has no latest time).

Conclusion: the order of the store decides, also for what no entry can know.

--- a/rattanwing/batch/entry.py
+++ b/rattanwing/batch/entry.py
@@ -98,6 +98,7 @@
             load_order=self.replica.load_order,
             speed=self.store_speed,
         )
+        self.reader.on_loaded = self.replica.drop_deleted_cancels
         self.directory = Directory()
         self.directory_reader = TopicReader(
             store,
--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -55,7 +55,7 @@
 """Interval at which finished jobs are checked for the end of their retention."""
 
 CLEANUP_RECORDS = 180
-"""Most records deleted in one append: three for each of 60 jobs."""
+"""Most records deleted in one append, well below what the store accepts in a call."""
 
 
 class OwnerLoop:
@@ -334,11 +334,14 @@
             stored = rows
 
     async def delete_expired_jobs(self) -> None:
-        """Delete the records of finished jobs after their retention."""
+        """Delete the records of finished jobs and early cancellations in time."""
         while True:
             await trio.sleep(CLEANUP_INTERVAL_S)
             limit_ms = self.wall_ms() - int(self.retention_s * 1000)
-            deletions: list[tuple[str, bytes | None]] = []
+            expired = self.replica.expired_cancels(self.clock(), self.retention_s)
+            deletions: list[tuple[str, bytes | None]] = [
+                (records.CANCEL_PREFIX + job_id, None) for job_id in expired
+            ]
             for job_id, view in self.replica.jobs.items():
                 finished_at_ms = view.progress.finished_at_ms
                 if finished_at_ms and finished_at_ms < limit_ms:
--- a/rattanwing/batch/records.py
+++ b/rattanwing/batch/records.py
@@ -92,9 +92,12 @@
     """A caller's request to cancel a job.
 
     :param at_ms: not used; always 0.
+    :param queue: queue at which it was made; a job of another queue is not cancelled.
+        Empty in records of builds that did not store it.
     """
 
     at_ms: int
+    queue: str = ""
 
 
 class AgentAddress(msgspec.Struct, array_like=True):
--- a/rattanwing/batch/replica.py
+++ b/rattanwing/batch/replica.py
@@ -28,6 +28,10 @@
 RETRY_PAUSE_S = 0.2
 """Pause after a failed read."""
 
+MAX_EARLY_CANCELS = 4_000
+"""Most cancellations that are kept for jobs which are not stored yet. Callers can send
+them for any id at will, so that the oldest are dropped."""
+
 STALE_AFTER_S = 2.5
 """A copy of a topic is stale, and gives no answers, when its newest successful read was
 sent longer ago than this: two read waits and a round trip."""
@@ -60,6 +64,20 @@
         return JobState.CANCELLED if self.cancelled else self.progress.state
 
 
+class EarlyCancel:
+    """A cancellation that was stored before its job.
+
+    :param queue: queue at which it was made.
+    :param read_at: when this entry read it.
+    """
+
+    __slots__ = ("queue", "read_at")
+
+    def __init__(self, queue: str, read_at: float) -> None:
+        self.queue = queue
+        self.read_at = read_at
+
+
 class TopicReader:
     """Reads one topic: first the newest record of each key, then each new record.
 
@@ -203,6 +221,8 @@
     """State folded from the work topic: jobs, the owner and interference estimates.
 
     :param unread: ids of jobs that this entry has stored but not read yet.
+    :param early_cancels: cancellations of jobs that are not known, by job id, the
+        oldest first. The job may be on its way to the store.
     :param on_job: called with the id of each job that is new or has changed.
     :param on_owner: called with each owner record that was applied.
     :param owner_seen_at: when the newest record of the current owner was read.
@@ -213,6 +233,7 @@
         "clock",
         "jobs",
         "unread",
+        "early_cancels",
         "owner",
         "owner_seen_at",
         "interference",
@@ -224,6 +245,7 @@
         self.clock = clock
         self.jobs: dict[str, JobView] = {}
         self.unread: set[str] = set()
+        self.early_cancels: dict[str, EarlyCancel] = {}
         self.owner: records.Owner | None = None
         self.owner_seen_at = clock()
         self.interference = records.InterferenceEstimates(0, [])
@@ -256,7 +278,7 @@
             case records.Progress():
                 self.apply_progress(job_id, value)
             case records.CancelRequest():
-                self.apply_cancel(job_id)
+                self.apply_cancel(job_id, value.queue)
             case records.Owner():
                 self.apply_owner(value)
             case records.InterferenceEstimates() if (
@@ -271,7 +293,7 @@
         precede the record, and an owner must know of it before it starts the job.
         """
         if job_id not in self.jobs:
-            self.jobs[job_id] = JobView(spec)
+            self.jobs[job_id] = self.make_view(job_id, spec)
             self.unread.add(job_id)
 
     def apply_job(self, job_id: str, spec: JobSpec) -> None:
@@ -279,9 +301,22 @@
         if job_id in self.jobs and job_id not in self.unread:
             return
         self.unread.discard(job_id)
-        self.jobs.setdefault(job_id, JobView(spec))
+        if job_id not in self.jobs:
+            self.jobs[job_id] = self.make_view(job_id, spec)
+        self.early_cancels.pop(job_id, None)
         self.on_job(job_id)
 
+    def make_view(self, job_id: str, spec: JobSpec) -> JobView:
+        """Return the view of a new job, which may have been cancelled already."""
+        view = JobView(spec)
+        view.cancelled = self.is_cancelled_early(job_id, spec.queue.name)
+        return view
+
+    def is_cancelled_early(self, job_id: str, queue: str) -> bool:
+        """Return whether a job of a queue that is not known was cancelled."""
+        cancel = self.early_cancels.get(job_id)
+        return cancel is not None and cancel.queue == queue
+
     def apply_progress(self, job_id: str, progress: records.Progress) -> None:
         """Replace a job's progress unless an earlier owner wrote the new record."""
         self.record_owner_activity(progress.epoch)
@@ -291,14 +326,43 @@
         view.progress = progress
         self.on_job(job_id)
 
-    def apply_cancel(self, job_id: str) -> None:
-        """Mark a job as cancelled."""
+    def apply_cancel(self, job_id: str, queue: str) -> None:
+        """Mark a job as cancelled; if it is not known, as soon as it is read.
+
+        :param queue: queue at which it was cancelled; empty if that is not known.
+        """
         view = self.jobs.get(job_id)
-        if view is None or view.cancelled:
+        if view is None:
+            if queue:
+                self.early_cancels.pop(job_id, None)
+                self.early_cancels[job_id] = EarlyCancel(queue, self.clock())
+            return
+        if view.cancelled or queue not in ("", view.spec.queue.name):
             return
         view.cancelled = True
         self.on_job(job_id)
 
+    def drop_deleted_cancels(self, keys: set[str]) -> None:
+        """Drop early cancellations whose records are not in the topic any more.
+
+        :param keys: all keys that the topic holds.
+        """
+        for job_id in list(self.early_cancels):
+            if records.CANCEL_PREFIX + job_id not in keys:
+                del self.early_cancels[job_id]
+
+    def expired_cancels(self, now: float, kept_s: float) -> list[str]:
+        """Return the ids of early cancellations that are not to be kept any longer.
+
+        :param kept_s: time in seconds for which each is kept.
+        """
+        surplus = len(self.early_cancels) - MAX_EARLY_CANCELS
+        return [
+            job_id
+            for index, (job_id, cancel) in enumerate(self.early_cancels.items())
+            if index < surplus or now - cancel.read_at > kept_s
+        ]
+
     def apply_owner(self, owner: records.Owner) -> None:
         """Apply a claim, renewal or resignation, unless it is of an earlier epoch."""
         if self.owner is not None and owner.epoch < self.owner.epoch:
@@ -313,10 +377,13 @@
             self.owner_seen_at = self.clock()
 
     def apply_deletion(self, key: str) -> None:
-        """Remove a job whose record was deleted from the topic."""
+        """Remove a job or early cancellation whose record was deleted."""
         prefix, _, job_id = key.partition("/")
-        if prefix + "/" == records.JOB_PREFIX:
-            self.jobs.pop(job_id, None)
+        match prefix + "/":
+            case records.JOB_PREFIX:
+                self.jobs.pop(job_id, None)
+            case records.CANCEL_PREFIX:
+                self.early_cancels.pop(job_id, None)
 
 
 def ignore(_value: object) -> None:
--- a/rattanwing/batch/service.py
+++ b/rattanwing/batch/service.py
@@ -80,6 +80,8 @@
         now = self.clock()
         if not self.reader.loaded.is_set():
             return Answer.NOT_READY
+        if self.replica.is_cancelled_early(job_id, spec.queue.name):
+            return self.refuse(job_id, "cancelled")
         self.drop_settled()
         pending = self.pending_submissions.get(job_id)
         if pending is None or pending.verdict is Verdict.NOT_RUN:
@@ -156,27 +158,56 @@
     async def cancel(self, job_id: str, queue: str, wait_s: float) -> Answer:
         """Cancel a job; a finished job keeps its state.
 
+        An entry can't know whether another one still holds the submission of an unknown
+        id. So its cancellation is stored as well, and the job is cancelled if it is
+        stored later. Both take effect in the order in which the store has them.
+
         :param wait_s: how long the caller waits for the answer.
         """
-        found = await self.find(job_id, queue)
-        if isinstance(found, Answer):
-            return found
-        if found.final:
-            return Answer.ACCEPTED
+        if not self.reader.loaded.is_set():
+            return Answer.NOT_READY
+        settled = self.cancellation_answer(job_id, queue)
+        if settled is not None:
+            return settled
         now = self.clock()
         key = records.CANCEL_PREFIX + job_id
-        value = records.encode(records.CancelRequest(0))
+        value = records.encode(records.CancelRequest(0, queue))
         pending = self.writer.submit([(key, value)], now + STORE_TIMEOUT_S)
         with trio.move_on_after(wait_s):
             await pending.done.wait()
-        if pending.done.is_set() and pending.verdict is Verdict.RAN:
-            self.replica.apply_cancel(job_id)
-            events.write(events.JOB_CANCELLED, job=job_id)
-            return Answer.ACCEPTED
+            if pending.verdict is Verdict.RAN:
+                await self.read_cancellation(job_id, queue)
+        settled = self.cancellation_answer(job_id, queue)
+        if pending.verdict is Verdict.RAN and settled is not None:
+            if settled is Answer.ACCEPTED:
+                events.write(events.JOB_CANCELLED, job=job_id)
+            else:
+                events.write(events.CANCELLED_EARLY, job=job_id, queue=queue)
+            return settled
         if pending.done.is_set() and pending.verdict is Verdict.NOT_RUN:
             return Answer.REFUSED
         return Answer.UNKNOWN_OUTCOME
 
+    async def read_cancellation(self, job_id: str, queue: str) -> None:
+        """Wait until a stored cancellation shows in the replica."""
+        if job_id in self.replica.jobs:
+            self.replica.apply_cancel(job_id, queue)
+        while self.cancellation_answer(job_id, queue) is None:
+            await trio.sleep(POLL_INTERVAL_S)
+
+    def cancellation_answer(self, job_id: str, queue: str) -> Answer | None:
+        """Return the answer to a cancellation; ``None`` if one has to be stored.
+
+        A job of another queue is none of this one, whose queue has none of that id.
+        """
+        view = self.replica.jobs.get(job_id)
+        if view is None:
+            early = self.replica.is_cancelled_early(job_id, queue)
+            return Answer.NO_SUCH_JOB if early else None
+        if view.spec.queue.name != queue:
+            return Answer.NO_SUCH_JOB
+        return Answer.ACCEPTED if view.state.final else None
+
     def is_store_unreachable(self, now: float) -> bool:
         """Return whether appends fail here or the replica is out of date."""
         return self.are_appends_failing(now) or not self.reader.is_fresh(now)
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -256,6 +256,12 @@
     logbook.WARNING,
     "A job fails because the executors that start one of its tasks crash.",
 )
+CANCELLED_EARLY = Event(
+    553,
+    logbook.INFO,
+    "The cancellation of a job that is not known was stored; it is cancelled if its"
+    " submission is stored later.",
+)
 
 EXECUTOR_ANNOUNCED = Event(
     610,
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -1027,6 +1027,7 @@
             await trio.sleep(3)
             owner = world.owner()
             entry = next(e for e in world.entries.values() if e is not owner)
+            await entry.relaying_service.find("none", "queue-1")
             answer = await entry.relaying_service.cancel("none", "queue-1", 2.7)
             self.assertIs(answer, Answer.NO_SUCH_JOB)
             self.assertFalse(entry.store_speed.is_slow(trio.current_time()))
