End the wait for late starts when no executor is there

Half of the starts get no answer, their repeats do; then one executor is lost for good. Its other tasks run elsewhere after 8 s, these stand still for 22 s and more, with 92 of 320 cores in use.

Cause: a run with a start call without an answer counted as possible for 26 s after the call, the longest lateness and the longest lease, although the agent could see that nothing was there.

Ruled out: no room; a silent host (the agent reported all the while); time alone as the mend (12 s of lateness and 10.2 s of lease exceed the 22 s that the rule leaves).

Change: once the call can't be carried out any more (15 s), a poll whose connection is refused shows that no run by it exists or will. The HTTP client tells a refused connection from other failures, the agent notes when a poll was refused, and late_rows leaves such runs out. The model has the executor's absence first: without the new rule a task runs in two places, also in the variant that otherwise excludes it. LEASE is 2 there, so that there is a wait to end.

Conclusion: absence after the last possible lateness is proof, and the lease need not be waited for; with the agent lost, time alone is too long for the rule.

--- a/rattanwing/batch/liveness.py
+++ b/rattanwing/batch/liveness.py
@@ -33,7 +33,7 @@
 LATE_RUN_S = 26.0
 """Time in seconds after a start call without an answer for which a run may exist that
 it has started: ``LATE_CALL_S``, and the longest lease that an executor grants, on
-a clock that may be slow."""
+a clock that may be slow. It is ``LATE_CALL_S`` if no executor is there any more."""
 
 UNCONFIRMED_FOR_S = 28.0
 """Time in seconds after its placement for which a run whose start had no answer may
@@ -68,6 +68,16 @@
         self.properties = properties
         self.sent_at = sent_at
 
+    def is_ruled_out(self, absent_at: float) -> bool:
+        """Return whether no run exists, or will, that this call has started.
+
+        Once the call can't be carried out any more, that no executor is there shows
+        both. Before, it may start again and carry the call out.
+
+        :param absent_at: when a poll was sent that found no executor.
+        """
+        return absent_at > self.sent_at + LATE_CALL_S
+
 
 class StartCalls:
     """The start calls to all incarnations under one id that may be carried out late.
--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -38,7 +38,7 @@
     RunningRow,
 )
 from rattanwing.batch.timing import CLOCK_DRIFT, LEASE_MARGIN_S
-from rattanwing.util.http_client import HttpCallError
+from rattanwing.util.http_client import HttpCallError, NoListenerError
 from rattanwing.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -165,6 +165,8 @@
     :param confirmed_at: when this incarnation last answered a poll; negative infinity
         after a call has failed.
     :param failed_call_at: when a call last failed.
+    :param absent_at: when the last poll was sent that found no process listening at the
+        executor's address; negative infinity if none did.
     :param start_calls: see :class:`~rattanwing.batch.liveness.StartCalls`.
     :param late_reported: runs that the newest report has marked as started by a call
         without an answer.
@@ -198,6 +200,7 @@
         "answered_at",
         "confirmed_at",
         "failed_call_at",
+        "absent_at",
         "start_calls",
         "late_reported",
         "failed_at",
@@ -237,6 +240,7 @@
         self.answered_at = clock()
         self.confirmed_at = float("-inf")
         self.failed_call_at = float("-inf")
+        self.absent_at = float("-inf")
         self.start_calls = StartCalls()
         self.late_reported: set[RunKey] = set()
         self.failed_at: float | None = None
@@ -423,11 +427,16 @@
         """Return the rows of runs that may exist although every lease has lapsed.
 
         A late call may start them if the executor has started again under its id; one
-        with another id refuses the call.
+        with another id refuses the call. Once the call can't be carried out any more,
+        they exist only if the executor is there.
         """
         if self.exited and not self.restarted_under_id:
             return []
-        late = self.start_calls.outstanding(now, LATE_RUN_S)
+        late = {
+            key
+            for key, call in self.start_calls.outstanding(now, LATE_RUN_S).items()
+            if not call.is_ruled_out(self.absent_at)
+        }
         return [row for row in self.running_rows() if (row.task, row.attempt) in late]
 
     def report_late_starts(self, now: float) -> list[bool]:
@@ -499,9 +508,11 @@
     async def fence_successor(self) -> None:
         """Raise the fence of the next incarnation, unless that has another id."""
         fence = call_fence(self.fence, self.generation + 1)
+        sent_at = self.clock()
         try:
             result = await self.executor.poll(fence, 0, None, 0.0)
         except HttpCallError as error:
+            self.record_absence(error, sent_at)
             self.log_silence(error)
             return
         self.silence_logged = False
@@ -509,6 +520,11 @@
             other = result.outcome is OrderOutcome.OTHER_INCARNATION
             self.restarted_under_id = not other
 
+    def record_absence(self, error: HttpCallError, sent_at: float) -> None:
+        """Record a poll if it found no process listening at the executor's address."""
+        if isinstance(error, NoListenerError):
+            self.absent_at = sent_at
+
     def log_silence(self, error: HttpCallError) -> None:
         """Log the first failed call after an answer."""
         if self.silence_logged:
@@ -547,6 +563,7 @@
         try:
             result = await self.call_poll(sent_at, fence, acknowledged, wait_s)
         except HttpCallError as error:
+            self.record_absence(error, sent_at)
             self.record_unconfirmed()
             self.log_silence(error)
             now = self.clock()
--- a/rattanwing/standin/runs.py
+++ b/rattanwing/standin/runs.py
@@ -21,7 +21,7 @@
     PollResult,
     RunningRow,
 )
-from rattanwing.util.http_client import HttpCallError
+from rattanwing.util.http_client import HttpCallError, NoListenerError
 from rattanwing.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -425,8 +425,10 @@
         executor = self.executor
         request_s, answer_s = executor.call_delays()
         await trio.sleep(request_s)
-        if not executor.up or not executor.reachable:
+        if not executor.reachable:
             raise HttpCallError(Verdict.NOT_RUN, "no connection")
+        if not executor.up:
+            raise NoListenerError(Verdict.NOT_RUN, "connection refused")
         answering = executor.incarnation
         if not executor.accepts_calls_for(self.incarnation):
             return OrderResult(OrderOutcome.OTHER_INCARNATION)
--- a/rattanwing/util/http_client.py
+++ b/rattanwing/util/http_client.py
@@ -55,6 +55,10 @@
     """The server could not be reached."""
 
 
+class NoListenerError(NoConnectionError):
+    """The server's host refused the connection: no process listens at the address."""
+
+
 class HttpResponse(msgspec.Struct):
     """A complete HTTP response."""
 
@@ -246,6 +250,7 @@
     async def connect(self) -> trio.SocketStream:
         """Open a connection.
 
+        :raises NoListenerError: when the connection is refused.
         :raises NoConnectionError: when there is none within ``CONNECT_TIMEOUT_S``, the
             address is invalid or the process has no free file descriptor.
         """
@@ -257,6 +262,10 @@
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
                 await sock.connect((host, port))
+        except ConnectionRefusedError as error:
+            sock.close()
+            detail = f"no connection: {error}"
+            raise NoListenerError(Verdict.NOT_RUN, detail) from error
         except (OSError, trio.TooSlowError) as error:
             sock.close()
             raise no_connection(error) from error
--- a/spec/restarts.py
+++ b/spec/restarts.py
@@ -18,6 +18,10 @@
   the call can have no effect any more. This rule alone keeps the task in one place and
   keeps it from running after its end, and it delays each task whose start had no
   answer. It is not part of the protocol.
+
+The wait for the call, and for the lease of a run that it may have started, ends early
+if the agent finds that nothing listens at the executor's address once the call can't be
+carried out any more.
 """
 
 from __future__ import annotations
@@ -27,7 +31,7 @@
 from minicheck import Protocol
 
 LATE_CALL = 3
-LEASE = 1
+LEASE = 2
 MAX_RESTARTS = 2
 
 RULES = (
@@ -39,6 +43,9 @@
     # The end of the lease does not prove that a start without an answer is void; only
     # the time after which no call is carried out does, and the lease that follows.
     "unconfirmed-outlives-lease",
+    # That nothing listens proves that no run exists; but before the end of that time,
+    # the call may still be carried out after the executor has started again.
+    "absence-after-late-calls",
 )
 """Rules of the protocol; without any one of them, an invariant must fail."""
 
@@ -47,10 +54,12 @@
     """State of the model.
 
     :param incarnation: number of the executor's incarnation, from 1.
+    :param up: whether the executor is there.
     :param fence: highest fence that it has seen, as the number of an incarnation.
     :param call: time for which the start call may still be carried out; -1 for none.
     :param lease: time left of the run's lease at the executor.
     :param owner_lease: time until the owner takes a host out of reach for lapsed.
+    :param late_call: time until the call can't be carried out any more.
     :param late_run: time until no run by a late call can exist.
     :param listed: incarnation that has listed its runs to the agent; 0 for none.
     :param lost: whether the owner has taken the first attempt for lost.
@@ -64,10 +73,12 @@
     """
 
     incarnation: int = 1
+    up: bool = True
     fence: int = 1
     call: int = LATE_CALL
     lease: int = 0
     owner_lease: int = LEASE
+    late_call: int = LATE_CALL + 1
     late_run: int = LATE_CALL + LEASE
     listed: int = 0
     lost: bool = False
@@ -86,6 +97,7 @@
         call=max(state.call - 1, -1),
         lease=lease,
         owner_lease=max(state.owner_lease - 1, 0),
+        late_call=max(state.late_call - 1, 0),
         late_run=max(state.late_run - 1, 0),
         running1=state.running1 and lease > 0,
     )
@@ -95,16 +107,13 @@
     """Return the steps of the executor."""
     steps = []
     may_restart = any_restart or not state.lost
-    if state.incarnation <= MAX_RESTARTS and may_restart:
-        after = state._replace(
-            incarnation=state.incarnation + 1,
-            fence=0,
-            lease=0,
-            running1=False,
-            known=False,
-        )
+    if state.up:
+        after = state._replace(up=False, lease=0, running1=False, known=False)
+        steps.append(("executor_crashes", after))
+    elif state.incarnation <= MAX_RESTARTS and may_restart:
+        after = state._replace(up=True, incarnation=state.incarnation + 1, fence=0)
         steps.append(("executor_starts_again", after))
-    if state.call >= 0:
+    if state.up and state.call >= 0:
         after = state._replace(call=-1)
         # The deadline in the call is on the clock of the first incarnation.
         if state.fence <= 1 and not state.known:
@@ -134,6 +143,10 @@
     order has not expired, or with ``waits`` once the call can have no effect.
     """
     steps = []
+    if not state.up:
+        if state.late_call == 0 or removed == "absence-after-late-calls":
+            steps.append(("agent_finds_no_listener", state._replace(late_run=0)))
+        return steps
     if any_restart or not state.lost:
         fence = 1 if removed == "fence-per-incarnation" else state.incarnation
         after = state._replace(fence=max(state.fence, fence), listed=state.incarnation)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -12,7 +12,12 @@
 from hypothesis import strategies as st
 
 from rattanwing.util import http_client
-from rattanwing.util.http_client import HttpCallError, HttpClient, ResponseReader
+from rattanwing.util.http_client import (
+    HttpCallError,
+    HttpClient,
+    NoListenerError,
+    ResponseReader,
+)
 from rattanwing.verdict import Verdict
 
 SETTINGS = settings(derandomize=True, max_examples=200, deadline=None, database=None)
@@ -125,7 +130,22 @@
                 await HttpClient("127.0.0.1:1", 2).call("GET", "/", [], b"", 2.0)
             return caught.exception
 
-        self.assertIs(trio.run(main).verdict, Verdict.NOT_RUN)
+        error = trio.run(main)
+        self.assertIs(error.verdict, Verdict.NOT_RUN)
+        self.assertIsInstance(error, NoListenerError)
+
+    def test_only_a_refused_connection_shows_that_nothing_listens(self):
+        """Runs on a server that can't be reached must not be taken for ended."""
+        for error in (
+            OSError(errno.EHOSTUNREACH, "No route to host"),
+            OSError(errno.ECONNRESET, "Connection reset by peer"),
+            trio.TooSlowError(),
+        ):
+            with self.subTest(error=error), self.assertRaises(HttpCallError) as caught:
+                connect = mock.AsyncMock(side_effect=error)
+                with mock.patch("trio._socket._SocketType.connect", connect):
+                    trio.run(HttpClient("127.0.0.1:1", 1).probe)
+            self.assertNotIsInstance(caught.exception, NoListenerError)
 
     def test_call_without_a_free_file_descriptor_has_not_run(self):
         error = OSError(errno.EMFILE, "Too many open files")
--- a/tests/test_proof_model.py
+++ b/tests/test_proof_model.py
@@ -91,6 +91,10 @@
             with self.subTest(invariant=name):
                 self.assertIs(holds, True)
 
+    def test_absence_of_a_listener_ends_the_wait_only_after_all_late_calls(self):
+        holds = self.search(waits=True, removed="absence-after-late-calls")
+        self.assertIs(holds["one_place"], False)
+
     def test_task_stays_in_one_place(self):
         """Breaks, see KNOWN-RED.txt."""
         self.assertIs(self.search()["one_place"], True)
