--- a/rattanwing/batch/runs.py
+++ b/rattanwing/batch/runs.py
@@ -38,7 +38,7 @@
     RunningRow,
 )
 from rattanwing.batch.timing import CLOCK_DRIFT, LEASE_MARGIN_S
-from rattanwing.util.http_client import HttpCallError
+from rattanwing.util.http_client import HttpCallError, NoListenerError
 from rattanwing.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -64,6 +64,10 @@
 """Time in seconds after the answer to a poll for which the same incarnation is taken to
 be there; longer than a poll waits. A call that fails ends it at once."""
 
+CLOCK_ROUNDING_MS = 2
+"""Difference in milliseconds by which two readings of an executor's clock may be too
+close or too far apart, as each is rounded down."""
+
 BROKEN_WITHIN_S = 0.3
 """A poll that fails within this time in seconds after the end of its wait has lost its
 connection; one that times out takes longer."""
@@ -165,6 +169,8 @@
     :param confirmed_at: when this incarnation last answered a poll; negative infinity
         after a call has failed.
     :param failed_call_at: when a call last failed.
+    :param absent_at: when the last poll was sent that found no process listening at the
+        executor's address; negative infinity if none did.
     :param start_calls: see :class:`~rattanwing.batch.liveness.StartCalls`.
     :param late_reported: runs that the newest report has marked as started by a call
         without an answer.
@@ -198,6 +204,7 @@
         "answered_at",
         "confirmed_at",
         "failed_call_at",
+        "absent_at",
         "start_calls",
         "late_reported",
         "failed_at",
@@ -237,6 +244,7 @@
         self.answered_at = clock()
         self.confirmed_at = float("-inf")
         self.failed_call_at = float("-inf")
+        self.absent_at = float("-inf")
         self.start_calls = StartCalls()
         self.late_reported: set[RunKey] = set()
         self.failed_at: float | None = None
@@ -318,7 +326,6 @@
         """
         self.leases_end_by = max(self.leases_end_by, previous.leases_end_by)
         self.start_calls = previous.start_calls
-        self.ends.succeed(previous.ends)
         taken = {
             key: run.properties
             for key, run in previous.runs.items()
@@ -343,8 +350,7 @@
 
     def accepts_no_runs(self, now: float) -> bool:
         """Return whether the owner must place no runs here, as it reports."""
-        unclean = self.listed_fence != self.fence
-        return self.is_unreachable(now) or unclean or self.ends.may_hide
+        return self.is_unreachable(now) or self.listed_fence != self.fence
 
     def is_unreachable(self, now: float) -> bool:
         """Return whether the executor has exited or stopped answering."""
@@ -386,13 +392,33 @@
             self.broken = broken
             self.on_change()
 
-    def record_order_answer(self, result: OrderResult) -> None:
-        """Record an answer to an order, if it surely comes from this incarnation."""
+    def record_order_answer(self, result: OrderResult, sent_at: float) -> None:
+        """Record an answer to an order, if it surely comes from this incarnation.
+
+        :param sent_at: time of the call.
+        """
         now = self.clock()
         refused = result.outcome is OrderOutcome.OTHER_INCARNATION
-        if not refused and self.is_confirmed(now):
+        behind = self.is_clock_behind(result.clock_ms, sent_at)
+        if not refused and not behind and self.is_confirmed(now):
             self.record_clock(result.clock_ms, now)
 
+    def is_clock_behind(self, clock_ms: int, sent_at: float) -> bool:
+        """Return whether an answer's clock is behind that of this incarnation.
+
+        The next incarnation under the id has then answered, as its clock begins anew;
+        answers to orders don't name theirs.
+
+        :param clock_ms: the executor's clock in the answer; 0 if it is not known.
+        :param sent_at: time of the call.
+        """
+        if self.clock_sample is None or clock_ms <= 0:
+            return False
+        known_ms, known_at = self.clock_sample
+        since_s = sent_at - known_at
+        slowest = 1 - CLOCK_DRIFT if since_s > 0 else 1.0
+        return clock_ms < known_ms + since_s * slowest * 1000 - CLOCK_ROUNDING_MS
+
     def used_resources(self) -> tuple[int, int, int]:
         """Return the thousandths of a core, megabytes and accelerators in use.
 
@@ -425,11 +451,16 @@
         """Return the rows of runs that may exist although every lease has lapsed.
 
         A late call may start them if the executor has started again under its id; one
-        with another id refuses the call.
+        with another id refuses the call. Once the call can't be carried out any more,
+        they exist only if the executor is there.
         """
         if self.exited and not self.restarted_under_id:
             return []
-        late = self.start_calls.outstanding(now, LATE_RUN_S)
+        late = {
+            key
+            for key, call in self.start_calls.outstanding(now, LATE_RUN_S).items()
+            if not call.is_ruled_out(self.absent_at)
+        }
         return [row for row in self.running_rows() if (row.task, row.attempt) in late]
 
     def report_late_starts(self, now: float) -> list[bool]:
@@ -501,9 +532,11 @@
     async def fence_successor(self) -> None:
         """Raise the fence of the next incarnation, unless that has another id."""
         fence = call_fence(self.fence, self.generation + 1)
+        sent_at = self.clock()
         try:
             result = await self.executor.poll(fence, 0, None, 0.0)
         except HttpCallError as error:
+            self.record_absence(error, sent_at)
             self.log_silence(error)
             return
         self.silence_logged = False
@@ -511,6 +544,11 @@
             other = result.outcome is OrderOutcome.OTHER_INCARNATION
             self.restarted_under_id = not other
 
+    def record_absence(self, error: HttpCallError, sent_at: float) -> None:
+        """Record a poll if it found no process listening at the executor's address."""
+        if isinstance(error, NoListenerError):
+            self.absent_at = sent_at
+
     def log_silence(self, error: HttpCallError) -> None:
         """Log the first failed call after an answer."""
         if self.silence_logged:
@@ -549,6 +587,7 @@
         try:
             result = await self.call_poll(sent_at, fence, acknowledged, wait_s)
         except HttpCallError as error:
+            self.record_absence(error, sent_at)
             self.record_unconfirmed()
             self.log_silence(error)
             now = self.clock()
@@ -565,7 +604,6 @@
             self.restarted_under_id = True
             self.handle_poll_refusal(OrderResult(OrderOutcome.OTHER_INCARNATION))
             return False
-        self.ends.record_answer(sent_at, result.clock_ms)
         if sent_at > self.failed_call_at:
             self.confirmed_at = self.clock()
         current = fence == self.fence and result.lists_all_ends
@@ -575,12 +613,6 @@
         changed = self.apply_listing(result, sent_at, self.clock())
         if not self.may_acknowledge():
             await self.pace_best_effort_runs()
-        if first and self.ends.may_hide:
-            events.write(
-                events.EXECUTOR_HIDES_ENDS,
-                executor=self.view.executor_id,
-                incarnation=self.view.incarnation,
-            )
         if changed or first:
             self.on_change()
         return changed or acknowledged > 0
@@ -596,10 +628,8 @@
         fence = call_fence(fence, self.generation)
         if not acknowledged:
             return await self.executor.poll(fence, 0, deadline_ms, wait_s)
-        with self.ends.acknowledging(sent_at) as call:
-            result = await self.executor.poll(fence, acknowledged, deadline_ms, wait_s)
-            call.settled = not self.is_from_another(result)
-        return result
+        with self.ends.acknowledging():
+            return await self.executor.poll(fence, acknowledged, deadline_ms, wait_s)
 
     def is_from_another(self, result: PollResult | OrderResult) -> bool:
         """Return whether another incarnation with the same id has answered a poll."""
@@ -713,9 +743,23 @@
                 self.check_late_start(key)
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
+            if self.is_clock_behind(result.clock_ms, now):
+                # Its lease is on another clock, and may be longer than is known here.
+                events.write(
+                    events.ANSWER_OF_SUCCESSOR,
+                    task=order.task,
+                    attempt=order.attempt,
+                    incarnation=self.view.incarnation,
+                    clock_ms=result.clock_ms,
+                    outcome=result.outcome.value,
+                )
+                self.record_unconfirmed()
+                self.check_late_start(key)
+                await trio.sleep(RETRY_PAUSE_S)
+                continue
             self.start_calls.settle(key, call)
             self.check_late_start(key)
-            self.record_order_answer(result)
+            self.record_order_answer(result, now)
             if fence != self.fence or self.runs.get(key) is not run:
                 return
             if result.outcome is OrderOutcome.ACCEPTED:
@@ -766,8 +810,6 @@
             return "known"
         if self.listed_fence != self.fence:
             return "unclean"
-        if self.ends.may_hide:
-            return "ends-hidden"
         if any(run.properties is None for run in self.runs.values()):
             return "unknown-room"
         cpu, memory_mb, accelerators = self.used_resources()
@@ -809,6 +851,7 @@
         """Stop a run; repeat the call until the executor has accepted or fenced it."""
         fence = self.fence
         while fence == self.fence and not self.exited:
+            sent_at = self.clock()
             try:
                 result = await self.executor.stop(
                     task, attempt, call_fence(fence, self.generation)
@@ -817,7 +860,7 @@
                 self.record_unconfirmed()
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
-            self.record_order_answer(result)
+            self.record_order_answer(result, sent_at)
             if result.outcome is OrderOutcome.ACCEPTED:
                 run = self.runs.get((task, attempt))
                 if run is not None and not run.known_to_executor:
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -256,6 +256,12 @@
     logbook.WARNING,
     "A job fails because the executors that start one of its tasks crash.",
 )
+CANCELLED_EARLY = Event(
+    553,
+    logbook.INFO,
+    "The cancellation of a job that is not known was stored; it is cancelled if its"
+    " submission is stored later.",
+)
 
 EXECUTOR_ANNOUNCED = Event(
     610,
@@ -298,11 +304,6 @@
     logbook.WARNING,
     "An exit was announced under the id of an executor that does not drain.",
 )
-EXECUTOR_HIDES_ENDS = Event(
-    623,
-    logbook.WARNING,
-    "An executor starts no runs until its restart; it may not list their ends.",
-)
 ANNOUNCEMENT_CHECKED = Event(
     624,
     logbook.INFO,
@@ -315,6 +316,11 @@
     "An announcement names another service, address or failure domain than before; it"
     " is used if the next one confirms it.",
 )
+ANSWER_OF_SUCCESSOR = Event(
+    626,
+    logbook.WARNING,
+    "A start was answered by a later incarnation of the executor, as its clock shows.",
+)
 
 TASK_STARTED = Event(601, logbook.INFO, "A task has started on this worker.")
 TASK_REFUSED = Event(602, logbook.INFO, "The start of a task was refused.")
