Decide how long a wait for a near place pays

Cause: a task took the best host of the moment by one price for a remote rack, whatever its run time, and a gang that must share a rack was placed anywhere. Ruled out: a higher price alone (no wait, so a full rack still sends tasks away); a wait of fixed length (docs/design/near-places.md).

--- a/rattanwing/batch/entry.py
+++ b/rattanwing/batch/entry.py
@@ -8,6 +8,7 @@
 
 from rattanwing.batch import records
 from rattanwing.batch.configuration import CurrentConfiguration
+from rattanwing.batch.locality import NearPlaces
 from rattanwing.batch.owner import OwnerLoop
 from rattanwing.batch.ownership import Candidate
 from rattanwing.batch.ports import AppendStamp
@@ -207,6 +208,7 @@
             self.dial,
             self.settings.retention_s,
             self.candidate.keeps_ownership_until,
+            NearPlaces(self.settings.far_factor),
         )
         try:
             async with trio.open_nursery() as nursery:
--- a/rattanwing/batch/jobs.py
+++ b/rattanwing/batch/jobs.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from rattanwing.batch.hosts import Run
+    from rattanwing.batch.locality import NearWait
     from rattanwing.batch.model import JobSpec, StepSpec
 
 MAX_ATTEMPTS_PER_EPOCH = 1 << 20
@@ -32,6 +33,8 @@
         This is a set because an end may be reported twice and in any order.
     :param checkpoint: newest checkpoint, saved by ``checkpoint_attempt``; empty if
         there is none.
+    :param saved_percent: progress of the last run that ended, as last reported; what a
+        checkpoint keeps of it.
     :param runs: attempts that may be running.
     :param failed_on: names of the hosts on which the task has failed.
     :param refused_on: names of the hosts that have refused its start since its last
@@ -54,6 +57,7 @@
         "failed_attempts",
         "checkpoint",
         "checkpoint_attempt",
+        "saved_percent",
         "done",
         "runs",
         "failed_on",
@@ -73,6 +77,7 @@
         self.failed_attempts: set[int] = set()
         self.checkpoint = ""
         self.checkpoint_attempt = 0
+        self.saved_percent = 0
         self.done = False
         self.runs: list[Run] = []
         self.failed_on: set[str] = set()
@@ -115,6 +120,7 @@
         if none is.
     :param wait_logged_at: time when that wait was last logged.
     :param checked_at: time when last no host at all could run one of its tasks.
+    :param near_wait: the only wait for near places under this owner, ``None`` before.
     """
 
     __slots__ = (
@@ -126,6 +132,7 @@
         "waiting_since",
         "wait_logged_at",
         "checked_at",
+        "near_wait",
     )
 
     def __init__(
@@ -142,6 +149,7 @@
         self.waiting_since: float | None = None
         self.wait_logged_at = 0.0
         self.checked_at = float("-inf")
+        self.near_wait: NearWait | None = None
 
     @property
     def key(self) -> str:
--- a/rattanwing/batch/metrics.py
+++ b/rattanwing/batch/metrics.py
@@ -51,6 +51,7 @@
             default=0.0,
         )
         gauges["runs"] = sum(len(host.runs) for host in hosts)
+        gauges["near_waits"] = len(loop.scheduler.near_places.waits)
         gauges["hosts_connected"] = sum(host.connected for host in hosts)
         gauges["owner_confirmed_age_seconds"] = now - loop.writer.last_success_sent_at
     return metrics.render() + "\n".join(render_events()) + "\n"
--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -26,6 +26,7 @@
     from rattanwing.batch.configuration import CurrentConfiguration
     from rattanwing.batch.connections import Dial
     from rattanwing.batch.hosts import Host
+    from rattanwing.batch.locality import NearPlaces
     from rattanwing.batch.replica import Directory, TopicReader, WorkReplica
     from rattanwing.batch.writer import RecordWriter
     from rattanwing.peer.session import PeerSession
@@ -69,6 +70,7 @@
     :param store_needed: set when there is progress to store or an end to acknowledge.
     :param keeps_ownership_until: time until which an owner that reaches any agent does
         not resign because it does not reach most of them.
+    :param near_places: decides about waits for near places in this epoch.
     :param last_reachable_at: when at least half of the agents were last connected.
     :param resignation_requested: set when this entry should resign temporarily.
     """
@@ -106,6 +108,7 @@
         dial: Dial,
         retention_s: float,
         keeps_ownership_until: float,
+        near_places: NearPlaces | None = None,
     ) -> None:
         self.epoch = writer.epoch
         self.writer = writer
@@ -124,7 +127,9 @@
         self.clock = clock
         self.wall_ms = wall_ms
         self.retention_s = retention_s
-        self.scheduler = Scheduler(writer.epoch, writer.last_success_sent_at)
+        self.scheduler = Scheduler(
+            writer.epoch, writer.last_success_sent_at, near_places
+        )
         self.connections = AgentConnections(
             node,
             writer.epoch,
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -17,12 +17,12 @@
 from rattanwing.batch.interference import InterferenceModel
 from rattanwing.batch.jobs import OwnedJob, Task
 from rattanwing.batch.liveness import may_outlive_lease
+from rattanwing.batch.locality import NearPlaces, NearWait
 from rattanwing.batch.model import JobState, parse_task_id
 from rattanwing.batch.moves import choose_moves
 from rattanwing.batch.placement import (
     Constraints,
     OpenHosts,
-    choose_host,
     count_rejections,
 )
 from rattanwing.batch.ports import EndedRow, EndReason, RunningRow
@@ -91,6 +91,7 @@
     :param takeover_complete: whether tasks of inherited jobs may be started; see
         :meth:`check_takeover`.
     :param directory_known: whether every registered agent is in ``cluster``.
+    :param near_places: the decisions about waits for near places.
     """
 
     __slots__ = (
@@ -109,9 +110,12 @@
         "interference_sent_at",
         "stalls_checked_at",
         "moves_checked_at",
+        "near_places",
     )
 
-    def __init__(self, epoch: int, claimed_at: float) -> None:
+    def __init__(
+        self, epoch: int, claimed_at: float, near_places: NearPlaces | None = None
+    ) -> None:
         self.epoch = epoch
         self.claimed_at = claimed_at
         self.jobs: dict[str, OwnedJob] = {}
@@ -127,6 +131,7 @@
         self.interference_sent_at = claimed_at
         self.stalls_checked_at = claimed_at
         self.moves_checked_at = claimed_at
+        self.near_places = near_places or NearPlaces()
 
     # Jobs
 
@@ -430,6 +435,7 @@
         run = host.runs.get((end.task, end.attempt))
         if run is not None:
             self.cluster.release(run, now, has_run=True)
+            self.near_places.record_end(run, now)
         try:
             task_id = parse_task_id(end.task)
         except ValueError:
@@ -589,6 +595,7 @@
             and (self.takeover_complete or not job.inherited)
         ]
         open_hosts = OpenHosts(self.cluster.hosts.values(), self.constraints, now)
+        self.near_places.begin_round(open_hosts, now, now_ms)
         for job in sort_by_urgency(waiting, now_ms):
             try:
                 job.unsettled = not self.place_job(job, open_hosts, now)
@@ -654,7 +661,12 @@
             if not job.may_start(task, now) or not self.crashes.may_test(task, now):
                 held_back = True
                 continue
-            host = choose_host(hosts, job, task, self.interference, now)
+            host = self.near_places.choose(
+                hosts, job, step, task, self.interference, now
+            )
+            if isinstance(host, NearWait):
+                held_back = True
+                continue
             if host is not None:
                 self.start(job, task, task.next_attempt(), host, now)
                 placed = True
@@ -721,20 +733,16 @@
         checkpoint = next(
             (task.checkpoint for task in step.tasks if task.checkpoint), ""
         )
-        placed: list[tuple[Task, Host]] = []
-        for task in step.tasks:
-            host = choose_host(hosts, job, task, self.interference, now)
-            if host is None:
-                break
-            placed.append((task, host))
-            host.reserve(task.step, 1)
-        for task, host in placed:
-            host.reserve(task.step, -1)
-        if len(placed) < len(step.tasks):
-            self.record_wait(job, step, task, now)
+        placed = self.near_places.choose_for_gang(
+            hosts, job, step, self.interference, now
+        )
+        if isinstance(placed, NearWait):
+            return False
+        if not placed:
+            self.record_wait(job, step, step.tasks[0], now)
             return False
         step.waiting_since = None
-        for task, host in placed:
+        for task, host in zip(step.tasks, placed, strict=True):
             task.checkpoint = checkpoint
             self.start(job, task, attempt, host, now)
         return True
--- a/rattanwing/batch/settings.py
+++ b/rattanwing/batch/settings.py
@@ -21,6 +21,8 @@
     :param readiness_address: address on which the load balancer's readiness checks
         are answered; entries only.
     :param peers_address: address on which streams from entries are accepted.
+    :param far_factor: factor of the run time of tasks away from their data, and of
+        gangs that must share a rack and do not; 1.0 if nothing is known of it.
     :param announcements_address: address on which the executor's announcements are
         received; agents only.
     """
@@ -35,3 +37,4 @@
     peers_address: Address | None = None
     announcements_address: Address | None = None
     cpu: int = 0
+    far_factor: float = 1.0
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -243,6 +243,17 @@
     logbook.ERROR,
     "Placing a job failed with an unexpected error; other jobs are placed.",
 )
+NEAR_WAIT_BEGUN = Event(
+    570,
+    logbook.INFO,
+    "Tasks wait for a place near their data or group, at most for the time that is"
+    " named.",
+)
+NEAR_WAIT_ENDED = Event(
+    571,
+    logbook.INFO,
+    "A wait for near places has ended; the field outcome says what came of it.",
+)
 TASK_SUSPECTED = Event(
     550,
     logbook.WARNING,
--- a/rattanwing/platform/settings.py
+++ b/rattanwing/platform/settings.py
@@ -34,14 +34,16 @@
 
 
 class Bounds(msgspec.Struct):
-    """The platform's time limits that a process needs, in seconds.
+    """The platform's bounds that a process needs; times are in seconds.
 
     :param grace_s: time from the request to stop until the process is killed.
     :param status_s: how long the state of a finished job stays readable.
+    :param far_factor: factor of the run time of tasks away from their data or group.
     """
 
     grace_s: NonNegative = 6.0
     status_s: NonNegative = 120.0
+    far_factor: NonNegative = 1.0
 
 
 class Limits(msgspec.Struct):
@@ -117,6 +119,7 @@
         peers_address,
         listen.control or None,
         found.limits.cpu,
+        found.bounds.far_factor,
     )
 
 
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -77,6 +77,9 @@
         self.assertEqual(settings.peers_address, "10.1.0.14:7720")
         self.assertEqual(settings.announcements_address, "10.1.0.14:8166")
         self.assertIsNone(settings.callers_address)
+        self.assertEqual(settings.far_factor, 1.0)
+        with_factor = SETTINGS.replace(b"status_s", b"far_factor = 3\nstatus_s")
+        self.assertEqual(parse_settings(with_factor).far_factor, 3.0)
 
     def test_invalid_settings_are_refused(self):
         for data in (b"\xff", b"node = ", b"", SETTINGS.replace(b"7720", b'"x"')):
