Do not wait for a rack whose hosts could never hold the task

Cause: a rack without the label that a step requires counted as open, so the step waited for it in vain. Ruled out: leaving it to the limit of the wait. Change: the hosts must have room for a task when empty; gangs are planned only in racks where a host is listed.

--- a/rattanwing/batch/locality.py
+++ b/rattanwing/batch/locality.py
@@ -275,7 +275,7 @@
                 self.finish(wait, "job-ended", now)
             elif now >= wait.ends_at:
                 self.finish(wait, "timeout", now)
-            elif not self.room(wait.key, now).hosts:
+            elif not could_hold(self.room(wait.key, now).hosts, wait.step.spec, 1):
                 self.finish(wait, "rack-unavailable", now)
         self.waits = [wait for wait in self.waits if not wait.outcome]
 
@@ -311,7 +311,7 @@
             return host
         key = (job.spec.queue.service, spec.data_rack)
         room = self.room(key, now)
-        if not room.hosts:
+        if not could_hold(room.hosts, spec, 1):
             return host
         size = share_of_host(spec, room.hosts[0])
         tasks = sum(member.is_waiting() for member in step.tasks)
@@ -335,8 +335,11 @@
             return plan_gang(hosts, job, step.tasks, interference, now)
         wait = step.near_wait
         racks = self.list_racks(service, spec, now)
+        listed = {host.name for host in hosts}
         best: tuple[float, str, Room] | None = None
         for rack, members in sorted(racks.items()):
+            if not any(host.name in listed for host in members):
+                continue
             usable = list_usable(members, step.tasks[0], interference, now)
             plan = plan_gang(usable, job, step.tasks, interference, now, partly=True)
             if len(plan) == len(step.tasks):
@@ -345,7 +348,9 @@
             room = self.room((service, rack), now, members)
             missing = len(step.tasks) - len(plan)
             size = missing * share_of_host(spec, members[0])
-            if could_hold(members, spec) and (best is None or room.rate > best[2].rate):
+            if not could_hold(members, spec, spec.count):
+                continue
+            if best is None or room.rate > best[2].rate:
                 best = (size, rack, room)
         if wait is not None and not wait.outcome:
             return wait
@@ -529,15 +534,16 @@
     return max((need / has for need, has in pairs if has), default=0.0)
 
 
-def could_hold(hosts: Iterable[Host], step: StepSpec) -> bool:
-    """Return whether the hosts, when empty, have room for all tasks of a step."""
-    count = 0
+def could_hold(hosts: Iterable[Host], step: StepSpec, count: int) -> bool:
+    """Return whether the hosts, when empty, have room for ``count`` tasks of a step."""
+    total = 0
     for host in hosts:
+        if step.label and step.label not in host.executor.labels:
+            continue
         share = share_of_host(step, host)
         fits = int(1 / share) if share > 0 else step.count
-        if not step.label or step.label in host.executor.labels:
-            count += min(fits, step.spread_limit or fits)
-    return count >= step.count
+        total += min(fits, step.spread_limit or fits)
+    return total >= count
 
 
 def list_usable(
--- a/tests/batch/test_locality.py
+++ b/tests/batch/test_locality.py
@@ -181,6 +181,18 @@
                 self.assertEqual(self.count_in_target("wait", jobs), 30)
                 self.assertLess(self.longest_idle_s, STARVED_AFTER_S)
 
+    def test_rack_that_can_not_hold_the_task_is_not_waited_for(self):
+        self.racks(r1=1, r2=2)
+        for host in self.scheduler.cluster.hosts.values():
+            if host.executor.rack == "rack-2":
+                host.executor.labels.append("large")
+        self.fill("rack-1", 4, lambda number: 0.1 * number)
+        self.run_for(0.3)
+        step = msgspec.structs.replace(NEAR, count=1, label="large")
+        owned = self.submit("job-1", step)
+        self.round()
+        self.assertEqual(self.placed_racks(owned), ["rack-2"])
+
     def test_feature_is_off_without_a_far_factor(self):
         self.count_in_target("present-price", self.arrivals(10, 0.3, 1))
         self.assertFalse(self.scheduler.near_places.ends)
