--- a/tests/batch/test_locality.py
+++ b/tests/batch/test_locality.py
@@ -29,6 +29,7 @@
     return min(saved_s, locality.MAX_WAIT_S - prospect.idle_s)
 
 
+SOON = mock.patch.object(locality.Room, "expected_s", lambda *_: 0.1)
 BASELINES = {
     "no-wait": lambda _prospect: 0.0,
     "endless": lambda _prospect: float("inf"),
@@ -186,10 +187,24 @@
         for host in self.scheduler.cluster.hosts.values():
             if host.executor.rack == "rack-2":
                 host.executor.labels.append("large")
-        self.fill("rack-1", 4, lambda number: 0.1 * number)
-        self.run_for(0.3)
         step = msgspec.structs.replace(NEAR, count=1, label="large")
         owned = self.submit("job-1", step)
+        with SOON:
+            self.round()
+        self.assertEqual(self.placed_racks(owned), ["rack-2"])
+
+    def test_near_host_on_which_the_task_failed_is_not_used(self):
+        self.racks(r1=1, r2=1)
+        owned = self.submit("job-1", msgspec.structs.replace(NEAR, count=1))
+        owned.tasks()[0].failed_on.add("r1-0")
+        self.round()
+        self.assertEqual(self.placed_racks(owned), ["rack-2"])
+
+    def test_rack_where_nothing_ends_is_not_waited_for(self):
+        self.racks(r1=1, r2=1)
+        self.fill("rack-1", 4, lambda _number: 60.0)
+        self.run_for(2.0)
+        owned = self.submit("job-1", msgspec.structs.replace(NEAR, count=1))
         self.round()
         self.assertEqual(self.placed_racks(owned), ["rack-2"])
 
@@ -249,11 +264,31 @@
         owned = self.wait()
         self.run_for(1.3, run_s=5.0)
         run = owned.tasks()[0].runs[0]
+        run.reported = True
         del self.ends[str(run.task.id), run.attempt]
         self.scheduler.cluster.mark_lost(run, "lapsed", self.now)
-        self.round()
+        with SOON:
+            self.round()
         self.assertEqual(self.placed_racks(owned), ["rack-2"])
 
+    def test_waits_of_others_count(self):
+        """More urgent ones come first; a large task holds up those behind it."""
+        self.wait()
+        step = msgspec.structs.replace(NEAR, count=1)
+        large = msgspec.structs.replace(step, cpu=4000)
+        by_ahead = mock.patch.object(
+            locality.Room, "expected_s", lambda _room, ahead, *_: ahead / 10
+        )
+        with mock.patch.object(events, "write") as write, by_ahead:
+            self.submit("job-2", step, latency_ms=900)
+            self.submit("job-3", large, age_s=0.2)
+            self.round()
+        begun = [c.kwargs for c in write.call_args_list if c.args[0].number == 570]
+        found = {fields["task"]: fields for fields in begun}
+        self.assertEqual(found["job-2.0.0.0"]["expected_s"], 0.125)
+        self.assertEqual(found["job-3.0.0.0"]["ahead"], 0)
+        self.assertGreater(found["job-3.0.0.0"]["expected_s"], 0)
+
     def test_drained_lost_or_failing_rack_ends_the_wait(self):
         def drain(host):
             self.report(host, draining=True, **in_rack("rack-1"))
@@ -278,7 +313,6 @@
         step = msgspec.structs.replace(NEAR, count=1)
         spec = self.submit("job-1", step).spec
         accepted_at, epoch = self.now, 3
-        expected = mock.patch.object(locality.Room, "expected_s", lambda *_: 0.1)
         while self.now < accepted_at + locality.MAX_WAIT_S:
             epoch += 1
             self.begin(FAR_FACTOR, epoch)
@@ -286,7 +320,7 @@
             full = self.scheduler.cluster.hosts["r1-0"]
             full.reserved_cpu = full.executor.cpu
             owned = self.add_job(spec, inherited=True)
-            with expected:
+            with SOON:
                 self.round()
             self.assertEqual(owned.running, 0, self.now)
             self.now += 0.3
@@ -295,7 +329,7 @@
         full = self.scheduler.cluster.hosts["r1-0"]
         full.reserved_cpu = full.executor.cpu
         owned = self.add_job(spec, inherited=True)
-        with expected:
+        with SOON:
             self.round()
         self.assertEqual(self.placed_racks(owned), ["rack-2"])
 
@@ -316,6 +350,13 @@
             with self.subTest(due_s):
                 self.assertAlmostEqual(longest_wait_s(prospect), expected_s)
 
+    def test_room_for_a_large_task_must_come_free_on_one_host(self):
+        room = locality.Room([], [], 100.0, 4.0)
+        room.rate, room.fastest, room.typical = 2.0, 0.5, 0.25
+        self.assertEqual(room.expected_s(1.0, 0.25, False), 0.625)
+        self.assertEqual(room.expected_s(1.0, 0.5, False), 1.5)
+        self.assertEqual(room.expected_s(1.0, 0.5, True), 0.75)
+
     def test_kept_checkpoint_shortens_the_wait(self):
         scheduler = Scheduler(3, 100.0, NearPlaces(FAR_FACTOR))
         spec = job(steps=(NEAR, StepSpec(1, estimate_ms=400, after=(0,))))
