Check that the far factor reaches the owner

The test of an error in placing one job patches choose_host where it is now called, in batch/locality.py; it checks the same as before.

--- a/tests/batch/test_backlog.py
+++ b/tests/batch/test_backlog.py
@@ -4,7 +4,7 @@
 
 from unittest import mock
 
-from rattanwing.batch import placement, scheduler
+from rattanwing.batch import locality, placement, scheduler
 from rattanwing.batch.model import StepSpec
 from rattanwing.batch.placement import Constraints
 from rattanwing.batch.scheduler import RECHECK_INTERVAL_S
@@ -86,14 +86,14 @@
     def test_an_error_in_placing_one_job_leaves_the_others(self):
         """It took the owner down, and each later owner as well."""
         self.end_run_on(self.hosts[4])
-        real = scheduler.choose_host
+        real = locality.choose_host
 
         def fail_on_first(hosts, job, *more):
             if job.spec.job_id == "waiting-00":
                 raise ZeroDivisionError("an unexpected error")
             return real(hosts, job, *more)
 
-        with mock.patch.object(scheduler, "choose_host", fail_on_first):
+        with mock.patch.object(locality, "choose_host", fail_on_first):
             self.assertEqual(self.place(), [("agent-04", "waiting-01.0.0.0")])
         self.end_run_on(self.hosts[4])
         self.now += scheduler.FAILED_JOB_PAUSE_S + 0.1
--- a/tests/batch/test_locality.py
+++ b/tests/batch/test_locality.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import msgspec
+import trio
 
 from rattanwing import events
 from rattanwing.batch import locality, messages
@@ -14,7 +15,7 @@
 from rattanwing.batch.replica import JobView
 from rattanwing.batch.scheduler import Scheduler
 from tests.batch.test_scheduler import SchedulerTestCase
-from tests.batch.world import job
+from tests.batch.world import job, play
 
 FAR_FACTOR = 3.0
 ROUND_S = 0.05
@@ -412,3 +413,13 @@
         hosts = [run.host.name for task in owned.tasks() for run in task.runs]
         self.assertEqual(len(set(hosts)), 4)
         self.assertEqual(set(self.placed_racks(owned)), {"rack-2"})
+
+
+class SettingsTests(unittest.TestCase):
+    def test_far_factor_reaches_the_owner(self):
+        async def scenario(world):
+            await trio.sleep(2)
+            owner = world.owner().owner_loop
+            self.assertEqual(owner.scheduler.near_places.far_factor, 3.0)
+
+        play(scenario, far_factor=3.0)
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -50,6 +50,7 @@
     :param disconnected: names of processes whose streams are interrupted.
     :param dial_delay_s: how long it takes to open a stream.
     :param entry_cpu: thousandths of a core of an entry's host, by name.
+    :param far_factor: factor of the run time away from the data.
     :param latency: whether messages, calls and announcements take time, so that they
         cross, and announcements may be lost.
     :param announcements: the announcements that arrive at each agent, by its name.
@@ -57,9 +58,10 @@
         name; used with latency.
     """
 
-    def __init__(self, entries=3, hosts=4, seed=1, latency=False):
+    def __init__(self, entries=3, hosts=4, seed=1, latency=False, far_factor=1.0):
         self.random = Random(seed)
         self.latency = latency
+        self.far_factor = far_factor
         self.latency_random = Random(f"latency-{seed}")
         self.served = {}
         self.announcements = {}
@@ -104,6 +106,7 @@
             6.0,
             peers_address=name,
             cpu=self.entry_cpu.get(name, 0),
+            far_factor=self.far_factor,
         )
         entry = BatchEntry(
             settings,
