Keep the decisions about waits in locality.py

Cause: jobs.py named the type of the wait, which adds locality to the circle of imports of jobs, hosts and urgency. Change: the decisions are kept by step in NearPlaces, and dropped once no task of the step is left. Measured: tests.batch. test_locality, test_scheduler, test_backlog, test_records, test_refusals and tests.test_docs pass; no bench play of this commit.

--- a/rattanwing/batch/jobs.py
+++ b/rattanwing/batch/jobs.py
@@ -10,7 +10,6 @@
 
 if TYPE_CHECKING:
     from rattanwing.batch.hosts import Run
-    from rattanwing.batch.locality import NearWait
     from rattanwing.batch.model import JobSpec, StepSpec
 
 MAX_ATTEMPTS_PER_EPOCH = 1 << 20
@@ -120,7 +119,6 @@
         if none is.
     :param wait_logged_at: time when that wait was last logged.
     :param checked_at: time when last no host at all could run one of its tasks.
-    :param near_wait: the only wait for near places under this owner, ``None`` before.
     """
 
     __slots__ = (
@@ -132,7 +130,6 @@
         "waiting_since",
         "wait_logged_at",
         "checked_at",
-        "near_wait",
     )
 
     def __init__(
@@ -149,7 +146,6 @@
         self.waiting_since: float | None = None
         self.wait_logged_at = 0.0
         self.checked_at = float("-inf")
-        self.near_wait: NearWait | None = None
 
     @property
     def key(self) -> str:
--- a/rattanwing/batch/locality.py
+++ b/rattanwing/batch/locality.py
@@ -141,6 +141,10 @@
         self.started_near = 0
         self.outcome = ""
 
+    def is_obsolete(self) -> bool:
+        """Return whether no task of the step is left to decide about."""
+        return self.job.state.final or not self.step.unfinished
+
 
 class End(NamedTuple):
     """The end of a run.
@@ -212,13 +216,15 @@
     :param expected_run_ms: returns the expected run time of a step's tasks near their
         data, in milliseconds.
     :param ends: recent ends of runs, by host.
-    :param waits: the waits that last.
+    :param decisions: the decision about each unfinished step that has one.
+    :param waits: those of them that are waits that last.
     """
 
     __slots__ = (
         "far_factor",
         "expected_run_ms",
         "ends",
+        "decisions",
         "waits",
         "open_hosts",
         "rooms",
@@ -235,6 +241,7 @@
         self.far_factor = far_factor
         self.expected_run_ms = expected_run_ms or declared_run_ms
         self.ends: dict[str, deque[End]] = {}
+        self.decisions: dict[StepTasks, NearWait] = {}
         self.waits: list[NearWait] = []
         self.open_hosts: OpenHosts | None = None
         self.rooms: dict[Key, Room] = {}
@@ -271,13 +278,16 @@
         for name in self.ends.keys() - known:
             del self.ends[name]
         for wait in self.waits:
-            if wait.job.state.final or not wait.step.unfinished:
+            if wait.is_obsolete():
                 self.finish(wait, "job-ended", now)
             elif now >= wait.ends_at:
                 self.finish(wait, "timeout", now)
             elif not could_hold(self.room(wait.key, now).hosts, wait.step.spec, 1):
                 self.finish(wait, "rack-unavailable", now)
         self.waits = [wait for wait in self.waits if not wait.outcome]
+        for step, wait in list(self.decisions.items()):
+            if wait.is_obsolete():
+                del self.decisions[step]
 
     def choose(
         self,
@@ -295,7 +305,7 @@
         spec = step.spec
         if not self.applies_to(spec) or task.is_suspect():
             return choose_host(hosts, job, task, interference, now)
-        wait = step.near_wait
+        wait = self.decisions.get(step)
         if self.full_for is not step or task.failed_on or task.refused_on:
             near = [h for h in hosts if is_near(h, spec.data_rack)]
             near = list_usable(near, task, interference, now)
@@ -333,7 +343,7 @@
         suspect = any(task.is_suspect() for task in step.tasks)
         if suspect or not self.applies_to(spec):
             return plan_gang(hosts, job, step.tasks, interference, now)
-        wait = step.near_wait
+        wait = self.decisions.get(step)
         racks = self.list_racks(service, spec, now)
         listed = {host.name for host in hosts}
         best: tuple[float, str, Room] | None = None
@@ -388,7 +398,7 @@
         expected_s += delay_behind_s(behind, size, room)
         wait_s = longest_wait_s(prospect)
         wait = NearWait(job, step, key, order, size, tasks, now, wait_s)
-        step.near_wait = wait
+        self.decisions[step] = wait
         if wait_s <= 0.0 or expected_s > wait_s:
             wait.outcome = "not-worth"
             return None
