--- a/rattanwing/batch/jobs.py
+++ b/rattanwing/batch/jobs.py
@@ -32,6 +32,8 @@
         This is a set because an end may be reported twice and in any order.
     :param checkpoint: newest checkpoint, saved by ``checkpoint_attempt``; empty if
         there is none.
+    :param saved_percent: progress of the last run that ended, as last reported; what a
+        checkpoint keeps of it.
     :param runs: attempts that may be running.
     :param failed_on: names of the hosts on which the task has failed.
     :param refused_on: names of the hosts that have refused its start since its last
@@ -54,6 +56,7 @@
         "failed_attempts",
         "checkpoint",
         "checkpoint_attempt",
+        "saved_percent",
         "done",
         "runs",
         "failed_on",
@@ -73,6 +76,7 @@
         self.failed_attempts: set[int] = set()
         self.checkpoint = ""
         self.checkpoint_attempt = 0
+        self.saved_percent = 0
         self.done = False
         self.runs: list[Run] = []
         self.failed_on: set[str] = set()
