Check a configuration of queues before it is written

Cause: operators write queues, services and limits as one record. The store accepts whatever is well-formed; a queue that another one hides, a service that does not exist or a limit under the size of a job showed only when callers were refused.

Weighed: checking at the store (it is not ours); refusing such a configuration when it is read (the store has acknowledged it, so it must be applied).

Change: batch/configuration_check.py decides, platform/configuration_file.py reads the file, 'rattanwing config check' prints, and the owner logs the same faults. Not covered: executors, labels and room, which the record does not name.

--- a/rattanwing/cmd/cli.py
+++ b/rattanwing/cmd/cli.py
@@ -9,6 +9,7 @@
 from rattanwing import __version__
 from rattanwing.cmd.config_commands import (
     ApplyCommand,
+    ConfigCheckCommand,
     DomainInCommand,
     DomainListCommand,
     DomainOutCommand,
@@ -32,6 +33,7 @@
 
 COMMANDS = (
     SettingsCheckCommand,
+    ConfigCheckCommand,
     PlanCommand,
     ApplyCommand,
     DomainListCommand,
--- a/rattanwing/cmd/config_commands.py
+++ b/rattanwing/cmd/config_commands.py
@@ -6,11 +6,25 @@
 from typing import TYPE_CHECKING, ClassVar
 
 import msgspec
-from cleo.helpers import argument
-
-from rattanwing.cmd.base import AUTHOR, EXIT_OK, PRUNE, SETTLE, BaseCommand
+import trio
+from cleo.helpers import argument, option
+
+from rattanwing.batch.configuration_check import Severity, find_changes, find_faults
+from rattanwing.cmd.base import (
+    AUTHOR,
+    EXIT_OK,
+    EXIT_USAGE,
+    FORMAT,
+    PRUNE,
+    SETTLE,
+    BaseCommand,
+)
+from rattanwing.cmd.client import UnreachableError
 from rattanwing.cmd.declared import plan_edits, read_directory, to_changes
-from rattanwing.errors import SettingsError
+from rattanwing.errors import LogError, SettingsError
+from rattanwing.platform.configuration_file import read_configuration
+from rattanwing.platform.operator import CONFIG_KEY, OPERATOR_TOPIC
+from rattanwing.platform.store import PlatformStore
 from rattanwing.settings import load_settings
 
 if TYPE_CHECKING:
@@ -41,6 +55,93 @@
         return self.print_result({"ok": True}, "the settings are valid")
 
 
+class ConfigCheckCommand(BaseCommand):
+    """Checks a configuration before it is written to the platform's store."""
+
+    name = "config check"
+    description = "Check a configuration file: faults, and what it would change"
+    example = "config check new.json --in-force current.json"
+    common: ClassVar[list[Option]] = [FORMAT]
+    arguments: ClassVar[list[Argument]] = [
+        argument("file", "the configuration to check, as JSON")
+    ]
+
+    def own_options(self) -> list[Option]:
+        """Return the command's own options."""
+        in_force = "file with the configuration in force, to compare with"
+        store = (
+            "ip:port of the platform's store, to compare with the one in force there"
+        )
+        return [
+            option("in-force", None, in_force, flag=False),
+            option("store", None, store, flag=False),
+        ]
+
+    def run_command(self) -> int:
+        """Print the findings; the exit code is 2 if one of them is an error."""
+        proposed, findings = read_configuration(read_file(self.argument("file")))
+        if proposed is not None:
+            findings += find_faults(proposed)
+        data = self.read_in_force()
+        if data is not None and proposed is not None:
+            current, problems = read_configuration(data)
+            if current is None:
+                raise SettingsError(
+                    [f"in force: {p.place}: {p.detail}" for p in problems]
+                )
+            findings += find_changes(proposed, current)
+        lines = [
+            f"{finding.severity}: {finding.place}: {finding.rule}: {finding.detail}"
+            for finding in findings
+        ]
+        rows = msgspec.to_builtins(findings)
+        self.print_result({"findings": rows}, "\n".join(lines) or "no findings")
+        failed = any(finding.severity is Severity.ERROR for finding in findings)
+        return EXIT_USAGE if failed else EXIT_OK
+
+    def read_in_force(self) -> bytes | None:
+        """Return the configuration to compare with; ``None`` if no option names one.
+
+        :raises UnreachableError: when the store does not answer.
+        """
+        if self.option("in-force"):
+            return read_file(self.option("in-force"))
+        if not self.option("store"):
+            return None
+        try:
+            return trio.run(read_stored_configuration, self.option("store"))
+        except LogError as error:
+            raise UnreachableError(str(error)) from error
+
+
+def read_file(name: str) -> bytes:
+    """Return the content of a file.
+
+    :raises SettingsError: when it can't be read.
+    """
+    try:
+        return Path(name).read_bytes()
+    except OSError as error:
+        raise SettingsError([f"{name}: {error.strerror}"]) from error
+
+
+async def read_stored_configuration(address: str) -> bytes | None:
+    """Return the configuration in the store, ``None`` if there is none.
+
+    :raises LogError: when the store does not answer.
+    """
+    store = PlatformStore(address)
+    after = ""
+    while True:
+        page = await store.list_newest(OPERATOR_TOPIC, after)
+        for record in page.records:
+            if record.key == CONFIG_KEY:
+                return record.value
+        if not page.has_more or not page.records:
+            return None
+        after = page.records[-1].key
+
+
 class PlanCommand(BaseCommand):
     """Compares a directory of declarations with the configuration."""
 
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -132,6 +132,11 @@
 DOMAIN_CHANGED = Event(
     409, logbook.INFO, "A record that closes or reopens a failure domain was applied."
 )
+CONFIG_FINDING = Event(
+    410,
+    logbook.WARNING,
+    "The check of an applied configuration has found a fault; see place and rule.",
+)
 
 SHARD_CLAIMED = Event(501, logbook.INFO, "This entry now owns a shard.")
 SHARD_LOST = Event(502, logbook.WARNING, "This entry no longer owns a shard.")
--- a/rattanwing/platform/main.py
+++ b/rattanwing/platform/main.py
@@ -131,6 +131,7 @@
     from rattanwing.batch.replica import TopicReader
     from rattanwing.peer.frames import dial_peer, serve_peers
     from rattanwing.platform.callers import CallerRoutes
+    from rattanwing.platform.configuration_file import log_faults
     from rattanwing.platform.operator import OPERATOR_TOPIC, OperatorRecords
 
     store = PlatformStore(settings.store)
@@ -138,6 +139,13 @@
         settings, store, steady_clock, wall_clock_ms, make_random(), dial_peer
     )
     operator = OperatorRecords(entry.configuration, entry.handle_configuration_change)
+
+    def check_applied(data: bytes) -> None:
+        # One process is enough to log the findings, and every entry applies the record.
+        if entry.owner_loop is not None:
+            log_faults(data)
+
+    operator.on_applied = check_applied
     operator_reader = TopicReader(store, OPERATOR_TOPIC, steady_clock, operator.apply)
     operator_reader.on_loaded = operator.handle_loaded
     callers = CallerRoutes(entry.relaying_service, entry.configuration)
--- a/rattanwing/platform/operator.py
+++ b/rattanwing/platform/operator.py
@@ -65,15 +65,17 @@
 
     :param on_change: called after each change of the configuration or of the closed
         failure domains.
+    :param on_applied: called with the text of each configuration that was put in force.
     """
 
-    __slots__ = ("configuration", "on_change")
+    __slots__ = ("configuration", "on_change", "on_applied")
 
     def __init__(
         self, configuration: CurrentConfiguration, on_change: Callable[[], None]
     ) -> None:
         self.configuration = configuration
         self.on_change = on_change
+        self.on_applied: Callable[[bytes], None] = lambda _data: None
 
     def apply(self, record: StoredRecord) -> None:
         """Apply a record: the configuration or a closed domain; others are ignored."""
@@ -101,6 +103,7 @@
                 queues=len(queues),
             )
             self.on_change()
+            self.on_applied(record.value)
 
     def apply_domain_record(self, record: StoredRecord) -> None:
         """Close a failure domain; if the record deletes its key, reopen the domain."""
