Start best-effort tasks where the reported headroom lets them work

Placement knew pairs of images, but not the present headroom. Change: the owner predicts the pace at which the agent would start a task, does not start where that is 0, and moves throttled runs to hosts where they would be at work.

--- /dev/null
+++ b/rattanwing/batch/headroom.py
@@ -0,0 +1,109 @@
+"""Predicts the pace at which a best-effort task would start on a host.
+
+More best-effort tasks wait than the hosts can run beside their serving tasks, whose
+loads rise and fall within seconds. A task that starts where the headroom of a serving
+task is short is paced to 0 by the agent, and holds up its job there, while the
+serving tasks of another host are at the low point of their load. The owner receives the
+tail latencies of all hosts twice a second, so it can apply the rules of the agents'
+:class:`~rattanwing.batch.pacing.BestEffortPacer` before it chooses a host.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from rattanwing.batch.pacing import (
+    FULL_PERCENT,
+    KEEP_HEADROOM,
+    MEASURED_AFTER_S,
+    UNKNOWN_SPEEDUP_PERCENT,
+    BestEffortPacer,
+    BestEffortRun,
+    ServingLatency,
+    to_percent,
+)
+
+if TYPE_CHECKING:
+    from rattanwing.batch.hosts import Host
+    from rattanwing.batch.interference import InterferenceModel
+    from rattanwing.batch.model import StepSpec
+
+
+class HostHeadroom:
+    """The headroom of a host's serving tasks that further best-effort tasks may take.
+
+    :param reported_at: time of the report that the headroom is taken from.
+    :param serving: the serving tasks with a reported tail latency.
+    :param unreported: the images of the others.
+    :param recent: best-effort runs that the report does not cover, oldest first.
+    """
+
+    __slots__ = ("reported_at", "serving", "unreported", "recent")
+
+    def __init__(self, host: Host) -> None:
+        self.reported_at = host.last_heard_at
+        self.serving: list[ServingLatency] = []
+        self.unreported: list[str] = []
+        self.recent: list[BestEffortRun] = []
+        for run in host.runs.values():
+            step = run.task.step
+            if step.target_ms > 0:
+                self.add_serving(step, run.measurement)
+            elif step.best_effort:
+                age_s = self.reported_at - run.placed_at
+                if age_s < MEASURED_AFTER_S:
+                    self.recent.append(new_run(step))
+
+    def add_serving(self, step: StepSpec, tail_ms: int) -> None:
+        """Add a serving task.
+
+        :param tail_ms: its last reported tail latency, in milliseconds; 0 if there is
+            none.
+        """
+        if tail_ms > 0:
+            latency = ServingLatency(step.image, tail_ms, step.target_ms, step.cpu)
+            self.serving.append(latency)
+        else:
+            self.unreported.append(step.image)
+
+    def start_pace(self, step: StepSpec, interference: InterferenceModel) -> int:
+        """Return the pace, in percent, that the agent would give a new task of a step.
+
+        No run starts while a serving task is over its target. Serving tasks without a
+        report may limit the pace as soon as they are reported.
+        """
+        if any(latency.headroom < 1 for latency in self.serving):
+            return 0
+        pacer = BestEffortPacer()
+        pacer.headroom_loss_per_core = interference.headroom_loss_per_core
+        spare = {
+            index: latency.headroom - KEEP_HEADROOM
+            for index, latency in enumerate(self.serving)
+        }
+        for run in self.recent:
+            pacer.allot_increase(self.serving, run, 0.0, spare)
+        pace = pacer.allot_increase(self.serving, new_run(step), 0.0, spare)
+        if any(
+            interference.expected_loss(image, step.image, step.cpu) > 0
+            for image in self.unreported
+        ):
+            pace = min(pace, UNKNOWN_SPEEDUP_PERCENT)
+        return to_percent(pace)
+
+
+def new_run(step: StepSpec) -> BestEffortRun:
+    """Return a run of a step that has not been paced yet."""
+    return BestEffortRun(step.image, step.cpu, FULL_PERCENT, 0.0, is_new=True)
+
+
+def expected_start_pace(
+    host: Host, step: StepSpec, interference: InterferenceModel
+) -> int:
+    """Return the pace, in percent, at which a best-effort task would start on a host.
+
+    The headroom is taken from the host's newest report; the runs placed since then
+    count as if they took what the agent lets them have.
+    """
+    if host.headroom is None or host.headroom.reported_at != host.last_heard_at:
+        host.headroom = HostHeadroom(host)
+    return host.headroom.start_pace(step, interference)
--- a/rattanwing/batch/moves.py
+++ b/rattanwing/batch/moves.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from rattanwing.batch.colocation import summarize_colocation
+from rattanwing.batch.headroom import expected_start_pace
 from rattanwing.batch.placement import count_runs_on, rejection_reason
 
 if TYPE_CHECKING:
@@ -25,6 +26,9 @@
 """Time in seconds for which a run must have been throttled; longer than the short
 peaks of load of serving tasks."""
 
+MOVE_TO_PERCENT = 75
+"""Lowest pace in percent at which a moved run must be able to start."""
+
 MAX_LOST_PERCENT = 20
 """Progress in percent up to which a run without checkpoints may be moved, although it
 starts again from the beginning."""
@@ -108,7 +112,7 @@
     interference: InterferenceModel,
     now: float,
 ) -> Host | None:
-    """Return the host with the most unused CPU on which a run would not interfere.
+    """Return the host with the most unused CPU on which a run would be at work at once.
 
     :param targets: hosts with their unused CPU, most first.
     """
@@ -118,8 +122,7 @@
             return None
         if host is run.host or host.name in task.failed_on:
             continue
-        colocation = summarize_colocation(host, interference)
-        if not colocation.is_compatible(step, interference):
+        if expected_start_pace(host, step, interference) < MOVE_TO_PERCENT:
             continue
         if rejection_reason(host, task.job, step, constraints, now):
             continue
--- a/rattanwing/batch/placement.py
+++ b/rattanwing/batch/placement.py
@@ -11,6 +11,8 @@
 from typing import TYPE_CHECKING
 
 from rattanwing.batch.colocation import summarize_colocation
+from rattanwing.batch.headroom import expected_start_pace
+from rattanwing.batch.pacing import FULL_PERCENT
 from rattanwing.batch.suspicion import must_start_alone
 
 if TYPE_CHECKING:
@@ -30,6 +32,10 @@
 host. About this much is available on average while the loads of serving tasks vary;
 best-effort tasks beyond it would be paced down most of the time."""
 
+START_PACE_WEIGHT = 40_000
+"""Cost of a host on which a best-effort task would start at pace 0, in thousandths of a
+core; it takes precedence over unused CPU, which suffices on all suitable hosts."""
+
 SAME_STEP_WEIGHT = 16_000
 """Cost of each task of the same long-running step on a host beyond ``MAX_STEP_SHARE``,
 in thousandths of a core. It equals two large tasks, so that it takes precedence over
@@ -211,7 +217,7 @@
     A best-effort task needs enough unused CPU, and its interference must keep the
     loss of each serving task within ``INTERFERENCE_LIMIT``. A task that exceeds
     the limit by itself is still suitable if no other best-effort task interferes with
-    the same serving image.
+    the same serving image. It also needs headroom to start with.
     """
     if host.health.is_failing(now):
         return "failing"
@@ -223,6 +229,8 @@
     for own, total in colocation.losses_with(step, interference):
         if total > max(INTERFERENCE_LIMIT, own):
             return "interference"
+    if expected_start_pace(host, step, interference) == 0:
+        return "headroom"
     return ""
 
 
@@ -276,6 +284,8 @@
     total = -host.free_cpu()
     if step.best_effort:
         total = -summarize_colocation(host, interference).best_effort_cpu_available
+        pace = expected_start_pace(host, step, interference)
+        total += START_PACE_WEIGHT * (FULL_PERCENT - pace) // FULL_PERCENT
     total += int(
         INTERFERENCE_WEIGHT * largest_headroom_loss(host, step, interference, now)
     )
