--- a/rattanwing/batch/colocation.py
+++ b/rattanwing/batch/colocation.py
@@ -2,7 +2,7 @@
 
 Dozens of steps may wait for free resources, and placement evaluates every host
 several times a round for each of them. The summary of a host is computed once and
-cached until the host's runs change.
+cached until the host's runs change or its agent reports.
 """
 
 from __future__ import annotations
@@ -18,15 +18,17 @@
 class ColocationSummary:
     """The cached summary of one host.
 
+    :param reported_at: time of the report that it is taken from.
     :param headroom_loss: headroom lost to all best-effort tasks of the host, by
         serving image.
     :param best_effort_cpu_available: thousandths of a core that further
         best-effort tasks may declare.
     """
 
-    __slots__ = ("headroom_loss", "best_effort_cpu_available")
+    __slots__ = ("reported_at", "headroom_loss", "best_effort_cpu_available")
 
     def __init__(self, host: Host, interference: InterferenceModel) -> None:
+        self.reported_at = host.last_heard_at
         runs = host.runs.values()
         best_effort_runs = [run for run in runs if run.task.step.best_effort]
         self.headroom_loss = {
@@ -41,14 +43,8 @@
                 self.headroom_loss[image] += interference.expected_loss(
                     image, step.image, step.cpu
                 )
-        self.best_effort_cpu_available = host.unused_cpu(interfering)
-
-    def is_compatible(self, step: StepSpec, interference: InterferenceModel) -> bool:
-        """Return whether a best-effort task is known not to interfere on the host."""
-        return all(
-            interference.is_known(image, step.image)
-            and not interference.headroom_loss(image, step.image, step.cpu)
-            for image in self.headroom_loss
+        self.best_effort_cpu_available = host.unused_cpu(
+            interfering, interference.serving_load
         )
 
     def losses_with(
@@ -78,6 +74,7 @@
     CPU that best-effort runs leave idle while they wait for headroom is offered to
     others; runs that wait for CPU keep what they declare.
     """
-    if host.colocation is None:
+    summary = host.colocation
+    if summary is None or summary.reported_at != host.last_heard_at:
         host.colocation = ColocationSummary(host, interference)
     return host.colocation
--- a/rattanwing/batch/headroom.py
+++ b/rattanwing/batch/headroom.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from rattanwing.batch.pacing import (
+    CPU_MARGIN_SHARE,
     FULL_PERCENT,
     KEEP_HEADROOM,
     MEASURED_AFTER_S,
@@ -30,41 +31,56 @@
 
 
 class HostHeadroom:
-    """The headroom of a host's serving tasks that further best-effort tasks may take.
+    """What the serving tasks of a host leave to further best-effort tasks.
+
+    The runs placed since the last report count as if they took what the agent lets them
+    have.
 
     :param reported_at: time of the report that the headroom is taken from.
     :param serving: the serving tasks with a reported tail latency.
     :param unreported: the images of the others.
     :param recent: best-effort runs that the report does not cover, oldest first.
+    :param unused_cpu: thousandths of a core that nothing uses at present; ``None``
+        without serving tasks, where the agent sets no limit.
+    :param paces: the paces computed so far, in percent, by image and CPU of a task.
     """
 
-    __slots__ = ("reported_at", "serving", "unreported", "recent")
+    __slots__ = (
+        "reported_at",
+        "serving",
+        "unreported",
+        "recent",
+        "unused_cpu",
+        "paces",
+    )
 
     def __init__(self, host: Host) -> None:
         self.reported_at = host.last_heard_at
         self.serving: list[ServingLatency] = []
         self.unreported: list[str] = []
         self.recent: list[BestEffortRun] = []
+        self.paces: dict[tuple[str, int], int] = {}
+        used = 0.0
         for run in host.runs.values():
             step = run.task.step
-            if step.target_ms > 0:
-                self.add_serving(step, run.measurement)
+            if step.best_effort and self.reported_at - run.placed_at < MEASURED_AFTER_S:
+                self.recent.append(new_run(step))
+                used += step.cpu
             elif step.best_effort:
-                age_s = self.reported_at - run.placed_at
-                if age_s < MEASURED_AFTER_S:
-                    self.recent.append(new_run(step))
-
-    def add_serving(self, step: StepSpec, tail_ms: int) -> None:
-        """Add a serving task.
-
-        :param tail_ms: its last reported tail latency, in milliseconds; 0 if there is
-            none.
-        """
-        if tail_ms > 0:
-            latency = ServingLatency(step.image, tail_ms, step.target_ms, step.cpu)
-            self.serving.append(latency)
-        else:
-            self.unreported.append(step.image)
+                used += run.measurement
+            elif step.target_ms <= 0:
+                used += step.cpu
+            elif run.measurement > 0:
+                latency = ServingLatency(
+                    step.image, run.measurement, step.target_ms, step.cpu
+                )
+                self.serving.append(latency)
+                used += latency.used_cpu
+            else:
+                self.unreported.append(step.image)
+        self.unused_cpu: float | None = None
+        if self.serving and host.executor is not None:
+            self.unused_cpu = host.executor.cpu * (1 - CPU_MARGIN_SHARE) - used
 
     def start_pace(self, step: StepSpec, interference: InterferenceModel) -> int:
         """Return the pace, in percent, that the agent would give a new task of a step.
@@ -72,8 +88,15 @@
         No run starts while a serving task is over its target. Serving tasks without a
         report may limit the pace as soon as they are reported.
         """
+        key = step.image, step.cpu
+        if key not in self.paces:
+            self.paces[key] = to_percent(self.compute_pace(step, interference))
+        return self.paces[key]
+
+    def compute_pace(self, step: StepSpec, interference: InterferenceModel) -> float:
+        """Return the pace, in percent, before it is rounded."""
         if any(latency.headroom < 1 for latency in self.serving):
-            return 0
+            return 0.0
         pacer = BestEffortPacer()
         pacer.headroom_loss_per_core = interference.headroom_loss_per_core
         spare = {
@@ -83,12 +106,15 @@
         for run in self.recent:
             pacer.allot_increase(self.serving, run, 0.0, spare)
         pace = pacer.allot_increase(self.serving, new_run(step), 0.0, spare)
+        if self.unused_cpu is not None and step.cpu > 0:
+            affordable = max(0.0, self.unused_cpu) / step.cpu * FULL_PERCENT
+            pace = min(pace, affordable)
         if any(
             interference.expected_loss(image, step.image, step.cpu) > 0
             for image in self.unreported
         ):
             pace = min(pace, UNKNOWN_SPEEDUP_PERCENT)
-        return to_percent(pace)
+        return pace
 
 
 def new_run(step: StepSpec) -> BestEffortRun:
@@ -99,11 +125,7 @@
 def expected_start_pace(
     host: Host, step: StepSpec, interference: InterferenceModel
 ) -> int:
-    """Return the pace, in percent, at which a best-effort task would start on a host.
-
-    The headroom is taken from the host's newest report; the runs placed since then
-    count as if they took what the agent lets them have.
-    """
+    """Return the pace, in percent, at which a best-effort task would start."""
     if host.headroom is None or host.headroom.reported_at != host.last_heard_at:
         host.headroom = HostHeadroom(host)
     return host.headroom.start_pace(step, interference)
