--- a/rattanwing/batch/serving_load.py
+++ b/rattanwing/batch/serving_load.py
@@ -3,8 +3,8 @@
 Best-effort tasks run in the CPU that serving tasks leave idle, and more of them wait
 than there is room for. The CPU use of serving tasks is not reported, but their tail
 latencies are inversely proportional to the idle share of their CPU. Their loads rise
-and fall within seconds, as long as a best-effort task runs, so the room of a host is
-taken to be halfway between what it has at present and what it has on average.
+and fall within seconds, as long as a best-effort task runs: the room of a host is what
+it has on average, or halfway to what it has at present if that is less.
 """
 
 from __future__ import annotations
@@ -77,20 +77,19 @@
     def expected_cpu(self, runs: Iterable[Run]) -> float:
         """Return the CPU that long-running tasks will use for the next few seconds.
 
-        It is halfway between their present use and their average use.
+        It is their average use, or halfway from there to a higher present use: loads
+        below their mean rise again while a best-effort task runs.
 
         :returns: thousandths of a core.
         """
-        used = 0.0
+        present = average = 0.0
         for run in runs:
             step = run.task.step
             if not step.long_running:
                 continue
-            if step.target_ms <= 0:
-                used += step.cpu * ASSUMED_LOAD
-            elif run.measurement <= 0:
-                used += step.cpu * self.mean
-            else:
+            load = self.mean if step.target_ms > 0 else ASSUMED_LOAD
+            average += step.cpu * load
+            if step.target_ms > 0 and run.measurement > 0:
                 load = estimate_load(step.target_ms / run.measurement)
-                used += step.cpu * (load + self.mean) / 2
-        return used
+            present += step.cpu * load
+        return (average + max(average, present)) / 2
--- a/tests/batch/test_serving_load.py
+++ b/tests/batch/test_serving_load.py
@@ -64,10 +64,10 @@
         self.assertTrue(self.fits(room))
         self.assertFalse(self.fits(room + 100))
 
-    def test_room_follows_the_reported_load(self):
-        for load in (0.4, 0.7):
+    def test_room_follows_the_mean_load_and_higher_present_loads(self):
+        for load, expected in ((0.4, 0.5), (0.7, 0.6)):
             with self.subTest(load=load):
                 self.report_load(load)
-                room = 20_000 * (1 - (load + 0.5) / 2)
+                room = 20_000 * (1 - expected)
                 self.assertTrue(self.fits(int(room - 500)))
                 self.assertFalse(self.fits(int(room + 500)))
