--- a/rattanwing/batch/colocation.py
+++ b/rattanwing/batch/colocation.py
@@ -2,7 +2,7 @@
 
 Dozens of steps may wait for free resources, and placement evaluates every host
 several times a round for each of them. The summary of a host is computed once and
-cached until the host's runs change or its agent reports.
+cached until the host's runs change.
 """
 
 from __future__ import annotations
@@ -18,17 +18,15 @@
 class ColocationSummary:
     """The cached summary of one host.
 
-    :param reported_at: time of the report that it is taken from.
     :param headroom_loss: headroom lost to all best-effort tasks of the host, by
         serving image.
     :param best_effort_cpu_available: thousandths of a core that further
         best-effort tasks may declare.
     """
 
-    __slots__ = ("reported_at", "headroom_loss", "best_effort_cpu_available")
+    __slots__ = ("headroom_loss", "best_effort_cpu_available")
 
     def __init__(self, host: Host, interference: InterferenceModel) -> None:
-        self.reported_at = host.last_heard_at
         runs = host.runs.values()
         best_effort_runs = [run for run in runs if run.task.step.best_effort]
         self.headroom_loss = {
@@ -43,9 +41,7 @@
                 self.headroom_loss[image] += interference.expected_loss(
                     image, step.image, step.cpu
                 )
-        self.best_effort_cpu_available = host.unused_cpu(
-            interfering, interference.serving_load
-        )
+        self.best_effort_cpu_available = host.unused_cpu(interfering)
 
     def losses_with(
         self, step: StepSpec, interference: InterferenceModel
@@ -74,7 +70,6 @@
     CPU that best-effort runs leave idle while they wait for headroom is offered to
     others; runs that wait for CPU keep what they declare.
     """
-    summary = host.colocation
-    if summary is None or summary.reported_at != host.last_heard_at:
+    if host.colocation is None:
         host.colocation = ColocationSummary(host, interference)
     return host.colocation
--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -14,7 +14,11 @@
     from rattanwing.batch.jobs import OwnedJob, Task
     from rattanwing.batch.model import StepSpec
     from rattanwing.batch.ports import ExecutorView
-    from rattanwing.batch.serving_load import ServingLoad
+
+LONG_RUNNING_USE_SHARE = 0.6
+"""Share of the CPU declared by long-running tasks that they are assumed to use; the
+rest is available to best-effort tasks. Their CPU use is not reported; their loads
+vary around half of what they declare, and some peak together."""
 
 SILENT_AFTER_S = 2.0
 """Time in seconds without a message from the agent after which its host gets no new
@@ -120,8 +124,7 @@
         ends from 1.
     :param unknown_runs: number of reported runs that belong to no known task. They are
         being stopped, and the resources that they use are unknown.
-    :param colocation: cached summary of the last report, ``None`` after the runs have
-        changed.
+    :param colocation: cached summary, ``None`` after the runs have changed.
     :param headroom: cached headroom of the last report, ``None`` after the runs have
         changed.
     :param freed: whether the host may be able to run more than at the last round of
@@ -272,21 +275,21 @@
             return 0
         return self.executor.cpu - self.reserved_cpu - self.reserved_best_effort_cpu
 
-    def unused_cpu(self, interfering: set[str], serving_load: ServingLoad) -> int:
+    def unused_cpu(self, interfering: set[str]) -> int:
         """Return the CPU that best-effort tasks could use, beyond what they use now.
 
         :param interfering: best-effort images that are known to interfere with a
             serving task of the host.
-        :returns: thousandths of a core. Long-running tasks count with the CPU that they
-            are expected to use, and all others with their declared CPU. Throttled
-            runs of interfering images count with their last reported use, as they
-            wait for headroom. Other throttled runs wait for CPU: a job is done only
-            with its last task, so tasks that wait in the order of urgency finish more
-            jobs than tasks that all begin and share a host.
+        :returns: thousandths of a core. Long-running tasks count with the share of
+            their declared CPU that they are assumed to use, and all others with their
+            declared CPU. Throttled runs of interfering images count with their last
+            reported use, as they wait for headroom. Other throttled runs wait for CPU:
+            a job is done only with its last task, so tasks that wait in the order of
+            urgency finish more jobs than tasks that all begin and share a host.
         """
         if self.executor is None:
             return 0
-        serving = int(serving_load.expected_cpu(self.runs.values()))
+        serving = int(self.reserved_long_running_cpu * LONG_RUNNING_USE_SHARE)
         others = self.reserved_cpu - self.reserved_long_running_cpu
         used = sum(
             run.measurement
--- a/rattanwing/batch/interference.py
+++ b/rattanwing/batch/interference.py
@@ -21,8 +21,6 @@
 
 import msgspec
 
-from rattanwing.batch.serving_load import ServingLoad
-
 if TYPE_CHECKING:
     from rattanwing.batch.hosts import Run
 
@@ -151,15 +149,13 @@
     :param headroom_loss_per_core: headroom lost per core, by serving and best-effort
         image, of each known pair. A known pair stays known after its observations
         have decayed.
-    :param serving_load: see :class:`~rattanwing.batch.serving_load.ServingLoad`.
     """
 
-    __slots__ = ("fits", "headroom_loss_per_core", "serving_load")
+    __slots__ = ("fits", "headroom_loss_per_core")
 
     def __init__(self) -> None:
         self.fits: dict[str, ServingFit] = {}
         self.headroom_loss_per_core: dict[tuple[str, str], float] = {}
-        self.serving_load = ServingLoad()
 
     def observe(self, runs: list[Run], now: float) -> None:
         """Add a sample of each serving run on a host.
@@ -176,7 +172,6 @@
             too_young = now - run.placed_at < MIN_RUN_AGE_S
             if step.target_ms > 0 and run.measurement > 0 and not too_young:
                 sample = HeadroomSample(now, step.target_ms / run.measurement, use)
-                self.serving_load.observe(sample.headroom)
                 run.last_sample = self.add_sample(step.image, run.last_sample, sample)
 
     def add_sample(
@@ -212,7 +207,6 @@
                         best_effort
                     )
             fit.decay()
-        self.serving_load.decay()
 
     def is_known(self, serving: str, best_effort: str) -> bool:
         """Return whether the interference of a pair of images is known."""
--- a/rattanwing/batch/pacing.py
+++ b/rattanwing/batch/pacing.py
@@ -31,7 +31,6 @@
     MAX_LOSS_PER_CORE,
     MILLICORES_PER_CORE,
 )
-from rattanwing.batch.serving_load import estimate_load
 
 if TYPE_CHECKING:
     from collections.abc import Hashable
@@ -70,6 +69,15 @@
 """Percentage points added per adjustment to the pace of a run whose interference is
 unknown."""
 
+IDLE_HEADROOM = 6.0
+"""Headroom of a serving task without load; its load is taken as the share of this that
+is missing."""
+
+MIN_LOAD, MAX_LOAD = 0.3, 0.75
+"""Bounds of the load that is estimated for a serving task, as a share of its declared
+CPU. Below the headroom at which the upper bound is reached, interference rather than
+load explains the tail latency."""
+
 CPU_MARGIN_SHARE = 0.05
 """Share of a host's CPU that best-effort runs leave unused. When the CPU is used up,
 the tail latencies of serving tasks exceed their targets many times over."""
@@ -105,7 +113,8 @@
     @property
     def used_cpu(self) -> float:
         """Return the estimated CPU use, in thousandths of a core."""
-        return self.cpu * estimate_load(self.headroom)
+        load = 1 - self.headroom / IDLE_HEADROOM
+        return self.cpu * min(MAX_LOAD, max(MIN_LOAD, load))
 
 
 class BestEffortRun(msgspec.Struct):
