--- a/rattanwing/batch/headroom.py
+++ b/rattanwing/batch/headroom.py
@@ -13,7 +13,6 @@
 from typing import TYPE_CHECKING
 
 from rattanwing.batch.pacing import (
-    CPU_MARGIN_SHARE,
     FULL_PERCENT,
     KEEP_HEADROOM,
     MEASURED_AFTER_S,
@@ -40,19 +39,10 @@
     :param serving: the serving tasks with a reported tail latency.
     :param unreported: the images of the others.
     :param recent: best-effort runs that the report does not cover, oldest first.
-    :param unused_cpu: thousandths of a core that nothing uses at present; ``None``
-        without serving tasks, where the agent sets no limit.
     :param paces: the paces computed so far, in percent, by image and CPU of a task.
     """
 
-    __slots__ = (
-        "reported_at",
-        "serving",
-        "unreported",
-        "recent",
-        "unused_cpu",
-        "paces",
-    )
+    __slots__ = ("reported_at", "serving", "unreported", "recent", "paces")
 
     def __init__(self, host: Host) -> None:
         self.reported_at = host.last_heard_at
@@ -60,33 +50,26 @@
         self.unreported: list[str] = []
         self.recent: list[BestEffortRun] = []
         self.paces: dict[tuple[str, int], int] = {}
-        used = 0.0
         for run in host.runs.values():
             step = run.task.step
-            if step.best_effort and self.reported_at - run.placed_at < MEASURED_AFTER_S:
-                self.recent.append(new_run(step))
-                used += step.cpu
-            elif step.best_effort:
-                used += run.measurement
+            if step.best_effort:
+                if self.reported_at - run.placed_at < MEASURED_AFTER_S:
+                    self.recent.append(new_run(step))
             elif step.target_ms <= 0:
-                used += step.cpu
+                continue
             elif run.measurement > 0:
-                latency = ServingLatency(
-                    step.image, run.measurement, step.target_ms, step.cpu
+                self.serving.append(
+                    ServingLatency(step.image, run.measurement, step.target_ms)
                 )
-                self.serving.append(latency)
-                used += latency.used_cpu
             else:
                 self.unreported.append(step.image)
-        self.unused_cpu: float | None = None
-        if self.serving and host.executor is not None:
-            self.unused_cpu = host.executor.cpu * (1 - CPU_MARGIN_SHARE) - used
 
     def start_pace(self, step: StepSpec, interference: InterferenceModel) -> int:
         """Return the pace, in percent, that the agent would give a new task of a step.
 
         No run starts while a serving task is over its target. Serving tasks without a
-        report may limit the pace as soon as they are reported.
+        report may limit the pace as soon as they are reported. The agent's limit on the
+        host's CPU is left out.
         """
         key = step.image, step.cpu
         if key not in self.paces:
@@ -106,9 +89,6 @@
         for run in self.recent:
             pacer.allot_increase(self.serving, run, 0.0, spare)
         pace = pacer.allot_increase(self.serving, new_run(step), 0.0, spare)
-        if self.unused_cpu is not None and step.cpu > 0:
-            affordable = max(0.0, self.unused_cpu) / step.cpu * FULL_PERCENT
-            pace = min(pace, affordable)
         if any(
             interference.expected_loss(image, step.image, step.cpu) > 0
             for image in self.unreported
--- a/rattanwing/batch/moves.py
+++ b/rattanwing/batch/moves.py
@@ -3,13 +3,12 @@
 Agents slow down best-effort runs that interfere with serving tasks, often to a pace
 of 0 for as long as the load of a serving task is high. Many of these runs were placed
 before it was known which images interfere. A step is done only with its last task, so
-one such run holds up its whole job, while other hosts may have unused CPU and only
-serving tasks that the run does not interfere with.
+one such run holds up its whole job, while other hosts may have unused CPU and serving
+tasks with headroom for it.
 """
 
 from __future__ import annotations
 
-from math import inf
 from typing import TYPE_CHECKING
 
 from rattanwing.batch.colocation import summarize_colocation
@@ -31,10 +30,8 @@
 """Lowest pace in percent at which a moved run must be able to start."""
 
 MAX_LOST_PERCENT = 20
-"""Progress in percent up to which a run without checkpoints may be moved at once,
-although it starts again from the beginning."""
-
-MS_PER_S = 1000
+"""Progress in percent up to which a run without checkpoints may be moved, although it
+starts again from the beginning."""
 
 MAX_MOVES = 16
 """Largest number of moves in one round of decisions."""
@@ -79,34 +76,17 @@
 
 
 def is_movable(run: Run, now: float) -> bool:
-    """Return whether a run is throttled, and has lost as much as a move costs."""
-    if run.throttled_since is None:
-        return False
-    throttled_s = now - run.throttled_since
-    if throttled_s < MOVE_AFTER_S or throttled_s < repeated_s(run):
+    """Return whether a run is throttled and loses little work when it is moved."""
+    if run.throttled_since is None or now - run.throttled_since < MOVE_AFTER_S:
         return False
     if run.last_stop_ordered_at is not None or not run.reported:
         return False
     task, step = run.task, run.task.step
     if step.gang or step.long_running or task.is_suspect():
         return False
-    return task.moves < MAX_MOVES_PER_TASK
-
-
-def repeated_s(run: Run) -> float:
-    """Return the time that a moved run would spend on work done before, in seconds.
-
-    A run that is moved only after it has been throttled for that long loses at most
-    twice the time that it would have lost by the better of the two choices.
-
-    :returns: infinity if it is not known.
-    """
-    step = run.task.step
-    if step.saves_checkpoints or run.progress_percent <= MAX_LOST_PERCENT:
-        return 0.0
-    if step.estimate_ms <= 0:
-        return inf
-    return step.estimate_ms / MS_PER_S * run.progress_percent / 100
+    if task.moves >= MAX_MOVES_PER_TASK:
+        return False
+    return step.saves_checkpoints or run.progress_percent <= MAX_LOST_PERCENT
 
 
 def list_by_room(
--- a/rattanwing/batch/placement.py
+++ b/rattanwing/batch/placement.py
@@ -27,10 +27,6 @@
 """Cost of losing 1.0 of headroom, in thousandths of a core; losing 0.1 costs as much as
 having one free core less."""
 
-BEST_EFFORT_INTERFERENCE_WEIGHT = 30_000
-"""The same for placing a best-effort task. A large host with more unused CPU is no
-better if the task is slowed there as soon as the load of a serving task rises."""
-
 INTERFERENCE_LIMIT = 1.2
 """Limit on the headroom that a serving task may lose to all best-effort tasks of its
 host. About this much is available on average while the loads of serving tasks vary;
@@ -286,14 +282,12 @@
     step = task.step
     executor = host.executor
     total = -host.free_cpu()
-    interference_weight = INTERFERENCE_WEIGHT
     if step.best_effort:
-        interference_weight = BEST_EFFORT_INTERFERENCE_WEIGHT
         total = -summarize_colocation(host, interference).best_effort_cpu_available
         pace = expected_start_pace(host, step, interference)
         total += START_PACE_WEIGHT * (FULL_PERCENT - pace) // FULL_PERCENT
     total += int(
-        interference_weight * largest_headroom_loss(host, step, interference, now)
+        INTERFERENCE_WEIGHT * largest_headroom_loss(host, step, interference, now)
     )
     if step.target_ms > 0:
         total += image_cost(host, task)
