Keep predicted paces on the host without an import of the prediction

hosts imported headroom, which imports hosts: one module more in an import circle. Change: the host keeps the paces by image and CPU.

--- a/rattanwing/batch/headroom.py
+++ b/rattanwing/batch/headroom.py
@@ -39,17 +39,15 @@
     :param serving: the serving tasks with a reported tail latency.
     :param unreported: the images of the others.
     :param recent: best-effort runs that the report does not cover, oldest first.
-    :param paces: the paces computed so far, in percent, by image and CPU of a task.
     """
 
-    __slots__ = ("reported_at", "serving", "unreported", "recent", "paces")
+    __slots__ = ("reported_at", "serving", "unreported", "recent")
 
     def __init__(self, host: Host) -> None:
         self.reported_at = host.last_heard_at
         self.serving: list[ServingLatency] = []
         self.unreported: list[str] = []
         self.recent: list[BestEffortRun] = []
-        self.paces: dict[tuple[str, int], int] = {}
         for run in host.runs.values():
             step = run.task.step
             if step.best_effort:
@@ -71,15 +69,8 @@
         report may limit the pace as soon as they are reported. The agent's limit on the
         host's CPU is left out.
         """
-        key = step.image, step.cpu
-        if key not in self.paces:
-            self.paces[key] = to_percent(self.compute_pace(step, interference))
-        return self.paces[key]
-
-    def compute_pace(self, step: StepSpec, interference: InterferenceModel) -> float:
-        """Return the pace, in percent, before it is rounded."""
         if any(latency.headroom < 1 for latency in self.serving):
-            return 0.0
+            return 0
         pacer = BestEffortPacer()
         pacer.headroom_loss_per_core = interference.headroom_loss_per_core
         spare = {
@@ -94,7 +85,7 @@
             for image in self.unreported
         ):
             pace = min(pace, UNKNOWN_SPEEDUP_PERCENT)
-        return pace
+        return to_percent(pace)
 
 
 def new_run(step: StepSpec) -> BestEffortRun:
@@ -106,6 +97,10 @@
     host: Host, step: StepSpec, interference: InterferenceModel
 ) -> int:
     """Return the pace, in percent, at which a best-effort task would start."""
-    if host.headroom is None or host.headroom.reported_at != host.last_heard_at:
-        host.headroom = HostHeadroom(host)
-    return host.headroom.start_pace(step, interference)
+    if host.paces_reported_at != host.last_heard_at:
+        host.paces_reported_at = host.last_heard_at
+        host.start_paces.clear()
+    key = step.image, step.cpu
+    if key not in host.start_paces:
+        host.start_paces[key] = HostHeadroom(host).start_pace(step, interference)
+    return host.start_paces[key]
--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -9,7 +9,6 @@
 
 if TYPE_CHECKING:
     from rattanwing.batch.colocation import ColocationSummary
-    from rattanwing.batch.headroom import HostHeadroom
     from rattanwing.batch.interference import HeadroomSample
     from rattanwing.batch.jobs import OwnedJob, Task
     from rattanwing.batch.model import StepSpec
@@ -125,8 +124,9 @@
     :param unknown_runs: number of reported runs that belong to no known task. They are
         being stopped, and the resources that they use are unknown.
     :param colocation: cached summary, ``None`` after the runs have changed.
-    :param headroom: cached headroom of the last report, ``None`` after the runs have
-        changed.
+    :param start_paces: cached paces at which best-effort tasks would start, in percent,
+        by image and CPU; empty after the runs have changed.
+    :param paces_reported_at: time of the report that these paces are taken from.
     :param freed: whether the host may be able to run more than at the last round of
         placement.
     :param suspect_run: the last run of a suspected task that was started here.
@@ -156,7 +156,8 @@
         "ends_incarnation",
         "unknown_runs",
         "colocation",
-        "headroom",
+        "start_paces",
+        "paces_reported_at",
         "freed",
         "suspect_run",
         "held_until",
@@ -185,7 +186,8 @@
         self.ends_incarnation = ""
         self.unknown_runs = 0
         self.colocation: ColocationSummary | None = None
-        self.headroom: HostHeadroom | None = None
+        self.start_paces: dict[tuple[str, int], int] = {}
+        self.paces_reported_at = 0.0
         self.freed = True
         self.suspect_run: Run | None = None
         self.held_until = 0.0
@@ -254,7 +256,7 @@
     def reserve(self, step: StepSpec, sign: int) -> None:
         """Reserve (``sign`` 1) or release (-1) the resources of one task."""
         self.colocation = None
-        self.headroom = None
+        self.start_paces.clear()
         if step.best_effort:
             self.reserved_best_effort_cpu += sign * step.cpu
         else:
