Bound waits of inherited jobs by the owner's own clock

Cause: the time without a run was that since acceptance, by the wall clocks of two entries. With the accepting clock ahead it was negative, which raised the limit of the wait above MAX_WAIT_S. Change: it is at least the time since the owner received the job or its last run ended. Result: the new test failed before the change and passes with it.

--- a/rattanwing/batch/locality.py
+++ b/rattanwing/batch/locality.py
@@ -433,8 +433,11 @@
         began_ms += step.occurrence * spec.period_ms
         age_s = self.wall_offset_s + now - began_ms / 1000
         target_s = job.target_ms / 1000
-        # The last run of an inherited job may have ended under an earlier owner.
-        idle_s = age_s if job.inherited else now - job.last_run_ended_at
+        idle_s = now - job.last_run_ended_at
+        if job.inherited:
+            # Its last run may have ended under an earlier owner. Its age is negative if
+            # the clock of the entry that accepted it is ahead.
+            idle_s = max(idle_s, age_s)
         if job.running:
             idle_s = 0.0
         return Prospect(
--- a/tests/batch/test_locality.py
+++ b/tests/batch/test_locality.py
@@ -358,6 +358,21 @@
         self.assertEqual(room.expected_s(1.0, 0.5, False), 1.5)
         self.assertEqual(room.expected_s(1.0, 0.5, True), 0.75)
 
+    def test_clock_that_is_behind_does_not_prolong_the_wait(self):
+        """The entry that accepted the job has a clock 5 s ahead of the owner's."""
+        scheduler = Scheduler(3, 100.0, NearPlaces(FAR_FACTOR))
+        spec = msgspec.structs.replace(job(steps=(NEAR,)), accepted_at_ms=105_000)
+        scheduler.update_job(JobView(spec), 100.0, 100_000, inherited=True)
+        owned = scheduler.jobs["job-1"]
+        step = owned.steps_by_occurrence[0][0]
+        places = scheduler.near_places
+        for now, idle_s in ((100.0, 0.0), (100.5, 0.5), (107.0, 7.0)):
+            prospect = places.prospect(owned, step, step.tasks[0], now)
+            with self.subTest(now):
+                self.assertAlmostEqual(prospect.idle_s, idle_s)
+                limit_s = max(0.0, locality.MAX_WAIT_S - idle_s)
+                self.assertLessEqual(longest_wait_s(prospect), limit_s + 1e-9)
+
     def test_kept_checkpoint_shortens_the_wait(self):
         scheduler = Scheduler(3, 100.0, NearPlaces(FAR_FACTOR))
         spec = job(steps=(NEAR, StepSpec(1, estimate_ms=400, after=(0,))))
