Try near hosts for the tasks after one that avoids them

Cause: a task that had failed on or was refused by near hosts marked the rack as full for the rest of its step, which then went elsewhere or waited beside free near hosts. Change: only a task that avoids no host marks the rack as full.

--- a/rattanwing/batch/locality.py
+++ b/rattanwing/batch/locality.py
@@ -306,14 +306,16 @@
         if not self.applies_to(spec) or task.is_suspect():
             return choose_host(hosts, job, task, interference, now)
         wait = self.decisions.get(step)
-        if self.full_for is not step or task.failed_on or task.refused_on:
+        has_avoided_hosts = bool(task.failed_on or task.refused_on)
+        if self.full_for is not step or has_avoided_hosts:
             near = [h for h in hosts if is_near(h, spec.data_rack)]
             near = list_usable(near, task, interference, now)
             host = choose_host(near, job, task, interference, now)
             if host is not None:
                 self.record_near_start(wait, now)
                 return host
-            self.full_for = step
+            if not has_avoided_hosts:
+                self.full_for = step
         if wait is not None and not wait.outcome:
             return wait
         host = choose_host(hosts, job, task, interference, now)
--- a/tests/batch/test_locality.py
+++ b/tests/batch/test_locality.py
@@ -201,6 +201,14 @@
         self.round()
         self.assertEqual(self.placed_racks(owned), ["rack-2"])
 
+    def test_failed_task_leaves_the_near_host_to_the_others(self):
+        self.racks(r1=1)
+        self.host("r2-0", cpu=16_000, **in_rack("rack-2"))
+        owned = self.submit("job-1", msgspec.structs.replace(NEAR, count=3))
+        owned.tasks()[0].failed_on.add("r1-0")
+        self.round()
+        self.assertEqual(self.placed_racks(owned), ["rack-1", "rack-1", "rack-2"])
+
     def test_rack_where_nothing_ends_is_not_waited_for(self):
         self.racks(r1=1, r2=1)
         self.fill("rack-1", 4, lambda _number: 60.0)
