Avoid hosts on which any member of a gang failed

Cause: the choice of a rack for a gang looked at the failures and refusals of its first task only, so a gang was placed again on the host on which another member had failed, until its attempts were used up. Change: hosts that any member avoids are left out of the search for one rack. Result: the new test failed before the change and passes with it.

--- a/rattanwing/batch/locality.py
+++ b/rattanwing/batch/locality.py
@@ -309,7 +309,7 @@
         has_avoided_hosts = bool(task.failed_on or task.refused_on)
         if self.full_for is not step or has_avoided_hosts:
             near = [h for h in hosts if is_near(h, spec.data_rack)]
-            near = list_usable(near, task, interference, now)
+            near = list_usable(near, [task], interference, now)
             host = choose_host(near, job, task, interference, now)
             if host is not None:
                 self.record_near_start(wait, now)
@@ -352,7 +352,7 @@
         for rack, members in sorted(racks.items()):
             if not any(host.name in listed for host in members):
                 continue
-            usable = list_usable(members, step.tasks[0], interference, now)
+            usable = list_usable(members, step.tasks, interference, now)
             plan = plan_gang(usable, job, step.tasks, interference, now, partly=True)
             if len(plan) == len(step.tasks):
                 self.record_near_start(wait, now)
@@ -562,17 +562,20 @@
 
 
 def list_usable(
-    hosts: list[Host], task: Task, interference: InterferenceModel, now: float
+    hosts: list[Host], tasks: list[Task], interference: InterferenceModel, now: float
 ) -> list[Host]:
-    """Return the hosts that are worth more to a task than a host elsewhere."""
+    """Return the hosts that are worth more than a host elsewhere.
+
+    :param tasks: a task, or all tasks of a gang.
+    """
+    avoided = {name for task in tasks for name in task.failed_on | task.refused_on}
     return [
         host
         for host in hosts
-        if host.name not in task.failed_on
-        and host.name not in task.refused_on
+        if host.name not in avoided
         and not host.health.has_refused_lately(now)
         and not host.tests_suspect()
-        and not unsuitable_reason(host, task.step, interference, now)
+        and not unsuitable_reason(host, tasks[0].step, interference, now)
     ]
 
 
--- a/tests/batch/test_locality.py
+++ b/tests/batch/test_locality.py
@@ -428,6 +428,13 @@
         self.round()
         self.assertEqual(len(self.placed_racks(owned)), 6)
 
+    def test_gang_leaves_the_host_on_which_a_member_failed(self):
+        self.racks(r1=1, r2=1)
+        owned = self.submit("job-1", GANG)
+        owned.tasks()[2].failed_on.add("r1-0")
+        self.round()
+        self.assertEqual(self.placed_racks(owned), ["rack-2"] * 4)
+
     def test_gang_keeps_its_spread_limit(self):
         self.racks(r1=2, r2=4)
         step = msgspec.structs.replace(GANG, spread_limit=1)
