Do not wait for a rack without the accelerators of a task

Cause: a resource that a host lacks altogether was passed over when it was checked whether the rack could ever hold the task. Change: the check compares whole numbers of tasks by each resource that is needed. Result: the new test failed before the change and passes with it.

--- a/rattanwing/batch/locality.py
+++ b/rattanwing/batch/locality.py
@@ -552,11 +552,12 @@
 def could_hold(hosts: Iterable[Host], step: StepSpec, count: int) -> bool:
     """Return whether the hosts, when empty, have room for ``count`` tasks of a step."""
     total = 0
+    needs = (step.cpu, step.memory_mb, step.accelerators)
     for host in hosts:
         if step.label and step.label not in host.executor.labels:
             continue
-        share = share_of_host(step, host)
-        fits = int(1 / share) if share > 0 else step.count
+        pairs = zip(needs, host.executor.capacity(), strict=True)
+        fits = min((has // need for need, has in pairs if need), default=count)
         total += min(fits, step.spread_limit or fits)
     return total >= count
 
--- a/tests/batch/test_locality.py
+++ b/tests/batch/test_locality.py
@@ -194,6 +194,15 @@
             self.round()
         self.assertEqual(self.placed_racks(owned), ["rack-2"])
 
+    def test_rack_without_accelerators_is_not_waited_for(self):
+        self.racks(r1=1)
+        self.host("r2-0", accelerators=1, **in_rack("rack-2"))
+        step = msgspec.structs.replace(NEAR, count=1, accelerators=1)
+        owned = self.submit("job-1", step)
+        with SOON:
+            self.round()
+        self.assertEqual(self.placed_racks(owned), ["rack-2"])
+
     def test_near_host_on_which_the_task_failed_is_not_used(self):
         self.racks(r1=1, r2=1)
         owned = self.submit("job-1", msgspec.structs.replace(NEAR, count=1))
