Release what a gang's plan reserves if planning fails

Cause: an unexpected error between the members of a gang left the room of the earlier ones reserved; the job is tried again every 2 s, so the loss would grow. Change: the reservations are released in any case. Result: the new test failed before the change and passes with it.

--- a/rattanwing/batch/locality.py
+++ b/rattanwing/batch/locality.py
@@ -594,18 +594,20 @@
         none, if not all of them do.
     """
     placed: list[Host] = []
-    for task in tasks:
-        limit = task.step.spread_limit
-        free = [
-            host
-            for host in hosts
-            if not limit or count_runs_on(host, task) + placed.count(host) < limit
-        ]
-        host = choose_host(free, job, task, interference, now)
-        if host is None:
-            break
-        placed.append(host)
-        host.reserve(task.step, 1)
-    for host in placed:
-        host.reserve(tasks[0].step, -1)
+    try:
+        for task in tasks:
+            limit = task.step.spread_limit
+            free = [
+                host
+                for host in hosts
+                if not limit or count_runs_on(host, task) + placed.count(host) < limit
+            ]
+            host = choose_host(free, job, task, interference, now)
+            if host is None:
+                break
+            placed.append(host)
+            host.reserve(task.step, 1)
+    finally:
+        for host in placed:
+            host.reserve(tasks[0].step, -1)
     return placed if partly or len(placed) == len(tasks) else []
--- a/tests/batch/test_locality.py
+++ b/tests/batch/test_locality.py
@@ -444,6 +444,17 @@
         self.round()
         self.assertEqual(self.placed_racks(owned), ["rack-2"] * 4)
 
+    def test_error_in_planning_leaves_no_reservation(self):
+        self.racks(r1=1)
+        host = self.scheduler.cluster.hosts["r1-0"]
+        self.submit("job-1", GANG)
+        with (
+            mock.patch.object(locality, "choose_host", side_effect=[host, ValueError]),
+            mock.patch.object(events, "write"),
+        ):
+            self.round()
+        self.assertEqual(host.reserved_cpu, 0)
+
     def test_gang_keeps_its_spread_limit(self):
         self.racks(r1=2, r2=4)
         step = msgspec.structs.replace(GANG, spread_limit=1)
