Keep the saved progress of a task when a start is refused

Cause: the release of a run that was never started set the saved progress to 0, while the checkpoint is kept; the run time left was then taken for the whole. Change: only runs that were started set it. Result: the new test failed before the change and passes with it.

--- a/rattanwing/batch/cluster.py
+++ b/rattanwing/batch/cluster.py
@@ -108,7 +108,8 @@
         if run not in run.task.runs:
             return
         run.task.runs.remove(run)
-        run.task.saved_percent = run.progress_percent
+        if has_run:
+            run.task.saved_percent = run.progress_percent
         run.task.job.count_run(-1, now, has_run)
 
     def stop(self, run: Run, reason: str, now: float) -> None:
--- a/tests/batch/test_locality.py
+++ b/tests/batch/test_locality.py
@@ -390,6 +390,16 @@
                 limit_s = max(0.0, locality.MAX_WAIT_S - idle_s)
                 self.assertLessEqual(longest_wait_s(prospect), limit_s + 1e-9)
 
+    def test_refused_start_keeps_the_saved_progress(self):
+        scheduler = Scheduler(3, 100.0, NearPlaces(FAR_FACTOR))
+        scheduler.update_job(JobView(job(steps=(NEAR,))), 100.0, 100_000)
+        task = scheduler.jobs["job-1"].tasks()[0]
+        host = scheduler.cluster.add_host("r1-0", 100.0)
+        task.saved_percent = 75
+        run = scheduler.cluster.add_run(task, 2, host, 100.0)
+        scheduler.cluster.mark_lost(run, "refused", 100.1, refused=True)
+        self.assertEqual(task.saved_percent, 75)
+
     def test_kept_checkpoint_shortens_the_wait(self):
         scheduler = Scheduler(3, 100.0, NearPlaces(FAR_FACTOR))
         spec = job(steps=(NEAR, StepSpec(1, estimate_ms=400, after=(0,))))
