Do not plan gangs in racks that are full

Cause: each waiting gang was planned in each rack with a freed host, and each time the racks were listed, and compared with the gang's needs, anew. Ruled out: a change of the decisions; the racks are compared as before, but only once a gang could start across racks. Change: full hosts are left out first, and racks are listed once for a round.

--- a/rattanwing/batch/locality.py
+++ b/rattanwing/batch/locality.py
@@ -17,7 +17,12 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from rattanwing import events
-from rattanwing.batch.placement import choose_host, count_runs_on, unsuitable_reason
+from rattanwing.batch.placement import (
+    choose_host,
+    count_runs_on,
+    shortage,
+    unsuitable_reason,
+)
 from rattanwing.batch.urgency import LATE_FACTOR
 
 if TYPE_CHECKING:
@@ -228,6 +233,7 @@
         "waits",
         "open_hosts",
         "rooms",
+        "racks",
         "full_for",
         "measured_since",
         "wall_offset_s",
@@ -245,6 +251,7 @@
         self.waits: list[NearWait] = []
         self.open_hosts: OpenHosts | None = None
         self.rooms: dict[Key, Room] = {}
+        self.racks: dict[Key, list[tuple[str, list[Host]]]] = {}
         self.full_for: StepTasks | None = None
         self.measured_since: float | None = None
         self.wall_offset_s = 0.0
@@ -272,6 +279,7 @@
             self.measured_since = now
         self.open_hosts = open_hosts
         self.rooms.clear()
+        self.racks.clear()
         self.full_for = None
         self.wall_offset_s = now_ms / 1000 - now
         known = {host.name for host in open_hosts.hosts}
@@ -346,28 +354,32 @@
         if suspect or not self.applies_to(spec):
             return plan_gang(hosts, job, step.tasks, interference, now)
         wait = self.decisions.get(step)
-        racks = self.list_racks(service, spec, now)
         listed = {host.name for host in hosts}
-        best: tuple[float, str, Room] | None = None
-        for rack, members in sorted(racks.items()):
+        racks: list[tuple[str, list[Host], int]] = []
+        for rack, members in self.list_racks(service, spec.data_rack, now):
             if not any(host.name in listed for host in members):
                 continue
             usable = list_usable(members, step.tasks, interference, now)
-            plan = plan_gang(usable, job, step.tasks, interference, now, partly=True)
+            plan = []
+            if usable:
+                plan = plan_gang(usable, job, step.tasks, interference, now, True)
             if len(plan) == len(step.tasks):
                 self.record_near_start(wait, now)
                 return plan
-            room = self.room((service, rack), now, members)
-            missing = len(step.tasks) - len(plan)
-            size = missing * share_of_host(spec, members[0])
-            if not could_hold(members, spec, spec.count):
-                continue
-            if best is None or room.rate > best[2].rate:
-                best = (size, rack, room)
+            racks.append((rack, members, len(step.tasks) - len(plan)))
         if wait is not None and not wait.outcome:
             return wait
         plan = plan_gang(hosts, job, step.tasks, interference, now)
-        if wait is not None or not plan or best is None:
+        if wait is not None or not plan:
+            return plan
+        best: tuple[float, str, Room] | None = None
+        for rack, members, missing in racks:
+            if not could_hold(members, spec, spec.count):
+                continue
+            room = self.room((service, rack), now, members)
+            if best is None or room.rate > best[2].rate:
+                best = (missing * share_of_host(spec, members[0]), rack, room)
+        if best is None:
             return plan
         size, rack, room = best
         key = (service, rack)
@@ -477,19 +489,23 @@
         return room
 
     def list_racks(
-        self, service: str, step: StepSpec, now: float
-    ) -> dict[str, list[Host]]:
-        """Return the open hosts by rack, for the racks where a gang runs fastest."""
+        self, service: str, data_rack: str, now: float
+    ) -> list[tuple[str, list[Host]]]:
+        """Return the racks where a gang runs fastest, each with its open hosts."""
+        found = self.racks.get((service, data_rack))
+        if found is not None:
+            return found
         racks: dict[str, list[Host]] = {}
         for host in self.open_hosts.list(service, everywhere=True):
             if host.health.is_failing(now):
                 continue
-            if step.data_rack and not is_near(host, step.data_rack):
+            if data_rack and not is_near(host, data_rack):
                 continue
-            rack = step.data_rack or host.executor.rack
+            rack = data_rack or host.executor.rack
             if rack:
                 racks.setdefault(rack, []).append(host)
-        return racks
+        found = self.racks[service, data_rack] = sorted(racks.items())
+        return found
 
     def record_near_start(self, wait: NearWait | None, now: float) -> None:
         """Record that a task, or a gang, of a step that waits starts near."""
@@ -565,7 +581,7 @@
 def list_usable(
     hosts: list[Host], tasks: list[Task], interference: InterferenceModel, now: float
 ) -> list[Host]:
-    """Return the hosts that are worth more than a host elsewhere.
+    """Return the hosts with room that are worth more than a host elsewhere.
 
     :param tasks: a task, or all tasks of a gang.
     """
@@ -573,7 +589,8 @@
     return [
         host
         for host in hosts
-        if host.name not in avoided
+        if not shortage(host, tasks[0].step)
+        and host.name not in avoided
         and not host.health.has_refused_lately(now)
         and not host.tests_suspect()
         and not unsuitable_reason(host, tasks[0].step, interference, now)
--- a/tests/batch/test_locality.py
+++ b/tests/batch/test_locality.py
@@ -464,6 +464,17 @@
             self.round()
         self.assertEqual(host.reserved_cpu, 0)
 
+    def test_gang_without_room_is_not_planned_in_full_racks(self):
+        self.racks(r1=1, r2=1)
+        for rack in ("rack-1", "rack-2"):
+            self.fill(rack, 4, lambda _number: 60.0)
+        owned = self.submit("job-1", GANG)
+        real = locality.choose_host
+        with mock.patch.object(locality, "choose_host", side_effect=real) as choose:
+            self.round()
+        self.assertEqual(self.placed_racks(owned), [])
+        self.assertEqual(choose.call_count, 1)
+
     def test_gang_keeps_its_spread_limit(self):
         self.racks(r1=2, r2=4)
         step = msgspec.structs.replace(GANG, spread_limit=1)
