Test the gain, the steps that follow and the other tasks in a wait's limit

Cause: three mistakes that were seeded in the decision were not found by the tests: a wait for longer than it can save, one that leaves no time for the steps that follow, and an expected wait that leaves out the other tasks of the step. Result: each new test fails with its mistake and passes without.

--- a/tests/batch/test_locality.py
+++ b/tests/batch/test_locality.py
@@ -306,6 +306,19 @@
         self.assertEqual(found["job-3.0.0.0"]["ahead"], 0)
         self.assertGreater(found["job-3.0.0.0"]["expected_s"], 0)
 
+    def test_other_tasks_of_the_step_count(self):
+        """A step is done only with its last task; each takes a quarter of a host."""
+        self.wait()
+        by_ahead = mock.patch.object(
+            locality.Room, "expected_s", lambda _room, ahead, *_: ahead / 10
+        )
+        with mock.patch.object(events, "write") as write, by_ahead:
+            self.submit("job-2", msgspec.structs.replace(NEAR, count=3), latency_ms=400)
+            self.round()
+        begun = [c.kwargs for c in write.call_args_list if c.args[0].number == 570]
+        expected_s = 0.05 + begun[0]["ahead"] / 10
+        self.assertAlmostEqual(begun[0]["expected_s"], expected_s, 3)
+
     def test_drained_lost_or_failing_rack_ends_the_wait(self):
         def drain(host):
             self.report(host, draining=True, **in_rack("rack-1"))
@@ -367,6 +380,14 @@
             with self.subTest(due_s):
                 self.assertAlmostEqual(longest_wait_s(prospect), expected_s)
 
+    def test_wait_costs_no_more_than_a_near_place_saves(self):
+        prospect = Prospect(0.1, FAR_FACTOR, 0.0, 9.0, 27.0, 0.0)
+        self.assertAlmostEqual(longest_wait_s(prospect), 0.2)
+
+    def test_wait_leaves_time_for_the_steps_that_follow(self):
+        prospect = Prospect(1.0, FAR_FACTOR, 0.5, 3.7, 11.1, 0.0)
+        self.assertAlmostEqual(longest_wait_s(prospect), 0.2)
+
     def test_room_for_a_large_task_must_come_free_on_one_host(self):
         room = locality.Room([], [], 100.0, 4.0)
         room.rate, room.fastest, room.typical = 2.0, 0.5, 0.25
