Bound what the connections of a process hold together

Cause: the HTTP server read each body whole, at any path, without any bound over all connections, on their number, on times, requests ahead or unread answers; streams of peers buffered 16 MiB each. hypercorn shields writes from cancellation and waits for ever for an answer that can't be sent, so that descriptors stayed open after their clients. Change: util/admission.py decides, without input or output, which connections are closed; util/http_connection.py is a server over httptools, pinned already, in place of hypercorn; routes are found and lengths refused before a body is read; JSON values are counted before they are decoded; peers' streams share the budget; the longest message is the 4 MiB that the codec takes anyway. Limits follow memory_mb and max_fds of the platform's settings. Event 311, metrics, docs.

--- a/rattanwing/batch/metrics.py
+++ b/rattanwing/batch/metrics.py
@@ -10,6 +10,7 @@
     from rattanwing.batch.agent import BatchAgent
     from rattanwing.batch.entry import BatchEntry
     from rattanwing.metrics import Metrics
+    from rattanwing.util.admission import Admission
 
 
 def render_events() -> list[str]:
@@ -25,7 +26,27 @@
     return lines
 
 
-def render_entry(entry: BatchEntry, metrics: Metrics, now: float) -> str:
+def render_admission(admission: Admission) -> list[str]:
+    """Return the accepted connections, what they hold, and the refusals by cause."""
+    lines = ["# TYPE rattanwing_connections gauge"]
+    for door, clients in admission.clients.items():
+        lines.append(f'rattanwing_connections{{door="{door.value}"}} {len(clients)}')
+    lines.append(f"rattanwing_connections_held_bytes {admission.held_bytes}")
+    budget = admission.limits.budget_bytes
+    lines.append(f"rattanwing_connections_budget_bytes {budget}")
+    lines.append("# TYPE rattanwing_refused_clients_total counter")
+    for cause, count in sorted(
+        admission.closed_counts.items(), key=lambda item: item[0].value
+    ):
+        lines.append(
+            f'rattanwing_refused_clients_total{{kind="{cause.value}"}} {count}'
+        )
+    return lines
+
+
+def render_entry(
+    entry: BatchEntry, admission: Admission, metrics: Metrics, now: float
+) -> str:
     """Return an entry's metrics page; ``now`` is on the entry's clock."""
     gauges = metrics.gauges
     gauges["config_version"] = entry.configuration.version
@@ -53,10 +74,13 @@
         gauges["runs"] = sum(len(host.runs) for host in hosts)
         gauges["hosts_connected"] = sum(host.connected for host in hosts)
         gauges["owner_confirmed_age_seconds"] = now - loop.writer.last_success_sent_at
-    return metrics.render() + "\n".join(render_events()) + "\n"
+    lines = [*render_events(), *render_admission(admission)]
+    return metrics.render() + "\n".join(lines) + "\n"
 
 
-def render_agent(agent: BatchAgent, metrics: Metrics, now: float) -> str:
+def render_agent(
+    agent: BatchAgent, admission: Admission, metrics: Metrics, now: float
+) -> str:
     """Return an agent's metrics page; ``now`` is on the agent's clock."""
     gauges = metrics.gauges
     gauges["owner_epoch"] = agent.owner.epoch if agent.owner else 0
@@ -68,4 +92,5 @@
         gauges["lease_left_seconds"] = executor.lease_until - now
         gauges["runs"] = len(executor.runs)
         gauges["ends_unstored"] = len(executor.ends.unstored)
-    return metrics.render() + "\n".join(render_events()) + "\n"
+    lines = [*render_events(), *render_admission(admission)]
+    return metrics.render() + "\n".join(lines) + "\n"
--- a/rattanwing/batch/model.py
+++ b/rattanwing/batch/model.py
@@ -140,7 +140,7 @@
     job_id: str
     queue: QueueRules
     text: str
-    steps: tuple[StepSpec, ...]
+    steps: Annotated[tuple[StepSpec, ...], msgspec.Meta(max_length=MAX_STEPS)]
     accepted_at_ms: int
     start_at_ms: int = 0
     period_ms: int = 0
--- a/rattanwing/batch/settings.py
+++ b/rattanwing/batch/settings.py
@@ -17,6 +17,8 @@
     :param grace_s: time from the request to stop until the process is killed.
     :param cpu: processor time that the host gives the process, in thousandths of a
         core; 0 if unknown.
+    :param memory_mb: memory of the process, in megabytes; 0 if unknown.
+    :param max_fds: number of descriptors that the process may open; 0 if unknown.
     :param callers_address: address on which callers are served; entries only.
     :param readiness_address: address on which the load balancer's readiness checks
         are answered; entries only.
@@ -35,3 +37,5 @@
     peers_address: Address | None = None
     announcements_address: Address | None = None
     cpu: int = 0
+    memory_mb: float = 0.0
+    max_fds: int = 0
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -98,6 +98,11 @@
     "A request was still in progress when the stopping process sent its last answers.",
 )
 REQUEST_FAILED = Event(305, logbook.ERROR, "A request failed with an unexpected error.")
+CLIENTS_REFUSED = Event(
+    311,
+    logbook.WARNING,
+    "Clients exceeded a limit: connections were closed, or requests refused unrun.",
+)
 EXECUTOR_EJECTED = Event(
     304, logbook.WARNING, "An executor is much slower than others; requests avoid it."
 )
--- a/rattanwing/peer/frames.py
+++ b/rattanwing/peer/frames.py
@@ -20,10 +20,20 @@
 from rattanwing import events
 from rattanwing.errors import PeerLostError, ProtocolError
 from rattanwing.util.address import split_address
+from rattanwing.util.admission import (
+    Admission,
+    Door,
+    Phase,
+    descriptor_limit,
+    make_limits,
+)
+from rattanwing.util.codec import MAX_MESSAGE_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from rattanwing.util.admission import Cause, Client
+
     Handler = Callable[["FrameStream"], Awaitable[None]]
 
 GREETING = b"rattanwing frames 1\n"
@@ -32,9 +42,6 @@
 LENGTH = struct.Struct(">I")
 """Length of the message that follows, in bytes."""
 
-MAX_MESSAGE_BYTES = 16 * 1024 * 1024
-"""Longest message that is accepted; a full report of one host is below 1 MiB."""
-
 READ_BYTES = 65_536
 """Most bytes that one read returns."""
 
@@ -98,26 +105,90 @@
             if self.position:
                 del self.received[: self.position]
                 self.position = 0
-            try:
-                data = await self.connection.receive_some(READ_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-                raise PeerLostError("the stream has ended") from error
-            if not data:
-                raise PeerLostError("the stream has ended")
-            self.received += data
+            self.received += await self.read_some()
         end = self.position + size
         data = bytes(self.received[self.position : end])
         self.position = end
+        if end == len(self.received):
+            self.received = bytearray()
+            self.position = 0
         return data
 
+    async def read_some(self) -> bytes:
+        """Return the next bytes, at least one."""
+        try:
+            data = await self.connection.receive_some(READ_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise PeerLostError("the stream has ended") from error
+        if not data:
+            raise PeerLostError("the stream has ended")
+        return bytes(data)
+
     async def aclose(self) -> None:
         """Close the connection."""
         await trio.aclose_forcefully(self.connection)
 
 
-async def accept_peer(handler: Handler, connection: trio.SocketStream) -> None:
+class AcceptedStream(FrameStream):
+    """A stream that another process has opened; what it holds is limited.
+
+    :param admission: the connections of this process.
+    :param client: the account of this one.
+    """
+
+    __slots__ = ("admission", "client")
+
+    client: Client
+
+    def __init__(self, connection: trio.SocketStream, admission: Admission) -> None:
+        super().__init__(connection)
+        self.admission = admission
+
+    def close_for(self, _cause: Cause) -> None:
+        """Close at once for one of the limits."""
+        self.connection.socket.close()
+
+    async def receive(self) -> bytes:
+        """Return the next message; the stream is kept while it is handled."""
+        client = self.client
+        client.enter(Phase.IDLE, trio.current_time())
+        data = await super().receive()
+        self.admission.release(client)
+        client.finished += 1
+        client.enter(Phase.RUNNING, trio.current_time())
+        return data
+
+    async def read_some(self) -> bytes:
+        """Return the next bytes and count them until their message is complete."""
+        data = await super().read_some()
+        client, now = self.client, trio.current_time()
+        if client.phase is Phase.IDLE:
+            client.enter(Phase.READING, now)
+        client.moved += len(data)
+        self.admission.charge(client, len(data), now)
+        if client.closed:
+            raise PeerLostError("the stream was closed for a limit")
+        return data
+
+
+async def accept_peer(
+    handler: Handler, admission: Admission, connection: trio.SocketStream
+) -> None:
     """Serve one accepted connection; no error of it reaches the other connections."""
-    stream = FrameStream(connection)
+    stream = AcceptedStream(connection, admission)
+    client = admission.add(Door.PEERS, stream.close_for, trio.current_time())
+    if client is None:
+        connection.socket.close()
+        return
+    stream.client = client
+    try:
+        await serve_peer(handler, stream)
+    finally:
+        admission.remove(client)
+
+
+async def serve_peer(handler: Handler, stream: FrameStream) -> None:
+    """Exchange greetings and run the handler on an accepted stream."""
     try:
         with trio.fail_after(DIAL_TIMEOUT_S):
             await stream.greet()
@@ -135,16 +206,25 @@
 
 
 async def serve_peers(
-    address: str, handler: Handler, task_status: Any = trio.TASK_STATUS_IGNORED
+    address: str,
+    handler: Handler,
+    admission: Admission | None = None,
+    task_status: Any = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Accept streams at ``address`` until cancelled.
 
     :param address: ``ip:port`` to listen on.
     :param handler: run on each accepted stream.
+    :param admission: the connections of the process; by default the streams have
+        limits of their own.
     """
     host, port = split_address(address)
+    admission = admission or Admission(make_limits(0, descriptor_limit()))
     await trio.serve_tcp(
-        partial(accept_peer, handler), port, host=host, task_status=task_status
+        partial(accept_peer, handler, admission),
+        port,
+        host=host,
+        task_status=task_status,
     )
 
 
--- a/rattanwing/platform/callers.py
+++ b/rattanwing/platform/callers.py
@@ -30,6 +30,10 @@
 DEFAULT_DEADLINE_MS = 3_000
 """Deadline of requests whose deadline header is missing, not a number or too long."""
 
+MAX_DEADLINE_MS = 60_000
+"""Longest time that a request waits for its outcome, whatever its deadline; its
+connection can't be closed meanwhile."""
+
 ANSWER_MARGIN_MS = 300
 """An answer is sent this long before the caller's deadline, to leave time for a
 round trip over the caller's link and for writing the answer."""
@@ -150,6 +154,15 @@
             return self.unavailable_response("stopping")
         return self.to_response(Answer.UNKNOWN_OUTCOME)
 
+    def check(self, request: Request) -> Response | None:
+        """Return the refusal of a request by its head alone, if it is to be refused."""
+        if not self.configuration.version:
+            return self.unavailable_response("no-configuration")
+        host = (request.header(b"host") or "").partition(":")[0].lower()
+        if self.configuration.find_queue(host, request.path) is None:
+            return error_response(404, "no-such-queue", request.path)
+        return None
+
     async def respond(self, request: Request) -> Response:
         """Find the queue of a request and execute the request.
 
@@ -228,6 +241,7 @@
     text = request.header(DEADLINE_HEADER) or ""
     found = DEADLINE_PATTERN.fullmatch(text)
     deadline_ms = int(text) if found else DEFAULT_DEADLINE_MS
+    deadline_ms = min(deadline_ms, MAX_DEADLINE_MS)
     margin_ms = min(ANSWER_MARGIN_MS, deadline_ms * ANSWER_MARGIN_SHARE)
     return (deadline_ms - margin_ms) / 1000
 
--- a/rattanwing/platform/main.py
+++ b/rattanwing/platform/main.py
@@ -22,9 +22,11 @@
 from rattanwing.platform.settings import PATH_VARIABLE, parse_settings, read_settings
 from rattanwing.platform.store import PlatformStore
 from rattanwing.util.address import split_address
+from rattanwing.util.admission import Admission, Door, descriptor_limit, make_limits
 from rattanwing.util.http_server import (
     HttpServer,
     Response,
+    enforce_limits,
     metrics_response,
     serve_http,
 )
@@ -43,6 +45,13 @@
 
 ROLES = ("entry", "agent")
 
+MAX_VALUES = 20_000
+"""Most values of a JSON body that is decoded; a job of the most steps has about 5,000,
+and its text may look like 4,000."""
+
+MAX_NO_BODY_BYTES = 4 * 1024
+"""Longest body of a request that needs none."""
+
 SETTINGS_POLL_INTERVAL_S = 1.0
 """Interval between checks of the settings file, which may change without a signal."""
 
@@ -115,6 +124,12 @@
             reload_settings(path, settings, "changed")
 
 
+def make_admission(settings: BatchSettings) -> Admission:
+    """Return the accepted connections of a process, with limits by its settings."""
+    max_fds = settings.max_fds or descriptor_limit()
+    return Admission(make_limits(settings.memory_mb, max_fds))
+
+
 def make_random() -> Random:
     """Return a random generator that is seeded differently in each process."""
     return Random(os.urandom(16))
@@ -142,28 +157,39 @@
     operator_reader.on_loaded = operator.handle_loaded
     callers = CallerRoutes(entry.relaying_service, entry.configuration)
     caller_server = HttpServer()
-    caller_server.route("*", r".*", callers.handle)
+    caller_server.route(
+        "*", r".*", callers.handle, check=callers.check, max_values=MAX_VALUES
+    )
     readiness_server = HttpServer()
 
     async def answer_ready(_request: object) -> Response:
         ready = entry.is_ready(steady_clock())
         return Response(200 if ready else 503, [], b"")
 
-    readiness_server.route("GET", READY_PATH, answer_ready)
+    readiness_server.route(
+        "GET", READY_PATH, answer_ready, max_body_bytes=MAX_NO_BODY_BYTES
+    )
+    admission = make_admission(settings)
     metrics = Metrics()
     entry.writer.on_stored = lambda s: metrics.add_latency("store", "append", s)
     metrics_server = make_metrics_server(
-        lambda: render_entry(entry, metrics, steady_clock())
+        lambda: render_entry(entry, admission, metrics, steady_clock())
     )
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(enforce_limits, admission)
         nursery.start_soon(
             serve_until,
             metrics_server,
             metrics_address(settings),
             stop.servers_may_stop,
+            admission,
+            Door.METRICS,
         )
         await nursery.start(
-            serve_peers, settings.peers_address, entry.relaying_service.accept
+            serve_peers,
+            settings.peers_address,
+            entry.relaying_service.accept,
+            admission,
         )
         nursery.start_soon(entry.run)
         nursery.start_soon(operator_reader.run)
@@ -172,9 +198,16 @@
             readiness_server,
             settings.readiness_address,
             stop.servers_may_stop,
+            admission,
+            Door.READINESS,
         )
         nursery.start_soon(
-            serve_until, caller_server, settings.callers_address, stop.servers_may_stop
+            serve_until,
+            caller_server,
+            settings.callers_address,
+            stop.servers_may_stop,
+            admission,
+            Door.REQUESTS,
         )
         await stop.requested.wait()
         stopping_at = trio.current_time()
@@ -213,27 +246,37 @@
     address = records.AgentAddress(settings.name, settings.peers_address, incarnation)
     routes = AnnouncementRoutes(agent)
     announcements = HttpServer()
-    announcements.route("PUT", ANNOUNCEMENT_PATH, routes.handle_announcement)
+    announcements.route(
+        "PUT", ANNOUNCEMENT_PATH, routes.handle_announcement, max_values=MAX_VALUES
+    )
     announcements.route("DELETE", ANNOUNCEMENT_PATH, routes.handle_departure)
+    admission = make_admission(settings)
     metrics = Metrics()
     writer.on_stored = lambda s: metrics.add_latency("store", "append", s)
     metrics_server = make_metrics_server(
-        lambda: render_agent(agent, metrics, steady_clock())
+        lambda: render_agent(agent, admission, metrics, steady_clock())
     )
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(enforce_limits, admission)
         nursery.start_soon(
             serve_until,
             metrics_server,
             metrics_address(settings),
             stop.servers_may_stop,
+            admission,
+            Door.METRICS,
         )
         nursery.start_soon(
             serve_until,
             announcements,
             settings.announcements_address,
             stop.servers_may_stop,
+            admission,
+            Door.REQUESTS,
+        )
+        await nursery.start(
+            serve_peers, settings.peers_address, agent.accept, admission
         )
-        await nursery.start(serve_peers, settings.peers_address, agent.accept)
         nursery.start_soon(writer.run)
         nursery.start_soon(agent.run)
         nursery.start_soon(keep_registered, agent, writer, address, random)
@@ -252,7 +295,7 @@
     async def answer(_request: object) -> Response:
         return metrics_response(render())
 
-    server.route("GET", METRICS_PATH, answer)
+    server.route("GET", METRICS_PATH, answer, max_body_bytes=MAX_NO_BODY_BYTES)
     return server
 
 
@@ -262,10 +305,14 @@
     return f"{host}:{METRICS_PORT}"
 
 
-async def serve_until(server: HttpServer, address: str, stop: trio.Event) -> None:
+async def serve_until(
+    server: HttpServer, address: str, stop: trio.Event, admission: Admission, door: Door
+) -> None:
     """Serve HTTP until ``stop`` is set, then send the last answers."""
     events.write(events.LISTENING, address=address)
-    await serve_http(server, address, stop.wait, SEND_TIME_S)
+    await serve_http(
+        server, address, stop.wait, SEND_TIME_S, admission=admission, door=door
+    )
 
 
 async def run(role: str, path: Path, data: bytes, settings: BatchSettings) -> None:
--- a/rattanwing/platform/settings.py
+++ b/rattanwing/platform/settings.py
@@ -45,14 +45,18 @@
 
 
 class Limits(msgspec.Struct):
-    """The share of its host that a process gets.
+    """The share of its host that a process gets; 0 for what is not known.
 
     :param cpu_share: processor time, as a share of ``cores``.
     :param cores: speed of the host's processor, as a multiple of a common core.
+    :param memory_mb: memory of the process, in megabytes.
+    :param max_fds: number of descriptors that the process may open.
     """
 
     cpu_share: NonNegative = 0.0
     cores: NonNegative = 1.0
+    memory_mb: NonNegative = 0.0
+    max_fds: NonNegative = 0.0
 
     @property
     def cpu(self) -> int:
@@ -117,6 +121,8 @@
         peers_address,
         listen.control or None,
         found.limits.cpu,
+        found.limits.memory_mb,
+        int(found.limits.max_fds),
     )
 
 
