Close idle connections last under pressure

Cause: an idle connection counted its estimated 8 KiB times its idle time, so that one that had been kept for long could go before a client that holds bytes; closing it frees little. Also, a process without a limit on descriptors would have taken 8 connections. Ruled out: never closing idle ones; with thousands they are the budget. Change: what counts is what a connection holds beyond its estimate.

--- a/rattanwing/util/admission.py
+++ b/rattanwing/util/admission.py
@@ -33,6 +33,9 @@
 """Share of the budget that is left in use when connections are closed for it, so that
 not every further read closes another one."""
 
+DEFAULT_DESCRIPTORS = 4096
+"""Descriptors of a process where neither the settings nor the system limit them."""
+
 CONNECTION_BYTES = 8 * 1024
 """Estimated memory of a connection without a request."""
 
@@ -128,7 +131,8 @@
 
 def descriptor_limit() -> int:
     """Return how many descriptors the system lets this process open."""
-    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return DEFAULT_DESCRIPTORS if limit == resource.RLIM_INFINITY else limit
 
 
 class Client:
@@ -184,7 +188,9 @@
     def claim(self, now: float) -> float:
         """Return how much it holds for how long, less what it has brought."""
         counted = 1 + min(self.finished, MAX_FINISHED_COUNTED)
-        return self.held * (1.0 + now - self.since) / counted
+        # Idle connections come last, as closing them brings least.
+        held = self.held - CONNECTION_BYTES + 1
+        return held * (1.0 + now - self.since) / counted
 
 
 class Admission:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -89,6 +89,13 @@
         crowd.admission.close_expired(1000.0)
         self.assertEqual(crowd.closed, {"next": Cause.MEMORY})
 
+    def test_idle_connections_are_closed_last(self):
+        crowd = Crowd(budget_bytes=4 * MIB)
+        for n in range(40):
+            crowd.open(n)
+        crowd.read(crowd.open("sender"), 4 * MIB - 200 * 1024, 70.0)
+        self.assertEqual(crowd.closed, {"sender": Cause.MEMORY})
+
     def test_unread_answers_count(self):
         crowd = Crowd(budget_bytes=2 * MIB)
         reader = crowd.open("reader")
