Keep incomplete messages of peers in blocks

Ruled out: a larger bound or a smaller crowd; load (the peak does not depend on it). Change: util/blocks.py, used by bodies and by messages.

--- a/rattanwing/peer/frames.py
+++ b/rattanwing/peer/frames.py
@@ -27,6 +27,7 @@
     descriptor_limit,
     make_limits,
 )
+from rattanwing.util.blocks import BlockBuffer
 from rattanwing.util.codec import MAX_MESSAGE_BYTES
 
 if TYPE_CHECKING:
@@ -53,15 +54,13 @@
     """One end of a TCP connection as a message stream.
 
     :param received: bytes that have been read but not returned.
-    :param position: start of the next frame in ``received``.
     """
 
-    __slots__ = ("connection", "received", "position")
+    __slots__ = ("connection", "received")
 
     def __init__(self, connection: trio.SocketStream) -> None:
         self.connection = connection
-        self.received = bytearray()
-        self.position = 0
+        self.received = BlockBuffer()
 
     async def greet(self) -> None:
         """Exchange greetings with the other end.
@@ -101,18 +100,9 @@
 
     async def read_exactly(self, size: int) -> bytes:
         """Return the next ``size`` bytes."""
-        while len(self.received) - self.position < size:
-            if self.position:
-                del self.received[: self.position]
-                self.position = 0
-            self.received += await self.read_some()
-        end = self.position + size
-        data = bytes(self.received[self.position : end])
-        self.position = end
-        if end == len(self.received):
-            self.received = bytearray()
-            self.position = 0
-        return data
+        while self.received.size < size:
+            self.received.add(await self.read_some())
+        return self.received.take(size)
 
     async def read_some(self) -> bytes:
         """Return the next bytes, at least one."""
--- a/rattanwing/util/http_connection.py
+++ b/rattanwing/util/http_connection.py
@@ -22,6 +22,7 @@
 from rattanwing import events
 from rattanwing.errors import RejectedError
 from rattanwing.util.admission import CONNECTION_BYTES, Cause, Phase
+from rattanwing.util.blocks import BlockBuffer
 from rattanwing.util.http_messages import (
     Request,
     Response,
@@ -37,9 +38,6 @@
 READ_BYTES = 16 * 1024
 """Most bytes that one read returns."""
 
-BLOCK_BYTES = 16 * 1024
-"""Size of the blocks in which a body is kept until it is complete."""
-
 MAX_HEAD_BYTES = 16 * 1024
 """Longest head; one more read may belong to it."""
 
@@ -77,7 +75,7 @@
 
     :param route: the route that answers it, once its head is complete.
     :param refusal: the answer to a request that is not carried out.
-    :param blocks: the body so far, in blocks of up to ``BLOCK_BYTES``.
+    :param body: the body so far.
     :param size: number of body bytes so far.
     :param expects_continue: whether the client waits before it sends the body.
     :param keeps_alive: whether the connection stays open after the answer.
@@ -90,7 +88,7 @@
         "request",
         "route",
         "refusal",
-        "blocks",
+        "body",
         "size",
         "expects_continue",
         "keeps_alive",
@@ -103,7 +101,7 @@
         self.request: Request | None = None
         self.route: Route | None = None
         self.refusal: Response | None = None
-        self.blocks: list[bytearray] = []
+        self.body = BlockBuffer()
         self.size = 0
         self.expects_continue = False
         self.keeps_alive = True
@@ -116,24 +114,7 @@
         """Refuse the request unless it has been refused, and drop its body."""
         if self.refusal is None:
             self.refusal = error_response(status, rule, detail)
-        self.blocks.clear()
-
-    def add(self, data: bytes) -> None:
-        """Add bytes to the body.
-
-        Blocks of similar sizes take the place of freed ones; a single buffer that grows
-        leaves gaps which no other request can use.
-        """
-        if self.blocks and len(self.blocks[-1]) + len(data) <= BLOCK_BYTES:
-            self.blocks[-1] += data
-        else:
-            self.blocks.append(bytearray(data))
-
-    def take_body(self) -> bytes:
-        """Return the complete body, and keep it no longer."""
-        body = b"".join(self.blocks)
-        self.blocks.clear()
-        return body
+        self.body.clear()
 
 
 class RequestReader:
@@ -197,7 +178,7 @@
         if refusal is not None:
             incoming = self.current or IncomingRequest()
             incoming.refusal = refusal
-            incoming.blocks.clear()
+            incoming.body.clear()
             self.complete.append(incoming)
         if self.complete:
             self.complete[-1].keeps_alive = False
@@ -278,7 +259,7 @@
         if incoming.size > incoming.max_body_bytes():
             self.refuse_body(incoming)
             return
-        incoming.add(data)
+        incoming.body.add(data)
 
     def refuse_body(self, incoming: IncomingRequest) -> None:
         """Refuse a request for the length of its body."""
@@ -301,7 +282,7 @@
         limit = None if incoming.route is None else incoming.route.max_values
         if limit is None or incoming.size <= SMALL_BODY_BYTES:
             return
-        if count_values(incoming.blocks) > limit:
+        if count_values(incoming.body.blocks) > limit:
             self.causes.append(Cause.TOO_MANY_FIELDS)
             incoming.refuse(413, "too-many-fields", f"over {limit} values")
 
@@ -405,7 +386,7 @@
         size = len(data)
         for incoming in reader.complete:
             size += HEADER_BYTES * len(incoming.headers)
-            if incoming.size > SMALL_BODY_BYTES and incoming.blocks:
+            if incoming.size > SMALL_BODY_BYTES and incoming.body.size:
                 size += incoming.size + self.decoded_bytes(incoming)
         if reader.causes:
             for cause in reader.causes:
@@ -417,7 +398,7 @@
         """Return the estimated memory of the decoded body."""
         if incoming.route is None or incoming.route.max_values is None:
             return 0
-        return VALUE_BYTES * count_values(incoming.blocks)
+        return VALUE_BYTES * count_values(incoming.body.blocks)
 
     async def answer(self, incoming: IncomingRequest) -> bool:
         """Answer a request; return whether the connection stays open."""
@@ -425,7 +406,7 @@
         client.enter(Phase.RUNNING, trio.current_time())
         response = incoming.refusal
         if response is None:
-            incoming.request.body = incoming.take_body()
+            incoming.request.body = incoming.body.take(incoming.body.size)
             response = await call_handler(incoming.route.handler, incoming.request)
         keeps_alive = (
             incoming.keeps_alive
