Move a run only where its task would be placed

Cause: since moves choose hosts by the predicted pace, find_target no longer asked for the limit on what a serving task may lose to best-effort tasks. A run was stopped for a host that placement then refused with reason 'interference'. Ruled out: reserving the target, which is not done for other moves either. Change: find_target asks unsuitable_reason, as placement does. Result: the new test of tests.batch.test_moves failed before; no play was made.

--- a/rattanwing/batch/moves.py
+++ b/rattanwing/batch/moves.py
@@ -13,7 +13,11 @@
 
 from rattanwing.batch.colocation import summarize_colocation
 from rattanwing.batch.headroom import expected_start_pace
-from rattanwing.batch.placement import count_runs_on, rejection_reason
+from rattanwing.batch.placement import (
+    count_runs_on,
+    rejection_reason,
+    unsuitable_reason,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -46,7 +50,7 @@
     interference: InterferenceModel,
     now: float,
 ) -> list[tuple[Run, Host]]:
-    """Return the runs to move, each with a host that could run it at full pace.
+    """Return the runs to move, each with a host where it would be at work at once.
 
     Runs that have been throttled for the longest come first. A host is named at most
     once, as its room is not reserved.
@@ -126,6 +130,8 @@
             continue
         if rejection_reason(host, task.job, step, constraints, now):
             continue
+        if unsuitable_reason(host, step, interference, now):
+            continue
         if 0 < step.spread_limit <= count_runs_on(host, task):
             continue
         return host
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -600,7 +600,7 @@
                 )
 
     def move_throttled_runs(self, now: float) -> None:
-        """Stop throttled best-effort runs that other hosts could run at full pace.
+        """Stop throttled best-effort runs that would be at work on other hosts.
 
         Their tasks are placed again with their newest checkpoint once the runs have
         ended, which for tasks of inherited jobs needs a complete takeover.
--- a/tests/batch/test_moves.py
+++ b/tests/batch/test_moves.py
@@ -97,6 +97,22 @@
                 self.scheduler.cluster.release(run, self.now, has_run=True)
                 self.assertEqual(self.moves(), [(self.run, self.free)])
 
+    def test_a_run_stays_where_other_hosts_would_not_be_given_its_task(self):
+        """Headroom is left there, but best-effort runs may take no more of it."""
+        self.learn(0.15)
+        self.throttle()
+        owned = self.add_job(job("more", [SERVING]))
+        add_run = self.scheduler.cluster.add_run
+        run = add_run(owned.tasks()[0], 1, self.free, self.now)
+        run.measurement = SERVING.target_ms // 6
+        first, second = self.add_job(
+            job("others", [msgspec.structs.replace(BATCH, count=2)])
+        ).tasks()
+        add_run(first, 1, self.free, self.now)
+        self.assertEqual(self.moves(), [(self.run, self.free)])
+        add_run(second, 1, self.free, self.now)
+        self.assertEqual(self.moves(), [])
+
     def test_a_full_or_draining_host_takes_no_moved_run(self):
         self.throttle()
         self.report(self.free, (), cpu=2000)
