Start tasks of neglected jobs on failing hosts last

Cause: a host without headroom is unsuitable, so a job that has had no run for 1.2 s chose among all hosts more often, and failing ones cost nothing there: runs fail or stand still on them, and each failure counts against max_attempts. Ruled out: a cost of failing hosts, as it would also weigh where they are not candidates. Change: failing hosts are candidates only if there are no others. A job still starts where all hosts fail. Found in review.

--- a/rattanwing/batch/placement.py
+++ b/rattanwing/batch/placement.py
@@ -337,7 +337,7 @@
     """Return the host with the lowest cost for a task, ``None`` if there is none.
 
     A job without a run for ``STARVED_AFTER_S`` may use any host with enough free
-    resources, including unsuitable ones.
+    resources, including unsuitable ones; failing ones only if there is no other.
 
     :param hosts: hosts for which :func:`closed_reason` is empty.
     """
@@ -357,7 +357,8 @@
         if not unsuitable_reason(host, task.step, interference, now)
     ]
     if not candidates and job.is_starved(now, STARVED_AFTER_S):
-        candidates = fitting
+        healthy = [host for host in fitting if not host.health.is_failing(now)]
+        candidates = healthy or fitting
     if not candidates:
         return None
     by_domain = count_runs_by_domain(job, task) if task.step.long_running else {}
--- a/tests/batch/test_headroom.py
+++ b/tests/batch/test_headroom.py
@@ -103,6 +103,16 @@
         self.hear()
         self.assertEqual(len(self.place()), 1)
 
+    def test_a_neglected_job_prefers_short_headroom_to_a_failing_host(self):
+        failing = self.host("agent-2", cpu=32_000)
+        failing.health.record_stall(self.now)
+        self.set_headroom(KEEP_HEADROOM - 0.1)
+        self.assertEqual(self.add_batch_run(), 0)
+        self.now += placement.STARVED_AFTER_S + 0.1
+        self.hear()
+        self.report(failing, cpu=32_000)
+        self.assertEqual([host for host, _task in self.place()], ["agent-1"])
+
 
 class OpposedLoadTests(InterferenceTestCase):
     """The loads of the serving tasks of two halves of the hosts peak by turns.
