--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -125,7 +125,7 @@
         being stopped, and the resources that they use are unknown.
     :param colocation: cached summary, ``None`` after the runs have changed.
     :param start_paces: cached paces at which best-effort tasks would start, in percent,
-        by image and CPU; empty after the runs have changed.
+        by image and CPU; empty after the runs or the estimates have changed.
     :param paces_reported_at: time of the report that these paces are taken from.
     :param freed: whether the host may be able to run more than at the last round of
         placement.
--- a/tests/batch/test_headroom.py
+++ b/tests/batch/test_headroom.py
@@ -11,6 +11,7 @@
     KEEP_HEADROOM,
     MEASURED_AFTER_S,
 )
+from rattanwing.batch.scheduler import INTERFERENCE_INTERVAL_S
 from rattanwing.batch.timing import TASK_LEASE_S
 from rattanwing.batch.urgency import completion_target_ms
 from tests.batch.test_overload import (
@@ -78,6 +79,14 @@
         self.set_headroom(0.9)
         self.assertEqual(self.pace(), 0)
 
+    def test_pace_follows_new_estimates_before_the_next_report(self):
+        self.set_headroom(KEEP_HEADROOM + LOSS / 2)
+        self.assertLess(self.pace(), FULL_PERCENT)
+        self.interference.headroom_loss_per_core["watch", "match"] = 0.0
+        self.now += INTERFERENCE_INTERVAL_S
+        self.scheduler.send_interference(self.now)
+        self.assertEqual(self.pace(), FULL_PERCENT)
+
     def test_runs_that_no_report_covers_take_headroom(self):
         self.set_headroom(KEEP_HEADROOM + LOSS + 0.1)
         self.assertEqual(self.add_batch_run(), 1)
