Compute the headroom of a host once a report

Change: the headroom after the recent runs is kept until the next report, a change of the host's runs or of the estimates; of serving tasks of one image the least headroom counts.

--- a/rattanwing/batch/headroom.py
+++ b/rattanwing/batch/headroom.py
@@ -33,21 +33,26 @@
     """What the serving tasks of a host leave to further best-effort tasks.
 
     The runs placed since the last report count as if they took what the agent lets them
-    have.
+    have. Among serving tasks of one image, only the one with the least headroom counts.
 
     :param reported_at: time of the report that the headroom is taken from.
     :param serving: the serving tasks with a reported tail latency.
     :param unreported: the images of the others.
     :param recent: best-effort runs that the report does not cover, oldest first.
+    :param spare: headroom above ``KEEP_HEADROOM`` of each serving task, less what those
+        runs take; ``None`` until it is computed.
+    :param paces: paces computed so far, in percent, by image and CPU of a task.
     """
 
-    __slots__ = ("reported_at", "serving", "unreported", "recent")
+    __slots__ = ("reported_at", "serving", "unreported", "recent", "spare", "paces")
 
     def __init__(self, host: Host) -> None:
         self.reported_at = host.last_heard_at
-        self.serving: list[ServingLatency] = []
-        self.unreported: list[str] = []
+        self.unreported: set[str] = set()
         self.recent: list[BestEffortRun] = []
+        self.spare: dict[int, float] | None = None
+        self.paces: dict[tuple[str, int], int] = {}
+        by_image: dict[str, ServingLatency] = {}
         for run in host.runs.values():
             step = run.task.step
             if step.best_effort:
@@ -56,11 +61,13 @@
             elif step.target_ms <= 0:
                 continue
             elif run.measurement > 0:
-                self.serving.append(
-                    ServingLatency(step.image, run.measurement, step.target_ms)
-                )
+                found = ServingLatency(step.image, run.measurement, step.target_ms)
+                other = by_image.setdefault(step.image, found)
+                if found.headroom < other.headroom:
+                    by_image[step.image] = found
             else:
-                self.unreported.append(step.image)
+                self.unreported.add(step.image)
+        self.serving = list(by_image.values())
 
     def start_pace(self, step: StepSpec, interference: InterferenceModel) -> int:
         """Return the pace, in percent, that the agent would give a new task of a step.
@@ -69,23 +76,31 @@
         report may limit the pace as soon as they are reported. The agent's limit on the
         host's CPU is left out.
         """
+        key = step.image, step.cpu
+        if key not in self.paces:
+            self.paces[key] = to_percent(self.compute_pace(step, interference))
+        return self.paces[key]
+
+    def compute_pace(self, step: StepSpec, interference: InterferenceModel) -> float:
+        """Return the pace, in percent, before it is rounded."""
         if any(latency.headroom < 1 for latency in self.serving):
-            return 0
+            return 0.0
         pacer = BestEffortPacer()
         pacer.headroom_loss_per_core = interference.headroom_loss_per_core
-        spare = {
-            index: latency.headroom - KEEP_HEADROOM
-            for index, latency in enumerate(self.serving)
-        }
-        for run in self.recent:
-            pacer.allot_increase(self.serving, run, 0.0, spare)
-        pace = pacer.allot_increase(self.serving, new_run(step), 0.0, spare)
+        if self.spare is None:
+            self.spare = {
+                index: latency.headroom - KEEP_HEADROOM
+                for index, latency in enumerate(self.serving)
+            }
+            for run in self.recent:
+                pacer.allot_increase(self.serving, run, 0.0, self.spare)
+        pace = pacer.allot_increase(self.serving, new_run(step), 0.0, dict(self.spare))
         if any(
             interference.expected_loss(image, step.image, step.cpu) > 0
             for image in self.unreported
         ):
             pace = min(pace, UNKNOWN_SPEEDUP_PERCENT)
-        return to_percent(pace)
+        return pace
 
 
 def new_run(step: StepSpec) -> BestEffortRun:
@@ -97,10 +112,6 @@
     host: Host, step: StepSpec, interference: InterferenceModel
 ) -> int:
     """Return the pace, in percent, at which a best-effort task would start."""
-    if host.paces_reported_at != host.last_heard_at:
-        host.paces_reported_at = host.last_heard_at
-        host.start_paces.clear()
-    key = step.image, step.cpu
-    if key not in host.start_paces:
-        host.start_paces[key] = HostHeadroom(host).start_pace(step, interference)
-    return host.start_paces[key]
+    if host.headroom is None or host.headroom.reported_at != host.last_heard_at:
+        host.headroom = HostHeadroom(host)
+    return host.headroom.start_pace(step, interference)
--- a/rattanwing/batch/hosts.py
+++ b/rattanwing/batch/hosts.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from rattanwing.batch.colocation import ColocationSummary
+    from rattanwing.batch.headroom import HostHeadroom
     from rattanwing.batch.interference import HeadroomSample
     from rattanwing.batch.jobs import OwnedJob, Task
     from rattanwing.batch.model import StepSpec
@@ -140,9 +141,8 @@
     :param unknown_runs: number of reported runs that belong to no known task. They are
         being stopped, and the resources that they use are unknown.
     :param colocation: cached summary, ``None`` after the runs have changed.
-    :param start_paces: cached paces at which best-effort tasks would start, in percent,
-        by image and CPU; empty after the runs or the estimates have changed.
-    :param paces_reported_at: time of the report that these paces are taken from.
+    :param headroom: cached headroom of the serving tasks, ``None`` after the runs or
+        the interference estimates have changed.
     :param freed: whether the host may be able to run more than at the last round of
         placement.
     :param suspect_run: the last run of a suspected task that was started here.
@@ -172,8 +172,7 @@
         "ends_incarnation",
         "unknown_runs",
         "colocation",
-        "start_paces",
-        "paces_reported_at",
+        "headroom",
         "freed",
         "suspect_run",
         "held_until",
@@ -202,8 +201,7 @@
         self.ends_incarnation = ""
         self.unknown_runs = 0
         self.colocation: ColocationSummary | None = None
-        self.start_paces: dict[tuple[str, int], int] = {}
-        self.paces_reported_at = 0.0
+        self.headroom: HostHeadroom | None = None
         self.freed = True
         self.suspect_run: Run | None = None
         self.held_until = 0.0
@@ -272,7 +270,7 @@
     def reserve(self, step: StepSpec, sign: int) -> None:
         """Reserve (``sign`` 1) or release (-1) the resources of one task."""
         self.colocation = None
-        self.start_paces.clear()
+        self.headroom = None
         if step.best_effort:
             self.reserved_best_effort_cpu += sign * step.cpu
         else:
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -395,7 +395,7 @@
         self.interference.refit()
         for host in self.cluster.hosts.values():
             host.colocation = None
-            host.start_paces.clear()
+            host.headroom = None
         rows = self.interference.known_rows()
         if not rows:
             return
