Refuse odd lengths and encodings of a body; bound its trailers

A Content-Length of thousands of zeros raised an error in a callback: the connection ended without an answer, and a traceback was logged for each. Trailers had no bound but the budget of the process, and each read copied them once more. Two of the three tests failed before; the third shows that heads and trailers of legal size stay.

--- a/rattanwing/util/http_connection.py
+++ b/rattanwing/util/http_connection.py
@@ -39,7 +39,10 @@
 """Most bytes that one read returns."""
 
 MAX_HEAD_BYTES = 16 * 1024
-"""Longest head; one more read may belong to it."""
+"""Longest head, and longest trailers of a body; one more read may belong to them."""
+
+MAX_LENGTH_DIGITS = 20
+"""Most digits of a body's length."""
 
 MAX_HEADERS = 100
 
@@ -128,7 +131,7 @@
 
     :param complete: requests that wait for their answers.
     :param current: the request that is read now, if any.
-    :param head_bytes: bytes read while its head has been incomplete.
+    :param head_bytes: bytes of its head so far, or those after the last of its body.
     :param stopped: whether nothing more is taken from the connection.
     :param causes: limits that requests exceeded since the last look.
     """
@@ -154,17 +157,18 @@
 
     def feed(self, data: bytes) -> None:
         """Parse bytes; complete requests, and refused ones, go to ``complete``."""
+        self.head_bytes += len(data)
         self.parse(data)
         incoming = self.current
         if incoming is None or self.stopped:
             return
-        if incoming.request is None and incoming.refusal is None:
-            self.head_bytes += len(data)
+        if incoming.refusal is None:
+            route = incoming.route
             if self.head_bytes > MAX_HEAD_BYTES:
                 incoming.refuse(431, "head-too-large", f"over {MAX_HEAD_BYTES} bytes")
                 self.causes.append(Cause.TOO_LARGE)
-        elif incoming.refusal is None and incoming.route.check is not None:
-            incoming.refusal = incoming.route.check(incoming.request)
+            elif route is not None and route.check is not None:
+                incoming.refusal = route.check(incoming.request)
         if incoming.refusal is not None:
             self.end_with(incoming.refusal)
 
@@ -220,7 +224,6 @@
             self.end_with(None)
             return
         self.current = IncomingRequest()
-        self.head_bytes = 0
 
     def on_url(self, data: bytes) -> None:
         """Collect the target."""
@@ -243,6 +246,10 @@
         incoming = self.current
         if incoming is None or incoming.request is not None:
             return
+        self.head_bytes = 0
+        version = self.parser.get_http_version()
+        # Clients of HTTP/1.0 take a connection to be closed by default.
+        incoming.keeps_alive = version == "1.1"
         method = incoming.method = self.parser.get_method().decode("ascii")
         try:
             request = make_request(method, incoming.target, incoming.headers, b"")
@@ -260,22 +267,31 @@
             match name:
                 case b"content-length":
                     incoming.framing = b"%b: %b" % (name, value)
-                    if int(value) > incoming.max_body_bytes():
-                        self.refuse_body(incoming)
+                    self.check_length(incoming, value)
                 case b"transfer-encoding":
                     incoming.framing = b"%b: %b" % (name, value)
+                    if value.strip().lower() != b"chunked":
+                        incoming.refuse(501, "unknown-transfer-encoding", "not chunked")
                 case b"expect":
                     incoming.expects_continue = value.lower() == b"100-continue"
                 case b"host":
                     hosts += 1
-        if hosts != 1 and self.parser.get_http_version() == "1.1":
+        if hosts != 1 and version == "1.1":
             incoming.refuse(400, "malformed-request", f"{hosts} Host headers")
 
+    def check_length(self, incoming: IncomingRequest, value: bytes) -> None:
+        """Refuse a body by its stated length, whose digits the parser has checked."""
+        if len(value) > MAX_LENGTH_DIGITS:
+            incoming.refuse(400, "malformed-request", "Content-Length has many digits")
+        elif int(value) > incoming.max_body_bytes():
+            self.refuse_body(incoming)
+
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
         incoming = self.current
         if incoming is None or incoming.refusal is not None:
             return
+        self.head_bytes = 0
         incoming.size += len(data)
         if incoming.size > incoming.max_body_bytes():
             self.refuse_body(incoming)
@@ -294,7 +310,8 @@
         if incoming is None or self.has_body_after_upgrade(incoming):
             return
         self.current = None
-        incoming.keeps_alive = self.parser.should_keep_alive()
+        self.head_bytes = 0
+        incoming.keeps_alive = incoming.keeps_alive and self.parser.should_keep_alive()
         self.check_values(incoming)
         self.complete.append(incoming)
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -24,6 +24,7 @@
     b"GET / HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
     b"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n"
 )
+CLOSING = b"POST /known HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 HTTP2 = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 ODD_REQUESTS = (
     b"\xff" * 100,
@@ -249,3 +250,34 @@
         for answered in received:
             self.assertTrue(answered.endswith(b'{"body":5}'), answered)
         self.assertEqual(handled, ["/known"] * 2)
+
+    def test_odd_lengths_and_encodings_are_refused(self):
+        """A length of very many digits was answered by nothing."""
+        head = b"POST /known HTTP/1.1\r\nHost: a\r\n"
+        odd = {
+            b"400": b"Content-Length: " + b"0" * 5_000 + b"5\r\n\r\nhello",
+            b"501": b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            b"431": b"Transfer-Encoding: chunked\r\n\r\n0\r\nX: " + b"y" * 100_000,
+        }
+        received, handled = self.exchange(*[head + rest for rest in odd.values()])
+        for status, answered in zip(odd, received, strict=True):
+            self.assertTrue(answered.startswith(b"HTTP/1.1 " + status), answered)
+        self.assertEqual(handled, [])
+
+    def test_head_and_trailers_of_legal_size_are_taken(self):
+        filler = b"X: " + b"y" * 15_000 + b"\r\n"
+        request = (
+            b"POST /known HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+            + filler
+            + b"\r\n5\r\nhello\r\n0\r\n"
+            + filler
+            + b"\r\n"
+        )
+        received, handled = self.exchange(request * 3 + CLOSING, read_all=True)
+        self.assertEqual(received[0].count(b"HTTP/1.1 200"), 4)
+        self.assertEqual(handled, ["/known"] * 4)
+
+    def test_connection_of_http_1_0_is_closed_after_the_answer(self):
+        request = b"POST /known HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"
+        received, _ = self.exchange(request)
+        self.assertIn(b"connection: close", received[0])
