Answer all requests that were read when the server stops

Of several requests read at once only the first was answered when the server stopped; the others had been read whole. They are answered now, and the last says that the connection closes. A connection whose answer was being sent at the stop then waited for a next request for the whole grace period; it is closed.

100 Continue went out before the answers of requests ahead, where clients take it for a part of the first. It is sent after them.

--- a/rattanwing/util/http_connection.py
+++ b/rattanwing/util/http_connection.py
@@ -398,9 +398,11 @@
             while reader.complete:
                 if not await self.answer(reader.complete.popleft()):
                     return
-            if reader.stopped:
+            stopping = self.opened.stopping and reader.current is None
+            if reader.stopped or stopping:
                 return
             self.wait_for_request()
+            await self.send_continue()
             data = await self.stream.receive_some(READ_BYTES)
             if not data:
                 return
@@ -408,10 +410,13 @@
                 self.take(data, trio.current_time())
             if self.client.closed:
                 return
-            incoming = reader.current
-            if incoming is not None and incoming.expects_continue and not incoming.size:
-                incoming.expects_continue = False
-                await self.stream.send_all(CONTINUE)
+
+    async def send_continue(self) -> None:
+        """Ask for the body that a client holds back, after all earlier answers."""
+        incoming = self.reader.current
+        if incoming is not None and incoming.expects_continue and not incoming.size:
+            incoming.expects_continue = False
+            await self.stream.send_all(CONTINUE)
 
     def wait_for_request(self) -> None:
         """Note that nothing waits for an answer."""
@@ -456,7 +461,7 @@
             response = await call_handler(incoming.route.handler, incoming.request)
         keeps_alive = (
             incoming.keeps_alive
-            and not opened.stopping
+            and not self.is_last()
             and (b"connection", b"close") not in response.headers
         )
         data = encode_response(response, incoming.method, keeps_alive)
@@ -466,12 +471,19 @@
         client.enter(Phase.SENDING, now, len(data))
         await self.stream.send_all(data)
         client.finished += 1
-        if not keeps_alive and self.reader.stopped:
+        if not keeps_alive and (self.reader.stopped or opened.stopping):
             await self.linger()
         return keeps_alive
 
+    def is_last(self) -> bool:
+        """Return whether the server stops and no other complete request waits."""
+        return self.opened.stopping and not self.reader.complete
+
     async def linger(self) -> None:
-        """Read the rest of a refused request, up to a limit."""
+        """Read what the client still sends, up to a limit.
+
+        A connection that is closed with unread bytes is reset, and its answer lost.
+        """
         self.opened.admission.release(self.client)
         self.client.enter(Phase.CLOSING, trio.current_time())
         await self.stream.send_eof()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import trio
+import trio.testing
 
 from rattanwing import events
 from rattanwing.util.address import split_address
@@ -15,6 +16,7 @@
 SEED = 20261205
 ANSWER_LIMIT_S = 5.0
 ODD_LIMIT_S = 0.02
+GRACE_S = 4.0
 
 REQUEST = (
     b"PUT /rattanwing/instances/i-1 HTTP/1.1\r\nHost: a\r\n"
@@ -281,3 +283,71 @@
         request = b"POST /known HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"
         received, _ = self.exchange(request)
         self.assertIn(b"connection: close", received[0])
+
+    def test_body_is_asked_for_after_the_answers_before_it(self):
+        waiting = b"POST /known HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+        received, _ = self.exchange(REQUEST + waiting + b"Expect: 100-continue\r\n\r\n")
+        self.assertTrue(received[0].startswith(b"HTTP/1.1 404"), received[0])
+
+
+class StopTests(unittest.TestCase):
+    def stop_while_answering(self, data):
+        """Stop while the first request of ``data`` is answered; return all answers."""
+
+        async def slow_answer(_request):
+            await trio.sleep(0.2)
+            return json_response(200, {})
+
+        async def main():
+            server = HttpServer()
+            server.route("*", r".*", slow_answer)
+            address = free_address()
+            stop = trio.Event()
+            received = []
+
+            async def call():
+                received.append(await send(address, data, ANSWER_LIMIT_S, True))
+
+            async with trio.open_nursery() as nursery:
+                await nursery.start(serve_http, server, address, stop.wait, GRACE_S)
+                nursery.start_soon(call)
+                await trio.sleep(0.1)
+                stop.set()
+            return received[0]
+
+        return trio.run(main)
+
+    def test_requests_that_were_read_are_all_answered(self):
+        received = self.stop_while_answering(REQUEST * 3)
+        self.assertEqual(received.count(b"HTTP/1.1 200"), 3)
+        self.assertEqual(received.count(b"connection: close"), 1)
+
+    def test_connection_without_a_request_does_not_delay_the_stop(self):
+        """Its last answer was sent in the moment of the stop."""
+
+        async def main():
+            server = HttpServer()
+            stop = trio.Event()
+            server.route("*", r".*", answer)
+            address = free_address()
+            async with trio.open_nursery() as nursery:
+                await nursery.start(serve_http, server, address, stop.wait, GRACE_S)
+                host, port = split_address(address)
+                stream = await trio.open_tcp_stream(host, port)
+                send_all = trio.SocketStream.send_all
+
+                async def send_as_it_stops(self, data):
+                    await send_all(self, data)
+                    if self is not stream:
+                        stop.set()
+                        await trio.testing.wait_all_tasks_blocked()
+
+                with mock.patch.object(trio.SocketStream, "send_all", send_as_it_stops):
+                    await stream.send_all(REQUEST)
+                    started_at = trio.current_time()
+                    while await stream.receive_some():
+                        pass
+                await trio.aclose_forcefully(stream)
+                return trio.current_time() - started_at
+
+        self.assertLess(trio.run(main), GRACE_S / 2)
