Keep connections without a request while running requests hold the budget

Requests that are carried out can't be closed. While they held over three quarters of the budget, each further connection had all others closed that wait, at every address, and was closed itself, so that readiness checks got no answer until those requests ended (up to 60 s). Connections without a request are now closed until the budget suffices, not until a quarter of it is free.

--- a/rattanwing/util/admission.py
+++ b/rattanwing/util/admission.py
@@ -256,15 +256,19 @@
         client.held = CONNECTION_BYTES
 
     def make_room(self, now: float) -> None:
-        """Close connections until the budget suffices, the largest claim first."""
+        """Close connections until the budget suffices, the largest claim first.
+
+        Connections without a request are closed for the budget itself only, as requests
+        that are carried out may hold most of it for long.
+        """
         if self.held_bytes <= self.limits.budget_bytes:
             return
         goal = self.limits.budget_bytes * BUDGET_GOAL_SHARE
         leaving = [c for group in self.clients.values() for c in group if can_leave(c)]
         for client in sorted(leaving, key=lambda c: c.claim(now), reverse=True):
-            self.close(client, Cause.MEMORY)
-            if self.held_bytes <= goal:
-                return
+            enough = self.limits.budget_bytes if client.phase is Phase.IDLE else goal
+            if self.held_bytes > enough:
+                self.close(client, Cause.MEMORY)
 
     def close_expired(self, now: float) -> None:
         """Close the connections that are too slow or have been idle for too long."""
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -96,6 +96,17 @@
         crowd.read(crowd.open("sender"), 4 * MIB - 200 * 1024, 70.0)
         self.assertEqual(crowd.closed, {"sender": Cause.MEMORY})
 
+    def test_requests_that_are_carried_out_leave_room_for_idle_connections(self):
+        crowd = Crowd(budget_bytes=2 * MIB)
+        running = crowd.open("running")
+        crowd.read(running, 2 * MIB - 21 * CONNECTION_BYTES, 0.0)
+        running.enter(Phase.RUNNING, 0.0)
+        for n in range(20):
+            crowd.open(n, 1.0)
+        self.assertEqual(crowd.closed, {})
+        self.assertIsNotNone(crowd.open("readiness", 2.0, Door.READINESS))
+        self.assertEqual(len(crowd.closed), 1)
+
     def test_unread_answers_count(self):
         crowd = Crowd(budget_bytes=2 * MIB)
         reader = crowd.open("reader")
