Drop the body of a request before its answer is sent

While the rest of a refused or closing connection was read, up to 1 s, the request before it kept its body, of up to 1 MiB, though the budget counted it as released: complete bodies with some bytes behind them, on many connections, were bounded by nothing but the number of connections. The test found the request before.

--- a/rattanwing/util/http_connection.py
+++ b/rattanwing/util/http_connection.py
@@ -459,6 +459,8 @@
         if response is None:
             incoming.request.body = incoming.body.take(incoming.body.size)
             response = await call_handler(incoming.route.handler, incoming.request)
+            # The body is not kept while the answer is sent.
+            incoming.request = None
         keeps_alive = (
             incoming.keeps_alive
             and not self.is_last()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import gc
 import unittest
 from random import Random
 from unittest import mock
@@ -10,7 +11,7 @@
 from rattanwing import events
 from rattanwing.util.address import split_address
 from rattanwing.util.http_connection import MAX_REQUESTS_AHEAD
-from rattanwing.util.http_server import HttpServer, json_response, serve_http
+from rattanwing.util.http_server import HttpServer, Request, json_response, serve_http
 from tests.processes import free_address
 
 SEED = 20261205
@@ -290,6 +291,32 @@
         self.assertTrue(received[0].startswith(b"HTTP/1.1 404"), received[0])
 
 
+class MemoryTests(unittest.TestCase):
+    def test_body_is_not_kept_after_the_answer(self):
+        """The connection is still open, as the client has sent more."""
+        body = b"x" * 50_000
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: "
+
+        async def main():
+            server = HttpServer()
+            server.route("*", r".*", answer)
+            address = free_address()
+            stop = trio.Event()
+            async with trio.open_nursery() as nursery:
+                await nursery.start(serve_http, server, address, stop.wait, 0.1)
+                host, port = split_address(address)
+                stream = await trio.open_tcp_stream(host, port)
+                await stream.send_all(head + b"50000\r\n\r\n" + body + b"more")
+                with trio.fail_after(ANSWER_LIMIT_S):
+                    await stream.receive_some()
+                kept = [o for o in gc.get_objects() if isinstance(o, Request)]
+                await trio.aclose_forcefully(stream)
+                stop.set()
+            return kept
+
+        self.assertEqual(trio.run(main), [])
+
+
 class StopTests(unittest.TestCase):
     def stop_while_answering(self, data):
         """Stop while the first request of ``data`` is answered; return all answers."""
