Free the incomplete messages of peers when their streams end

A stream that was accepted and its account refer to each other, so that up to 1 MiB of an incomplete message (4 MiB at most) stayed until a full garbage collection, which buffers alone don't bring about. The test failed before.

--- a/rattanwing/peer/frames.py
+++ b/rattanwing/peer/frames.py
@@ -175,6 +175,9 @@
         await serve_peer(handler, stream)
     finally:
         admission.remove(client)
+        # The stream and its account refer to each other: without this, the bytes of an
+        # incomplete message are kept until the next garbage collection.
+        stream.received.clear()
 
 
 async def serve_peer(handler: Handler, stream: FrameStream) -> None:
--- a/tests/peer/test_streams.py
+++ b/tests/peer/test_streams.py
@@ -1,10 +1,12 @@
 from __future__ import annotations
 
 import contextlib
+import gc
 import unittest
 from unittest import mock
 
 import trio
+import trio.testing
 import trio_asyncio
 
 from rattanwing import events
@@ -13,6 +15,7 @@
 from rattanwing.peer.session import PeerSession
 from rattanwing.peer.stream import memory_stream_pair
 from rattanwing.util.address import split_address
+from rattanwing.util.blocks import BlockBuffer
 from tests.processes import free_address
 
 LIMIT_S = 10
@@ -208,6 +211,32 @@
 
         run(test)
 
+    def test_incomplete_message_is_not_kept_when_its_stream_has_ended(self):
+        """Also before a garbage collection, which may be long in coming."""
+        message = b"incomplete" * 1000
+
+        async def test(nursery):
+            address = free_address()
+            await nursery.start(frames.serve_peers, address, echo)
+            host, port = split_address(address)
+            connection = await trio.open_tcp_stream(host, port)
+            length = frames.LENGTH.pack(len(message) + 1)
+            await connection.send_all(frames.GREETING + length + message)
+            await connection.send_eof()
+            while await connection.receive_some():
+                pass
+            await connection.aclose()
+            await trio.testing.wait_all_tasks_blocked()
+            buffers = [o for o in gc.get_objects() if isinstance(o, BlockBuffer)]
+            self.assertEqual([b for b in buffers if b.size], [])
+
+        gc.collect()
+        gc.disable()
+        try:
+            run(test)
+        finally:
+            gc.enable()
+
     def test_builds_on_different_transports_refuse_each_other(self):
         """During a rolling update a new entry may dial an old agent, or the reverse."""
         reached = []
