--- a/rattanwing/util/http_connection.py
+++ b/rattanwing/util/http_connection.py
@@ -39,7 +39,10 @@
 """Most bytes that one read returns."""
 
 MAX_HEAD_BYTES = 16 * 1024
-"""Longest head; one more read may belong to it."""
+"""Longest head, and longest trailers of a body; one more read may belong to them."""
+
+MAX_LENGTH_DIGITS = 20
+"""Most digits of a body's length."""
 
 MAX_HEADERS = 100
 
@@ -67,6 +70,9 @@
 
 REASONS = {status.value: status.phrase for status in HTTPStatus}
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+BODY_HEAD = b"POST / HTTP/1.1\r\nconnection: close\r\n%b\r\n\r\n"
+"""Head after which a parser reads a body; its only field is the body's framing."""
+
 BODILESS_STATUSES = (204, 304)
 
 
@@ -77,6 +83,7 @@
     :param refusal: the answer to a request that is not carried out.
     :param body: the body so far.
     :param size: number of body bytes so far.
+    :param framing: the header that tells that a body follows; empty without a body.
     :param expects_continue: whether the client waits before it sends the body.
     :param keeps_alive: whether the connection stays open after the answer.
     """
@@ -90,6 +97,7 @@
         "refusal",
         "body",
         "size",
+        "framing",
         "expects_continue",
         "keeps_alive",
     )
@@ -103,6 +111,7 @@
         self.refusal: Response | None = None
         self.body = BlockBuffer()
         self.size = 0
+        self.framing = b""
         self.expects_continue = False
         self.keeps_alive = True
 
@@ -122,7 +131,7 @@
 
     :param complete: requests that wait for their answers.
     :param current: the request that is read now, if any.
-    :param head_bytes: bytes read while its head has been incomplete.
+    :param head_bytes: bytes of its head so far, or those after the last of its body.
     :param stopped: whether nothing more is taken from the connection.
     :param causes: limits that requests exceeded since the last look.
     """
@@ -148,28 +157,40 @@
 
     def feed(self, data: bytes) -> None:
         """Parse bytes; complete requests, and refused ones, go to ``complete``."""
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # The bytes that follow belong to a protocol that is not served.
-            self.end_with(None)
-        except httptools.HttpParserCallbackError:
-            raise
-        except httptools.HttpParserError as error:
-            self.end_with(error_response(400, "malformed-request", str(error)))
+        self.head_bytes += len(data)
+        self.parse(data)
         incoming = self.current
         if incoming is None or self.stopped:
             return
-        if incoming.request is None and incoming.refusal is None:
-            self.head_bytes += len(data)
+        if incoming.refusal is None:
+            route = incoming.route
             if self.head_bytes > MAX_HEAD_BYTES:
                 incoming.refuse(431, "head-too-large", f"over {MAX_HEAD_BYTES} bytes")
                 self.causes.append(Cause.TOO_LARGE)
-        elif incoming.refusal is None and incoming.route.check is not None:
-            incoming.refusal = incoming.route.check(incoming.request)
+            elif route is not None and route.check is not None:
+                incoming.refusal = route.check(incoming.request)
         if incoming.refusal is not None:
             self.end_with(incoming.refusal)
 
+    def parse(self, data: bytes) -> None:
+        """Run the parser over bytes."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            incoming = self.current
+            if incoming is None:
+                # The bytes that follow belong to a protocol that is not served.
+                self.end_with(None)
+                return
+            # The parser takes a request for an upgrade to have no body.
+            self.parser = httptools.HttpRequestParser(self)
+            (position,) = upgrade.args
+            self.parse(BODY_HEAD % incoming.framing + data[position:])
+        except httptools.HttpParserCallbackError:
+            raise
+        except httptools.HttpParserError as error:
+            self.end_with(error_response(400, "malformed-request", str(error)))
+
     def end_with(self, refusal: Response | None) -> None:
         """Take nothing more; ``refusal`` answers the request that is incomplete."""
         if self.stopped:
@@ -195,15 +216,14 @@
         self.parser = None
 
     def on_message_begin(self) -> None:
-        """Begin a request."""
-        if self.stopped:
+        """Begin a request, unless the body of the current one follows."""
+        if self.stopped or self.current is not None:
             return
         if len(self.complete) >= MAX_REQUESTS_AHEAD:
             self.causes.append(Cause.AHEAD)
             self.end_with(None)
             return
         self.current = IncomingRequest()
-        self.head_bytes = 0
 
     def on_url(self, data: bytes) -> None:
         """Collect the target."""
@@ -224,8 +244,12 @@
     def on_headers_complete(self) -> None:
         """Find the route, and refuse what the head tells to be wrong."""
         incoming = self.current
-        if incoming is None:
+        if incoming is None or incoming.request is not None:
             return
+        self.head_bytes = 0
+        version = self.parser.get_http_version()
+        # Clients of HTTP/1.0 take a connection to be closed by default.
+        incoming.keeps_alive = version == "1.1"
         method = incoming.method = self.parser.get_method().decode("ascii")
         try:
             request = make_request(method, incoming.target, incoming.headers, b"")
@@ -241,20 +265,33 @@
         hosts = 0
         for name, value in incoming.headers:
             match name:
-                case b"content-length" if int(value) > incoming.max_body_bytes():
-                    self.refuse_body(incoming)
+                case b"content-length":
+                    incoming.framing = b"%b: %b" % (name, value)
+                    self.check_length(incoming, value)
+                case b"transfer-encoding":
+                    incoming.framing = b"%b: %b" % (name, value)
+                    if value.strip().lower() != b"chunked":
+                        incoming.refuse(501, "unknown-transfer-encoding", "not chunked")
                 case b"expect":
                     incoming.expects_continue = value.lower() == b"100-continue"
                 case b"host":
                     hosts += 1
-        if hosts != 1 and self.parser.get_http_version() == "1.1":
+        if hosts != 1 and version == "1.1":
             incoming.refuse(400, "malformed-request", f"{hosts} Host headers")
 
+    def check_length(self, incoming: IncomingRequest, value: bytes) -> None:
+        """Refuse a body by its stated length, whose digits the parser has checked."""
+        if len(value) > MAX_LENGTH_DIGITS:
+            incoming.refuse(400, "malformed-request", "Content-Length has many digits")
+        elif int(value) > incoming.max_body_bytes():
+            self.refuse_body(incoming)
+
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
         incoming = self.current
         if incoming is None or incoming.refusal is not None:
             return
+        self.head_bytes = 0
         incoming.size += len(data)
         if incoming.size > incoming.max_body_bytes():
             self.refuse_body(incoming)
@@ -270,13 +307,22 @@
     def on_message_complete(self) -> None:
         """Have the request answered."""
         incoming = self.current
-        if incoming is None:
+        if incoming is None or self.has_body_after_upgrade(incoming):
             return
         self.current = None
-        incoming.keeps_alive = self.parser.should_keep_alive()
+        self.head_bytes = 0
+        incoming.keeps_alive = incoming.keeps_alive and self.parser.should_keep_alive()
         self.check_values(incoming)
         self.complete.append(incoming)
 
+    def has_body_after_upgrade(self, incoming: IncomingRequest) -> bool:
+        """Return whether the parser leaves out the body, for an upgrade.
+
+        The request is served without the upgrade.
+        """
+        upgrades = self.parser.should_upgrade() and incoming.method != "CONNECT"
+        return upgrades and bool(incoming.framing)
+
     def check_values(self, incoming: IncomingRequest) -> None:
         """Refuse a body with more values than its handler decodes."""
         limit = None if incoming.route is None else incoming.route.max_values
@@ -352,9 +398,11 @@
             while reader.complete:
                 if not await self.answer(reader.complete.popleft()):
                     return
-            if reader.stopped:
+            stopping = self.opened.stopping and reader.current is None
+            if reader.stopped or stopping:
                 return
             self.wait_for_request()
+            await self.send_continue()
             data = await self.stream.receive_some(READ_BYTES)
             if not data:
                 return
@@ -362,10 +410,13 @@
                 self.take(data, trio.current_time())
             if self.client.closed:
                 return
-            incoming = reader.current
-            if incoming is not None and incoming.expects_continue and not incoming.size:
-                incoming.expects_continue = False
-                await self.stream.send_all(CONTINUE)
+
+    async def send_continue(self) -> None:
+        """Ask for the body that a client holds back, after all earlier answers."""
+        incoming = self.reader.current
+        if incoming is not None and incoming.expects_continue and not incoming.size:
+            incoming.expects_continue = False
+            await self.stream.send_all(CONTINUE)
 
     def wait_for_request(self) -> None:
         """Note that nothing waits for an answer."""
@@ -408,9 +459,11 @@
         if response is None:
             incoming.request.body = incoming.body.take(incoming.body.size)
             response = await call_handler(incoming.route.handler, incoming.request)
+            # The body is not kept while the answer is sent.
+            incoming.request = None
         keeps_alive = (
             incoming.keeps_alive
-            and not opened.stopping
+            and not self.is_last()
             and (b"connection", b"close") not in response.headers
         )
         data = encode_response(response, incoming.method, keeps_alive)
@@ -420,12 +473,19 @@
         client.enter(Phase.SENDING, now, len(data))
         await self.stream.send_all(data)
         client.finished += 1
-        if not keeps_alive and self.reader.stopped:
+        if not keeps_alive and (self.reader.stopped or opened.stopping):
             await self.linger()
         return keeps_alive
 
+    def is_last(self) -> bool:
+        """Return whether the server stops and no other complete request waits."""
+        return self.opened.stopping and not self.reader.complete
+
     async def linger(self) -> None:
-        """Read the rest of a refused request, up to a limit."""
+        """Read what the client still sends, up to a limit.
+
+        A connection that is closed with unread bytes is reset, and its answer lost.
+        """
         self.opened.admission.release(self.client)
         self.client.enter(Phase.CLOSING, trio.current_time())
         await self.stream.send_eof()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,20 +1,23 @@
 from __future__ import annotations
 
+import gc
 import unittest
 from random import Random
 from unittest import mock
 
 import trio
+import trio.testing
 
 from rattanwing import events
 from rattanwing.util.address import split_address
 from rattanwing.util.http_connection import MAX_REQUESTS_AHEAD
-from rattanwing.util.http_server import HttpServer, json_response, serve_http
+from rattanwing.util.http_server import HttpServer, Request, json_response, serve_http
 from tests.processes import free_address
 
 SEED = 20261205
 ANSWER_LIMIT_S = 5.0
 ODD_LIMIT_S = 0.02
+GRACE_S = 4.0
 
 REQUEST = (
     b"PUT /rattanwing/instances/i-1 HTTP/1.1\r\nHost: a\r\n"
@@ -24,6 +27,7 @@
     b"GET / HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
     b"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n"
 )
+CLOSING = b"POST /known HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 HTTP2 = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 ODD_REQUESTS = (
     b"\xff" * 100,
@@ -159,9 +163,7 @@
         self.assertTrue(trio.run(main).startswith(b"HTTP/1.1 200"))
 
 
-class RefusalTests(unittest.TestCase):
-    """What can't be served is refused by its head, before the body is read."""
-
+class ExchangeTestCase(unittest.TestCase):
     def exchange(self, *requests, read_all=False, **options):
         """Return what comes back for requests, each on a connection of its own."""
         received = []
@@ -186,6 +188,10 @@
         trio.run(main)
         return received, handled
 
+
+class RefusalTests(ExchangeTestCase):
+    """What can't be served is refused by its head, before the body is read."""
+
     def test_refusals_without_the_body(self):
         heads = {
             b"404": b"POST /other HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n",
@@ -231,3 +237,144 @@
         received, handled = self.exchange(request * 200, read_all=True)
         self.assertEqual(len(handled), MAX_REQUESTS_AHEAD)
         self.assertEqual(received[0].count(b"HTTP/1.1 200"), MAX_REQUESTS_AHEAD)
+
+
+class FramingTests(ExchangeTestCase):
+    def test_request_for_an_upgrade_is_served_with_its_body(self):
+        head = (
+            b"POST /known HTTP/1.1\r\nHost: a\r\nConnection: Upgrade, HTTP2-Settings"
+            b"\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n"
+        )
+        bodies = (
+            b"Content-Length: 5\r\n\r\nhello",
+            b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        )
+        received, handled = self.exchange(*[head + body for body in bodies])
+        for answered in received:
+            self.assertTrue(answered.endswith(b'{"body":5}'), answered)
+        self.assertEqual(handled, ["/known"] * 2)
+
+    def test_odd_lengths_and_encodings_are_refused(self):
+        """A length of very many digits was answered by nothing."""
+        head = b"POST /known HTTP/1.1\r\nHost: a\r\n"
+        odd = {
+            b"400": b"Content-Length: " + b"0" * 5_000 + b"5\r\n\r\nhello",
+            b"501": b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            b"431": b"Transfer-Encoding: chunked\r\n\r\n0\r\nX: " + b"y" * 100_000,
+        }
+        received, handled = self.exchange(*[head + rest for rest in odd.values()])
+        for status, answered in zip(odd, received, strict=True):
+            self.assertTrue(answered.startswith(b"HTTP/1.1 " + status), answered)
+        self.assertEqual(handled, [])
+
+    def test_head_and_trailers_of_legal_size_are_taken(self):
+        filler = b"X: " + b"y" * 15_000 + b"\r\n"
+        request = (
+            b"POST /known HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+            + filler
+            + b"\r\n5\r\nhello\r\n0\r\n"
+            + filler
+            + b"\r\n"
+        )
+        received, handled = self.exchange(request * 3 + CLOSING, read_all=True)
+        self.assertEqual(received[0].count(b"HTTP/1.1 200"), 4)
+        self.assertEqual(handled, ["/known"] * 4)
+
+    def test_connection_of_http_1_0_is_closed_after_the_answer(self):
+        request = b"POST /known HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"
+        received, _ = self.exchange(request)
+        self.assertIn(b"connection: close", received[0])
+
+    def test_body_is_asked_for_after_the_answers_before_it(self):
+        waiting = b"POST /known HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+        received, _ = self.exchange(REQUEST + waiting + b"Expect: 100-continue\r\n\r\n")
+        self.assertTrue(received[0].startswith(b"HTTP/1.1 404"), received[0])
+
+
+class MemoryTests(unittest.TestCase):
+    def test_body_is_not_kept_after_the_answer(self):
+        """The connection is still open, as the client has sent more."""
+        body = b"x" * 50_000
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: "
+
+        async def main():
+            server = HttpServer()
+            server.route("*", r".*", answer)
+            address = free_address()
+            stop = trio.Event()
+            async with trio.open_nursery() as nursery:
+                await nursery.start(serve_http, server, address, stop.wait, 0.1)
+                host, port = split_address(address)
+                stream = await trio.open_tcp_stream(host, port)
+                await stream.send_all(head + b"50000\r\n\r\n" + body + b"more")
+                with trio.fail_after(ANSWER_LIMIT_S):
+                    await stream.receive_some()
+                kept = [o for o in gc.get_objects() if isinstance(o, Request)]
+                await trio.aclose_forcefully(stream)
+                stop.set()
+            return kept
+
+        self.assertEqual(trio.run(main), [])
+
+
+class StopTests(unittest.TestCase):
+    def stop_while_answering(self, data):
+        """Stop while the first request of ``data`` is answered; return all answers."""
+
+        async def slow_answer(_request):
+            await trio.sleep(0.2)
+            return json_response(200, {})
+
+        async def main():
+            server = HttpServer()
+            server.route("*", r".*", slow_answer)
+            address = free_address()
+            stop = trio.Event()
+            received = []
+
+            async def call():
+                received.append(await send(address, data, ANSWER_LIMIT_S, True))
+
+            async with trio.open_nursery() as nursery:
+                await nursery.start(serve_http, server, address, stop.wait, GRACE_S)
+                nursery.start_soon(call)
+                await trio.sleep(0.1)
+                stop.set()
+            return received[0]
+
+        return trio.run(main)
+
+    def test_requests_that_were_read_are_all_answered(self):
+        received = self.stop_while_answering(REQUEST * 3)
+        self.assertEqual(received.count(b"HTTP/1.1 200"), 3)
+        self.assertEqual(received.count(b"connection: close"), 1)
+
+    def test_connection_without_a_request_does_not_delay_the_stop(self):
+        """Its last answer was sent in the moment of the stop."""
+
+        async def main():
+            server = HttpServer()
+            stop = trio.Event()
+            server.route("*", r".*", answer)
+            address = free_address()
+            async with trio.open_nursery() as nursery:
+                await nursery.start(serve_http, server, address, stop.wait, GRACE_S)
+                host, port = split_address(address)
+                stream = await trio.open_tcp_stream(host, port)
+                send_all = trio.SocketStream.send_all
+
+                async def send_as_it_stops(self, data):
+                    await send_all(self, data)
+                    if self is not stream:
+                        stop.set()
+                        await trio.testing.wait_all_tasks_blocked()
+
+                with mock.patch.object(trio.SocketStream, "send_all", send_as_it_stops):
+                    await stream.send_all(REQUEST)
+                    started_at = trio.current_time()
+                    while await stream.receive_some():
+                        pass
+                await trio.aclose_forcefully(stream)
+                return trio.current_time() - started_at
+
+        self.assertLess(trio.run(main), GRACE_S / 2)
