--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -101,7 +101,7 @@
 CLIENTS_REFUSED = Event(
     311,
     logbook.WARNING,
-    "Clients exceeded a limit: connections were closed, or requests refused and not run.",
+    "Clients exceeded a limit: connections were closed, or requests were refused.",
 )
 EXECUTOR_EJECTED = Event(
     304, logbook.WARNING, "An executor is much slower than others; requests avoid it."
