Call the groups of addresses by that name

Ruled out: keeping it for the metric alone; one word for one thing. Change: AddressGroup, and the label 'group'. Behaviour is the same.

--- a/rattanwing/batch/metrics.py
+++ b/rattanwing/batch/metrics.py
@@ -29,8 +29,8 @@
 def render_admission(admission: Admission) -> list[str]:
     """Return the accepted connections, what they hold, and the refusals by cause."""
     lines = ["# TYPE rattanwing_connections gauge"]
-    for door, clients in admission.clients.items():
-        lines.append(f'rattanwing_connections{{door="{door.value}"}} {len(clients)}')
+    for group, clients in admission.clients.items():
+        lines.append(f'rattanwing_connections{{group="{group.value}"}} {len(clients)}')
     lines.append(f"rattanwing_connections_held_bytes {admission.held_bytes}")
     budget = admission.limits.budget_bytes
     lines.append(f"rattanwing_connections_budget_bytes {budget}")
--- a/rattanwing/peer/frames.py
+++ b/rattanwing/peer/frames.py
@@ -21,8 +21,8 @@
 from rattanwing.errors import PeerLostError, ProtocolError
 from rattanwing.util.address import split_address
 from rattanwing.util.admission import (
+    AddressGroup,
     Admission,
-    Door,
     Phase,
     descriptor_limit,
     make_limits,
@@ -166,7 +166,7 @@
 ) -> None:
     """Serve one accepted connection; no error of it reaches the other connections."""
     stream = AcceptedStream(connection, admission)
-    client = admission.add(Door.PEERS, stream.close_for, trio.current_time())
+    client = admission.add(AddressGroup.PEERS, stream.close_for, trio.current_time())
     if client is None:
         connection.socket.close()
         return
--- a/rattanwing/platform/main.py
+++ b/rattanwing/platform/main.py
@@ -22,7 +22,12 @@
 from rattanwing.platform.settings import PATH_VARIABLE, parse_settings, read_settings
 from rattanwing.platform.store import PlatformStore
 from rattanwing.util.address import split_address
-from rattanwing.util.admission import Admission, Door, descriptor_limit, make_limits
+from rattanwing.util.admission import (
+    AddressGroup,
+    Admission,
+    descriptor_limit,
+    make_limits,
+)
 from rattanwing.util.http_server import (
     HttpServer,
     Response,
@@ -191,7 +196,7 @@
             metrics_address(settings),
             stop.servers_may_stop,
             admission,
-            Door.METRICS,
+            AddressGroup.METRICS,
         )
         await nursery.start(
             serve_peers,
@@ -207,7 +212,7 @@
             settings.readiness_address,
             stop.servers_may_stop,
             admission,
-            Door.READINESS,
+            AddressGroup.READINESS,
         )
         nursery.start_soon(
             serve_until,
@@ -215,7 +220,7 @@
             settings.callers_address,
             stop.servers_may_stop,
             admission,
-            Door.REQUESTS,
+            AddressGroup.REQUESTS,
         )
         await stop.requested.wait()
         stopping_at = trio.current_time()
@@ -272,7 +277,7 @@
             metrics_address(settings),
             stop.servers_may_stop,
             admission,
-            Door.METRICS,
+            AddressGroup.METRICS,
         )
         nursery.start_soon(
             serve_until,
@@ -280,7 +285,7 @@
             settings.announcements_address,
             stop.servers_may_stop,
             admission,
-            Door.REQUESTS,
+            AddressGroup.REQUESTS,
         )
         await nursery.start(
             serve_peers, settings.peers_address, agent.accept, admission
@@ -314,12 +319,16 @@
 
 
 async def serve_until(
-    server: HttpServer, address: str, stop: trio.Event, admission: Admission, door: Door
+    server: HttpServer,
+    address: str,
+    stop: trio.Event,
+    admission: Admission,
+    group: AddressGroup,
 ) -> None:
     """Serve HTTP until ``stop`` is set, then send the last answers."""
     events.write(events.LISTENING, address=address)
     await serve_http(
-        server, address, stop.wait, SEND_TIME_S, admission=admission, door=door
+        server, address, stop.wait, SEND_TIME_S, admission=admission, group=group
     )
 
 
--- a/rattanwing/util/admission.py
+++ b/rattanwing/util/admission.py
@@ -60,7 +60,7 @@
 """Most finished requests that count in favour of a client."""
 
 
-class Door(Enum):
+class AddressGroup(Enum):
     """Groups of addresses with connections of their own.
 
     A crowd at one address leaves room for readiness checks, agents and other entries.
@@ -73,10 +73,10 @@
 
 
 CONNECTION_SHARES = {
-    Door.REQUESTS: 0.625,
-    Door.PEERS: 0.25,
-    Door.READINESS: 0.0625,
-    Door.METRICS: 0.0625,
+    AddressGroup.REQUESTS: 0.625,
+    AddressGroup.PEERS: 0.25,
+    AddressGroup.READINESS: 0.0625,
+    AddressGroup.METRICS: 0.0625,
 }
 """Share of the accepted connections that each group may have."""
 
@@ -113,9 +113,9 @@
     budget_bytes: int
     max_connections: int
 
-    def connections_at(self, door: Door) -> int:
+    def connections_at(self, group: AddressGroup) -> int:
         """Return how many connections may be open at a group of addresses."""
-        return max(2, int(self.max_connections * CONNECTION_SHARES[door]))
+        return max(2, int(self.max_connections * CONNECTION_SHARES[group]))
 
 
 def make_limits(memory_mb: float, max_fds: int) -> Limits:
@@ -148,7 +148,7 @@
     """
 
     __slots__ = (
-        "door",
+        "group",
         "close",
         "phase",
         "since",
@@ -158,8 +158,10 @@
         "closed",
     )
 
-    def __init__(self, door: Door, close: Callable[[Cause], None], now: float) -> None:
-        self.door = door
+    def __init__(
+        self, group: AddressGroup, close: Callable[[Cause], None], now: float
+    ) -> None:
+        self.group = group
         self.close = close
         self.phase = Phase.IDLE
         self.since = now
@@ -204,26 +206,28 @@
 
     def __init__(self, limits: Limits) -> None:
         self.limits = limits
-        self.clients: dict[Door, set[Client]] = {door: set() for door in Door}
+        self.clients: dict[AddressGroup, set[Client]] = {
+            group: set() for group in AddressGroup
+        }
         self.held_bytes = 0
         self.closed_counts: dict[Cause, int] = {}
 
     def add(
-        self, door: Door, close: Callable[[Cause], None], now: float
+        self, group: AddressGroup, close: Callable[[Cause], None], now: float
     ) -> Client | None:
         """Return the account of a new connection, ``None`` if there is no room.
 
         The connection that has been there longest without finishing anything is closed
         in its favour; connections whose requests are being carried out are kept.
         """
-        clients = self.clients[door]
-        if len(clients) >= self.limits.connections_at(door):
+        clients = self.clients[group]
+        if len(clients) >= self.limits.connections_at(group):
             leaving = [client for client in clients if can_leave(client)]
             if not leaving:
                 self.count(Cause.CONNECTIONS)
                 return None
             self.close(min(leaving, key=departure_order), Cause.CONNECTIONS)
-        client = Client(door, close, now)
+        client = Client(group, close, now)
         clients.add(client)
         self.held_bytes += client.held
         self.make_room(now)
@@ -231,8 +235,8 @@
 
     def remove(self, client: Client) -> None:
         """Forget a connection that has ended; repeated calls have no effect."""
-        if client in self.clients[client.door]:
-            self.clients[client.door].discard(client)
+        if client in self.clients[client.group]:
+            self.clients[client.group].discard(client)
             self.held_bytes -= client.held
             client.held = 0
 
@@ -264,7 +268,7 @@
         if self.held_bytes <= self.limits.budget_bytes:
             return
         goal = self.limits.budget_bytes * BUDGET_GOAL_SHARE
-        leaving = [c for group in self.clients.values() for c in group if can_leave(c)]
+        leaving = [c for found in self.clients.values() for c in found if can_leave(c)]
         for client in sorted(leaving, key=lambda c: c.claim(now), reverse=True):
             enough = self.limits.budget_bytes if client.phase is Phase.IDLE else goal
             if self.held_bytes > enough:
@@ -272,8 +276,8 @@
 
     def close_expired(self, now: float) -> None:
         """Close the connections that are too slow or have been idle for too long."""
-        for group in self.clients.values():
-            for client in list(group):
+        for clients in self.clients.values():
+            for client in list(clients):
                 cause = client.cause_to_end(now)
                 if cause is not None:
                     self.close(client, cause)
--- a/rattanwing/util/http_connection.py
+++ b/rattanwing/util/http_connection.py
@@ -32,7 +32,7 @@
 )
 
 if TYPE_CHECKING:
-    from rattanwing.util.admission import Admission, Client, Door
+    from rattanwing.util.admission import AddressGroup, Admission, Client
     from rattanwing.util.http_server import HttpServer, Route
 
 READ_BYTES = 16 * 1024
@@ -344,12 +344,14 @@
     :param stopping: whether connections are closed after their next answer.
     """
 
-    __slots__ = ("server", "admission", "door", "stopping", "connections")
+    __slots__ = ("server", "admission", "group", "stopping", "connections")
 
-    def __init__(self, server: HttpServer, admission: Admission, door: Door) -> None:
+    def __init__(
+        self, server: HttpServer, admission: Admission, group: AddressGroup
+    ) -> None:
         self.server = server
         self.admission = admission
-        self.door = door
+        self.group = group
         self.stopping = False
         self.connections: set[Connection] = set()
 
@@ -502,7 +504,7 @@
     """Serve one connection; no error of it reaches the other connections."""
     connection = Connection(opened, stream)
     now = trio.current_time()
-    client = opened.admission.add(opened.door, connection.close, now)
+    client = opened.admission.add(opened.group, connection.close, now)
     if client is None:
         stream.socket.close()
         return
--- a/rattanwing/util/http_server.py
+++ b/rattanwing/util/http_server.py
@@ -14,9 +14,9 @@
 from rattanwing import events
 from rattanwing.util.address import split_address
 from rattanwing.util.admission import (
+    AddressGroup,
     Admission,
     Cause,
-    Door,
     descriptor_limit,
     make_limits,
 )
@@ -118,7 +118,7 @@
     wait_for_stop: Callable[[], Awaitable[None]],
     grace_s: float,
     admission: Admission | None = None,
-    door: Door = Door.REQUESTS,
+    group: AddressGroup = AddressGroup.REQUESTS,
     task_status: Any = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve until ``wait_for_stop`` returns, then finish the open requests.
@@ -126,14 +126,14 @@
     :param grace_s: maximum time in seconds to wait for open requests.
     :param admission: the connections of the process, whose limits
         :func:`enforce_limits` enforces; by default, the server has limits of its own.
-    :param door: the group of the address.
+    :param group: the group that the address belongs to.
     :param task_status: receives the list of the URLs that are served.
     """
     async with trio.open_nursery() as helpers:
         if admission is None:
             admission = Admission(make_limits(0, descriptor_limit()))
             helpers.start_soon(enforce_limits, admission)
-        opened = OpenConnections(server, admission, door)
+        opened = OpenConnections(server, admission, group)
         connection = partial(serve_connection, opened)
         async with trio.open_nursery() as connections:
             listener = open_listener(address)
@@ -169,8 +169,8 @@
                     refused=new,
                     held_bytes=admission.held_bytes,
                     connections={
-                        door.value: len(clients)
-                        for door, clients in admission.clients.items()
+                        group.value: len(clients)
+                        for group, clients in admission.clients.items()
                     },
                 )
             logged[cause] = count
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -9,9 +9,9 @@
     IDLE_TIME_S,
     MIN_PACE_BYTES_S,
     START_TIME_S,
+    AddressGroup,
     Admission,
     Cause,
-    Door,
     Limits,
     Phase,
     make_limits,
@@ -28,9 +28,9 @@
         self.admission = Admission(Limits(budget_bytes, max_connections))
         self.closed = {}
 
-    def open(self, name, now=0.0, door=Door.REQUESTS):
+    def open(self, name, now=0.0, group=AddressGroup.REQUESTS):
         return self.admission.add(
-            door, lambda cause: self.closed.setdefault(name, cause), now
+            group, lambda cause: self.closed.setdefault(name, cause), now
         )
 
     def read(self, client, size, now):
@@ -104,7 +104,7 @@
         for n in range(20):
             crowd.open(n, 1.0)
         self.assertEqual(crowd.closed, {})
-        self.assertIsNotNone(crowd.open("readiness", 2.0, Door.READINESS))
+        self.assertIsNotNone(crowd.open("readiness", 2.0, AddressGroup.READINESS))
         self.assertEqual(len(crowd.closed), 1)
 
     def test_unread_answers_count(self):
@@ -137,8 +137,8 @@
         crowd.finish(finisher, 0.0)
         for n in range(1, 200):
             crowd.open(n, float(n))
-        limit = crowd.admission.limits.connections_at(Door.REQUESTS)
-        self.assertEqual(len(crowd.admission.clients[Door.REQUESTS]), limit)
+        limit = crowd.admission.limits.connections_at(AddressGroup.REQUESTS)
+        self.assertEqual(len(crowd.admission.clients[AddressGroup.REQUESTS]), limit)
         self.assertNotIn("finisher", crowd.closed)
         self.assertNotIn(199, crowd.closed)
         self.assertEqual(crowd.closed[1], Cause.CONNECTIONS)
@@ -148,13 +148,13 @@
         for n in range(50):
             crowd.open(n)
         before = dict(crowd.closed)
-        for door in (Door.READINESS, Door.PEERS, Door.METRICS):
-            self.assertIsNotNone(crowd.open(door, 0.0, door))
+        for group in (AddressGroup.READINESS, AddressGroup.PEERS, AddressGroup.METRICS):
+            self.assertIsNotNone(crowd.open(group, 0.0, group))
         self.assertEqual(crowd.closed, before)
 
     def test_no_connection_is_taken_while_all_requests_are_carried_out(self):
         crowd = Crowd(max_connections=16)
-        for n in range(crowd.admission.limits.connections_at(Door.REQUESTS)):
+        for n in range(crowd.admission.limits.connections_at(AddressGroup.REQUESTS)):
             crowd.open(n).enter(Phase.RUNNING, 0.0)
         self.assertIsNone(crowd.open("next"))
         self.assertEqual(crowd.closed, {})
@@ -197,5 +197,5 @@
         self.assertGreater(make_limits(0, 4100).budget_bytes, 0)
         for max_fds in (60, 96, 1024, 4100):
             found = make_limits(128, max_fds)
-            opened = sum(found.connections_at(door) for door in Door)
+            opened = sum(found.connections_at(group) for group in AddressGroup)
             self.assertLess(opened, max_fds)
