--- a/review/stage_3.py
+++ b/review/stage_3.py
@@ -234,6 +234,29 @@
     return found
 
 
+class StoreDoor:
+    """The address at which one machine reaches the store.
+
+    :param rejects: whether the store turns this machine away with 503.
+    """
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+        self.rejects = False
+        self.server = HttpServer()
+        self.server.route("*", r".*", self.respond)
+
+    async def respond(self, request) -> Response:
+        """Pass a call on to the store, or turn it away and do nothing."""
+        if self.rejects:
+            return Response(503, [], b"")
+        response = await self.store.server.respond(request)
+        if self.rejects and request.method == "GET":
+            # The store turns away the machine whose read has waited as well.
+            return Response(503, [], b"")
+        return response
+
+
 class Executor:
     """An application executor on the host of one agent.
 
@@ -439,15 +462,22 @@
         self.processes: dict[str, subprocess.Popen] = {}
         self.executors: dict[str, Executor] = {}
         self.store = Store()
+        self.doors = {name: StoreDoor(self.store) for name in self.entries}
         self.temporary = tempfile.TemporaryDirectory()
         self.clients: dict[str, HttpClient] = {}
         names = [*self.entries, *self.agents, "store"]
+        names += [f"store of {name}" for name in self.entries]
         self.ips = free_addresses(names)
 
     def zone(self, name: str) -> str:
         """Return the zone of a machine."""
         return f"zone-{'abc'[int(name.rpartition('-')[2]) % 3]}"
 
+    def store_address(self, name: str) -> str:
+        """Return the address at which a machine reaches the store."""
+        door = f"store of {name}" if name in self.doors else "store"
+        return f"{self.ips[door]}:{STORE_PORT}"
+
     def start(self, name: str) -> None:
         """Start the process of a machine."""
         role = "entry" if name in self.entries else "agent"
@@ -466,7 +496,7 @@
                 listen=listen,
                 cpu_share=0.43 if role == "entry" else 0.645,
                 memory_mb=self.memory_mb if role == "entry" else 168,
-                store=f"{self.ips['store']}:{STORE_PORT}",
+                store=self.store_address(name),
             )
         )
         log = (Path(self.temporary.name) / f"{name}.log").open("ab")
@@ -502,6 +532,8 @@
         config = json.dumps(CONFIG).encode()
         self.store.topic("keyed.op").put("config", config)
         await self.serve(self.store.server, f"{self.ips['store']}:{STORE_PORT}")
+        for name, door in self.doors.items():
+            await self.serve(door.server, self.store_address(name))
         for number, name in enumerate(self.agents):
             executor = Executor(
                 name,
