--- a/review/13/case.py
+++ b/review/13/case.py
@@ -33,7 +33,7 @@
 
 
 async def case(trouble: bool) -> bool:
-    """Return whether two entries ended three times each, as they exceed their memory."""
+    """Return whether two entries ended three times each for their memory."""
     async with Deployment(FOLDER, 3, 3, MEMORY_MB).running() as deployment:
         record = deployment.record
         await trio.sleep(4.0)
--- a/review/stage_3.py
+++ b/review/stage_3.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import base64
+import hashlib
 import json
 import os
 import random
@@ -36,6 +37,7 @@
 
 HEARTBEAT_S = 1.5
 KILL_GRACE_S = 0.2
+CHECKPOINT_S = 2.0
 MAX_LEASE_MS = 10_000
 MAX_LISTED_ENDS = 500
 PAGE_RECORDS = 500
@@ -266,12 +268,24 @@
     """
 
     def __init__(self, name, ip, zone, rack, record, nursery, cpu, mem_mb) -> None:
-        self.id = f"i-{random.getrandbits(32):08x}"
         self.name, self.ip, self.zone, self.rack = name, ip, zone, rack
         self.record, self.nursery = record, nursery
         self.cpu, self.mem_mb = cpu, mem_mb
-        self.durations = lambda text: float(text)
+        self.durations = lambda text: float(text.split()[0])
         self.sheds = False
+        self.started: list[tuple[str, int, float]] = []
+        self.scope = trio.CancelScope()
+        self.server = HttpServer()
+        self.server.route("POST", "/rattanwing/run-start", self.start)
+        self.server.route("POST", "/rattanwing/run-stop", self.stop)
+        self.server.route("POST", "/rattanwing/pace", self.pace)
+        self.server.route("POST", "/rattanwing/hold", self.hold)
+        self.begin_life()
+
+    def begin_life(self) -> None:
+        """Begin an incarnation, which runs and knows nothing."""
+        self.up = True
+        self.id = f"i-{random.getrandbits(32):08x}"
         self.born_at = time.monotonic()
         self.born = int(time.time() * 1000)
         self.seq = 0
@@ -282,12 +296,40 @@
         self.ended: list[list] = []
         self.end_count = 0
         self.end_added = trio.Event()
-        self.started: list[tuple[str, int, float]] = []
-        self.server = HttpServer()
-        self.server.route("POST", "/rattanwing/run-start", self.start)
-        self.server.route("POST", "/rattanwing/run-stop", self.stop)
-        self.server.route("POST", "/rattanwing/pace", self.pace)
-        self.server.route("POST", "/rattanwing/hold", self.hold)
+        self.saves: set[tuple[str, int]] = set()
+        self.unacknowledged: dict[int, float] = {}
+
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serve the calls of the agent until the process ends."""
+        with trio.CancelScope() as self.scope:
+            await serve_http(
+                self.server,
+                f"{self.ip}:{APP_PORT}",
+                trio.sleep_forever,
+                0.0,
+                task_status=task_status,
+            )
+
+    async def crash(self, down_s: float) -> None:
+        """End the process with all that runs, and start another one later."""
+        self.record.write(f"{self.name} executor {self.id} crashes")
+        self.up = False
+        self.running.clear()
+        self.scope.cancel()
+        await trio.sleep(down_s)
+        self.begin_life()
+        await self.nursery.start(self.serve)
+        self.record.write(f"{self.name} executor {self.id} has started")
+
+    def saved(self, key: tuple[str, int]) -> str:
+        """Return the newest checkpoint of a run, a SHA-256 digest in hexadecimal."""
+        if key not in self.saves or key not in self.running:
+            return ""
+        steps = int((time.monotonic() - self.running[key][0]) / CHECKPOINT_S)
+        if not steps:
+            return ""
+        name = f"{key[0]}/{key[1]}/{steps}"
+        return hashlib.sha256(name.encode()).hexdigest()
 
     def clock_ms(self) -> int:
         """Return the executor's clock."""
@@ -332,6 +374,8 @@
             return self.answer(409, reason="late")
         self.extend(order["deadline_ms"])
         self.highest[key[0]] = key[1]
+        if "saves" in order["spec"]:
+            self.saves.add(key)
         work_s = self.durations(order["spec"])
         self.running[key] = time.monotonic(), work_s
         self.started.append((*key, self.record.now()))
@@ -346,10 +390,11 @@
 
     def end(self, key: tuple[str, int], how: str) -> None:
         """End a run."""
+        saved = self.saved(key)
         if self.running.pop(key, None) is None:
             return
         self.end_count += 1
-        self.ended.append([self.end_count, *key, how, ""])
+        self.ended.append([self.end_count, *key, how, saved])
         self.end_added.set()
         self.end_added = trio.Event()
         self.record.write(f"{self.name} run {key} ended {how}")
@@ -387,8 +432,12 @@
             with trio.move_on_after(order["wait_ms"] / 1000):
                 await self.end_added.wait()
         now = time.monotonic()
+        for number in [n for n in self.unacknowledged if n <= order["ack_offset"]]:
+            del self.unacknowledged[number]
+        for end in self.ended[:MAX_LISTED_ENDS]:
+            self.unacknowledged.setdefault(end[0], self.record.now())
         running = [
-            [*key, "", min(99, int(100 * (now - begun_at) / work_s)), 100]
+            [*key, self.saved(key), min(99, int(100 * (now - begun_at) / work_s)), 100]
             for key, (begun_at, work_s) in self.running.items()
         ]
         return self.answer(running=running, ended=self.ended[:MAX_LISTED_ENDS])
@@ -398,6 +447,9 @@
         self.nursery.start_soon(self.lapse)
         client = HttpClient(f"{self.ip}:{CONTROL_PORT}", 2)
         while True:
+            if not self.up:
+                await trio.sleep(0.1)
+                continue
             self.seq += 1
             body = {
                 "backend": SERVICE,
@@ -546,7 +598,7 @@
                 128_000,
             )
             self.executors[name] = executor
-            await self.serve(executor.server, f"{self.ips[name]}:{APP_PORT}")
+            await self.nursery.start(executor.serve)
         for name in [*self.entries, *self.agents]:
             self.start(name)
         for executor in self.executors.values():
@@ -640,6 +692,8 @@
     :param case: an async function of the disruption's presence.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # A script that is terminated ends its processes as well.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         return trio.run(run_limited, case, trouble)
     except BaseException as error:
