--- a/review/15/case.py
+++ b/review/15/case.py
@@ -46,9 +46,8 @@
                 entry = deployment.entries[len(jobs) % 2]
                 if await deployment.submit(entry, job_id, "0.3", SMALL) == 200:
                     jobs.append(job_id)
-                await trio.sleep(0.5)
+                await trio.sleep(0.25)
 
-        deployment.nursery.start_soon(hand_in_jobs)
         await trio.sleep(15.0)
         executors = list(deployment.executors.values())
         record.write(f"{sum(len(e.running) for e in executors)} runs")
@@ -63,6 +62,7 @@
         executor.end(key, "failed")
         calm_from = record.now()
         record.write("no further disruption")
+        deployment.nursery.start_soon(hand_in_jobs)
         await trio.sleep(25.0)
         listed_at = [at for e in executors for at in e.unacknowledged.values()]
         late = sum(record.now() - at > ACK_S for at in listed_at)
