Find and cancel jobs whose queue has another name or address

A version gives a route another name with the same host, path prefix and service. All entries answer 410 for the jobs accepted before, also to a DELETE, and 72 of their tasks start later than 3 s after that.

Cause: find, cancellation_answer and apply_cancel compare the name of the queue in the stored job with that of the queue that the request selects. Callers address a host and a path; the name may change while a job runs.

Ruled out: a stale copy of the configuration or of the topic; an owner that does not know the job. Urgency, placement and waits do not use the name; pending does, with the same cause.

Change: jobs, cancellations and relayed calls hold the queue's address beside its name. Callers of a queue reach the jobs of its name and of its address, and those whose queue is not in force any more. A cancellation of a known job is stored with the job's own queue. pending counts a job by its address, else by its name. Fields are added at the end, so builds read each other's records. Weighed: the id alone, which lets a queue cancel another queue's job (test_job_of_another_queue_is_not_cancelled excludes that; kept as it is).

The tests of cancellations pass a queue's identity in place of its name; the adapter's test asks for the address as well.

Conclusion: what callers address decides, and the name only where the address tells nothing.

--- a/rattanwing/batch/configuration.py
+++ b/rattanwing/batch/configuration.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from rattanwing.batch.model import QueueRules  # noqa: TC001
+from rattanwing.batch.model import QueueIdentity, QueueRules  # noqa: TC001
 
 
 class Queue(msgspec.Struct, frozen=True):
@@ -26,13 +26,25 @@
 
 
 class CurrentConfiguration:
-    """The configuration in force, and the failure domains where no task may start."""
+    """The configuration in force, and the failure domains where no task may start.
 
-    __slots__ = ("configuration", "queues_by_http_host", "closed_domains")
+    :param queue_names: names of the queues in force.
+    :param queue_addresses: HTTP host and path prefix of each of them.
+    """
+
+    __slots__ = (
+        "configuration",
+        "queues_by_http_host",
+        "queue_names",
+        "queue_addresses",
+        "closed_domains",
+    )
 
     def __init__(self) -> None:
         self.configuration: Configuration | None = None
         self.queues_by_http_host: dict[str, list[Queue]] = {}
+        self.queue_names: frozenset[str] = frozenset()
+        self.queue_addresses: frozenset[tuple[str, str]] = frozenset()
         self.closed_domains: frozenset[str] = frozenset()
 
     @property
@@ -54,6 +66,10 @@
             queues.sort(key=lambda queue: len(queue.path_prefix), reverse=True)
         self.configuration = configuration
         self.queues_by_http_host = by_http_host
+        self.queue_names = frozenset(q.rules.name for q in configuration.queues)
+        self.queue_addresses = frozenset(
+            (q.http_host, q.path_prefix) for q in configuration.queues
+        )
         return True
 
     def find_queue(self, http_host: str, path: str) -> Queue | None:
@@ -63,6 +79,29 @@
                 return queue
         return None
 
+    def reaches(self, queue: QueueIdentity, job_queue: QueueIdentity) -> bool:
+        """Return whether callers of a queue reach the jobs of another identity.
+
+        They reach those of its name and of its address. A job whose queue is not in
+        force any more, under either, is reached at any queue: one of them may be the
+        same queue under a new name and address, and ids are unique among all queues.
+
+        :param queue: the queue that the callers address.
+        :param job_queue: the queue of a job at the time when it was submitted.
+        """
+        if queue.is_same_queue(job_queue):
+            return True
+        return (
+            job_queue.name not in self.queue_names
+            and job_queue.address not in self.queue_addresses
+        )
+
+    def counts_for(self, queue: QueueIdentity, job_queue: QueueIdentity) -> bool:
+        """Return whether a job counts for a queue in force, and for no other one."""
+        if job_queue.address in self.queue_addresses:
+            return queue.address == job_queue.address
+        return queue.name == job_queue.name
+
     def close_domain(self, name: str) -> None:
         """Stop starting tasks in a failure domain."""
         self.closed_domains |= {name}
--- a/rattanwing/batch/entry.py
+++ b/rattanwing/batch/entry.py
@@ -111,7 +111,12 @@
         self.writer = self.make_writer(records.WORK_TOPIC)
         self.directory_writer = self.make_writer(records.DIRECTORY_TOPIC)
         self.local_service = JobService(
-            self.replica, self.reader, self.writer, self.store_speed, clock
+            self.configuration,
+            self.replica,
+            self.reader,
+            self.writer,
+            self.store_speed,
+            clock,
         )
         self.relaying_service = RelayingService(
             settings.name,
--- a/rattanwing/batch/messages.py
+++ b/rattanwing/batch/messages.py
@@ -19,6 +19,7 @@
     JobState,
     NonNegative,
     Number,
+    QueueIdentity,
 )
 from rattanwing.batch.ports import EndedRow, ExecutorView, RunningRow  # noqa: TC001
 from rattanwing.util.codec import MessageCodec
@@ -264,19 +265,39 @@
 class RelayedCancel(Message, tag=12):
     """A job cancellation relayed by an entry that cannot reach the store.
 
+    :param queue: name of the queue that its caller addressed.
+    :param http_host: see :class:`QueueIdentity`, like ``path_prefix``.
     :param wait_s: how long the caller still waits.
     """
 
     job_id: str
     queue: str
     wait_s: Finite
+    http_host: str = ""
+    path_prefix: str = ""
+
+    @property
+    def identity(self) -> QueueIdentity:
+        """Return the name and the address of the queue."""
+        return QueueIdentity(self.queue, self.http_host, self.path_prefix)
 
 
 class RelayedFind(Message, tag=13):
-    """A query for a job's state, relayed by an entry that cannot reach the store."""
+    """A query for a job's state, relayed by an entry that cannot reach the store.
+
+    :param queue: name of the queue that its caller addressed.
+    :param http_host: see :class:`QueueIdentity`, like ``path_prefix``.
+    """
 
     job_id: str
     queue: str
+    http_host: str = ""
+    path_prefix: str = ""
+
+    @property
+    def identity(self) -> QueueIdentity:
+        """Return the name and the address of the queue."""
+        return QueueIdentity(self.queue, self.http_host, self.path_prefix)
 
 
 class RelayedAnswer(Message, tag=14):
--- a/rattanwing/batch/model.py
+++ b/rattanwing/batch/model.py
@@ -103,6 +103,33 @@
     max_unavailable: int = -1
 
 
+class QueueIdentity(msgspec.Struct, array_like=True, frozen=True):
+    """What tells a queue from others: its name, and the address that callers use.
+
+    Callers never see the name, and a configuration may change either of the two while
+    jobs of the queue run.
+
+    :param http_host: HTTP host of the queue; empty in records and calls of builds that
+        did not store it, like ``path_prefix``.
+    :param path_prefix: path up to the job id.
+    """
+
+    name: str
+    http_host: str = ""
+    path_prefix: str = ""
+
+    @property
+    def address(self) -> tuple[str, str]:
+        """Return the address at which callers reach the queue."""
+        return self.http_host, self.path_prefix
+
+    def is_same_queue(self, other: QueueIdentity) -> bool:
+        """Return whether the other queue has the same name or the same address."""
+        if self.name == other.name:
+            return True
+        return self.path_prefix != "" and self.address == other.address
+
+
 class QueueRules(msgspec.Struct, array_like=True, frozen=True):
     """The configured rules of a queue.
 
@@ -115,6 +142,7 @@
         within which the job should complete.
     :param target_latency_ms: constant part of the completion-time target, in
         milliseconds.
+    :param http_host: see :class:`QueueIdentity`, like ``path_prefix``.
     """
 
     name: str
@@ -123,6 +151,13 @@
     max_attempts: int
     stretch: float
     target_latency_ms: int
+    http_host: str = ""
+    path_prefix: str = ""
+
+    @property
+    def identity(self) -> QueueIdentity:
+        """Return the name and the address of the queue."""
+        return QueueIdentity(self.name, self.http_host, self.path_prefix)
 
 
 class JobSpec(msgspec.Struct, array_like=True, frozen=True):
--- a/rattanwing/batch/records.py
+++ b/rattanwing/batch/records.py
@@ -15,6 +15,7 @@
     JobState,
     NonNegative,
     Number,
+    QueueIdentity,
     check_job,
 )
 from rattanwing.errors import MalformedError, RecordError, RejectedError
@@ -91,13 +92,23 @@
 class CancelRequest(msgspec.Struct, array_like=True):
     """A caller's request to cancel a job.
 
+    A job of another queue is not cancelled.
+
     :param at_ms: not used; always 0.
-    :param queue: queue at which it was made; a job of another queue is not cancelled.
-        Empty in records of builds that did not store it.
+    :param queue: name of the job's queue or, for a job that was not known, of the one
+        at which the request was made. Empty in records of builds that did not store it.
+    :param http_host: HTTP host of that queue; empty if not known, like ``path_prefix``.
     """
 
     at_ms: int
     queue: str = ""
+    http_host: str = ""
+    path_prefix: str = ""
+
+    @property
+    def identity(self) -> QueueIdentity:
+        """Return the name and the address of the queue."""
+        return QueueIdentity(self.queue, self.http_host, self.path_prefix)
 
 
 class AgentAddress(msgspec.Struct, array_like=True):
--- a/rattanwing/batch/relay.py
+++ b/rattanwing/batch/relay.py
@@ -24,7 +24,7 @@
 
     from rattanwing.batch import records
     from rattanwing.batch.connections import Dial
-    from rattanwing.batch.model import JobSpec, JobState
+    from rattanwing.batch.model import JobSpec, JobState, QueueIdentity
     from rattanwing.batch.replica import Directory
     from rattanwing.batch.service import JobService
     from rattanwing.peer.stream import ByteMessageStream
@@ -102,14 +102,16 @@
             unknown=self.local.may_be_stored(spec.job_id),
         )
 
-    async def cancel(self, job_id: str, queue: str, wait_s: float) -> Answer:
+    async def cancel(self, job_id: str, queue: QueueIdentity, wait_s: float) -> Answer:
         """Cancel a job here or, if that is not confirmed in time, at another entry.
 
         :param wait_s: how long the caller waits for the answer.
         """
         return await self.resolve(
             lambda left_s: self.local.cancel(job_id, queue, left_s),
-            lambda left_s: messages.RelayedCancel(job_id, queue, left_s),
+            lambda left_s: messages.RelayedCancel(
+                job_id, queue.name, left_s, queue.http_host, queue.path_prefix
+            ),
             wait_s,
         )
 
@@ -228,11 +230,13 @@
         self.random.shuffle(addresses)
         return addresses[:MAX_PEERS]
 
-    async def find(self, job_id: str, queue: str) -> JobState | Answer:
+    async def find(self, job_id: str, queue: QueueIdentity) -> JobState | Answer:
         """Return a job's state, from another entry if the store is unreachable."""
         if not self.local.is_store_unreachable(self.clock()):
             return await self.local.find(job_id, queue)
-        call = messages.RelayedFind(job_id, queue)
+        call = messages.RelayedFind(
+            job_id, queue.name, queue.http_host, queue.path_prefix
+        )
         relayed = await self.relay(call, RELAY_TIMEOUT_S, self.choose_peers())
         if relayed is None:
             return await self.local.find(job_id, queue)
@@ -242,7 +246,7 @@
         """Return the seconds after which a refused caller should return."""
         return retry_after_s(self.local.outage_s(self.clock()), self.random)
 
-    def count_queued(self, queue: str) -> int:
+    def count_queued(self, queue: QueueIdentity) -> int:
         """Return how many accepted jobs of a queue have not started a task yet."""
         return self.local.count_queued(queue)
 
@@ -358,10 +362,10 @@
                     found = await self.local.submit(call.spec, call.wait_s)
                 case messages.RelayedCancel():
                     found = await self.local.cancel(
-                        call.job_id, call.queue, call.wait_s
+                        call.job_id, call.identity, call.wait_s
                     )
                 case messages.RelayedFind():
-                    found = await self.local.find(call.job_id, call.queue)
+                    found = await self.local.find(call.job_id, call.identity)
                 case _:
                     raise ProtocolError(f"not a relayed call: {type(call).__name__}")
         except RejectedError:
--- a/rattanwing/batch/replica.py
+++ b/rattanwing/batch/replica.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from rattanwing.batch.model import QueueIdentity
     from rattanwing.batch.ports import KeyedStore, StoredRecord
 
 READ_WAIT_S = 1.0
@@ -73,7 +74,7 @@
 
     __slots__ = ("queue", "read_at")
 
-    def __init__(self, queue: str, read_at: float) -> None:
+    def __init__(self, queue: QueueIdentity, read_at: float) -> None:
         self.queue = queue
         self.read_at = read_at
 
@@ -278,7 +279,7 @@
             case records.Progress():
                 self.apply_progress(job_id, value)
             case records.CancelRequest():
-                self.apply_cancel(job_id, value.queue)
+                self.apply_cancel(job_id, value.identity)
             case records.Owner():
                 self.apply_owner(value)
             case records.InterferenceEstimates() if (
@@ -309,13 +310,13 @@
     def make_view(self, job_id: str, spec: JobSpec) -> JobView:
         """Return the view of a new job, which may have been cancelled already."""
         view = JobView(spec)
-        view.cancelled = self.is_cancelled_early(job_id, spec.queue.name)
+        view.cancelled = self.is_cancelled_early(job_id, spec.queue.identity)
         return view
 
-    def is_cancelled_early(self, job_id: str, queue: str) -> bool:
+    def is_cancelled_early(self, job_id: str, queue: QueueIdentity) -> bool:
         """Return whether a job of a queue that is not known was cancelled."""
         cancel = self.early_cancels.get(job_id)
-        return cancel is not None and cancel.queue == queue
+        return cancel is not None and cancel.queue.is_same_queue(queue)
 
     def apply_progress(self, job_id: str, progress: records.Progress) -> None:
         """Replace a job's progress unless an earlier owner wrote the new record."""
@@ -326,18 +327,21 @@
         view.progress = progress
         self.on_job(job_id)
 
-    def apply_cancel(self, job_id: str, queue: str) -> None:
+    def apply_cancel(self, job_id: str, queue: QueueIdentity) -> None:
         """Mark a job as cancelled; if it is not known, as soon as it is read.
 
-        :param queue: queue at which it was cancelled; empty if that is not known.
+        :param queue: queue at which it was cancelled; its name is empty if that is not
+            known.
         """
         view = self.jobs.get(job_id)
         if view is None:
-            if queue:
+            if queue.name:
                 self.early_cancels.pop(job_id, None)
                 self.early_cancels[job_id] = EarlyCancel(queue, self.clock())
             return
-        if view.cancelled or queue not in ("", view.spec.queue.name):
+        if view.cancelled:
+            return
+        if queue.name and not queue.is_same_queue(view.spec.queue.identity):
             return
         view.cancelled = True
         self.on_job(job_id)
--- a/rattanwing/batch/service.py
+++ b/rattanwing/batch/service.py
@@ -15,8 +15,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from rattanwing.batch.model import JobSpec
-    from rattanwing.batch.replica import TopicReader, WorkReplica
+    from rattanwing.batch.configuration import CurrentConfiguration
+    from rattanwing.batch.model import JobSpec, QueueIdentity
+    from rattanwing.batch.replica import JobView, TopicReader, WorkReplica
     from rattanwing.batch.store_speed import StoreSpeed
     from rattanwing.batch.writer import PendingAppend, RecordWriter
 
@@ -44,6 +45,7 @@
     """
 
     __slots__ = (
+        "configuration",
         "replica",
         "reader",
         "writer",
@@ -54,12 +56,14 @@
 
     def __init__(
         self,
+        configuration: CurrentConfiguration,
         replica: WorkReplica,
         reader: TopicReader,
         writer: RecordWriter,
         store_speed: StoreSpeed,
         clock: Callable[[], float],
     ) -> None:
+        self.configuration = configuration
         self.replica = replica
         self.reader = reader
         self.writer = writer
@@ -80,7 +84,7 @@
         now = self.clock()
         if not self.reader.loaded.is_set():
             return Answer.NOT_READY
-        if self.replica.is_cancelled_early(job_id, spec.queue.name):
+        if self.replica.is_cancelled_early(job_id, spec.queue.identity):
             return self.refuse(job_id, "cancelled")
         self.drop_settled()
         pending = self.pending_submissions.get(job_id)
@@ -133,8 +137,8 @@
         events.write(events.JOB_REFUSED, job=job_id, reason=reason)
         return Answer.REFUSED
 
-    async def find(self, job_id: str, queue: str) -> JobState | Answer:
-        """Return the state of a job of a queue.
+    async def find(self, job_id: str, queue: QueueIdentity) -> JobState | Answer:
+        """Return the state of a job, asked for at a queue.
 
         Another entry may have accepted an unknown id a moment ago, so this waits
         for a read that was sent after the request before it answers that there is
@@ -151,11 +155,15 @@
             view = self.replica.jobs.get(job_id)
             if view is None and self.reader.read_sent_at <= asked_at:
                 return Answer.NOT_READY
-        if view is None or view.spec.queue.name != queue:
+        if view is None or not self.is_reached(view, queue):
             return Answer.NO_SUCH_JOB
         return view.state
 
-    async def cancel(self, job_id: str, queue: str, wait_s: float) -> Answer:
+    def is_reached(self, view: JobView, queue: QueueIdentity) -> bool:
+        """Return whether callers of a queue reach a job by its id."""
+        return self.configuration.reaches(queue, view.spec.queue.identity)
+
+    async def cancel(self, job_id: str, queue: QueueIdentity, wait_s: float) -> Answer:
         """Cancel a job; a finished job keeps its state.
 
         An entry can't know whether another one still holds the submission of an unknown
@@ -171,31 +179,44 @@
             return settled
         now = self.clock()
         key = records.CANCEL_PREFIX + job_id
-        value = records.encode(records.CancelRequest(0, queue))
+        # All entries compare the stored queue with that of the job, whatever version
+        # of the configuration they have.
+        view = self.replica.jobs.get(job_id)
+        stored = queue if view is None else view.spec.queue.identity
+        request = records.CancelRequest(
+            0, stored.name, stored.http_host, stored.path_prefix
+        )
+        value = records.encode(request)
         pending = self.writer.submit([(key, value)], now + STORE_TIMEOUT_S)
         with trio.move_on_after(wait_s):
             await pending.done.wait()
             if pending.verdict is Verdict.RAN:
-                await self.read_cancellation(job_id, queue)
+                await self.read_cancellation(job_id, queue, stored)
         settled = self.cancellation_answer(job_id, queue)
         if pending.verdict is Verdict.RAN and settled is not None:
             if settled is Answer.ACCEPTED:
                 events.write(events.JOB_CANCELLED, job=job_id)
             else:
-                events.write(events.CANCELLED_EARLY, job=job_id, queue=queue)
+                events.write(events.CANCELLED_EARLY, job=job_id, queue=queue.name)
             return settled
         if pending.done.is_set() and pending.verdict is Verdict.NOT_RUN:
             return Answer.REFUSED
         return Answer.UNKNOWN_OUTCOME
 
-    async def read_cancellation(self, job_id: str, queue: str) -> None:
-        """Wait until a stored cancellation shows in the replica."""
+    async def read_cancellation(
+        self, job_id: str, queue: QueueIdentity, stored: QueueIdentity
+    ) -> None:
+        """Wait until a stored cancellation shows in the replica.
+
+        :param queue: the queue that the caller addressed.
+        :param stored: the queue that was stored with the cancellation.
+        """
         if job_id in self.replica.jobs:
-            self.replica.apply_cancel(job_id, queue)
+            self.replica.apply_cancel(job_id, stored)
         while self.cancellation_answer(job_id, queue) is None:
             await trio.sleep(POLL_INTERVAL_S)
 
-    def cancellation_answer(self, job_id: str, queue: str) -> Answer | None:
+    def cancellation_answer(self, job_id: str, queue: QueueIdentity) -> Answer | None:
         """Return the answer to a cancellation; ``None`` if one has to be stored.
 
         A job of another queue is none of this one, whose queue has none of that id.
@@ -204,7 +225,7 @@
         if view is None:
             early = self.replica.is_cancelled_early(job_id, queue)
             return Answer.NO_SUCH_JOB if early else None
-        if view.spec.queue.name != queue:
+        if not self.is_reached(view, queue):
             return Answer.NO_SUCH_JOB
         return Answer.ACCEPTED if view.state.final else None
 
@@ -235,9 +256,10 @@
         since = self.reader.read_sent_at if failing_since is None else failing_since
         return now - since
 
-    def count_queued(self, queue: str) -> int:
+    def count_queued(self, queue: QueueIdentity) -> int:
         """Return how many accepted jobs of a queue have not started a task yet."""
         return sum(
-            view.spec.queue.name == queue and view.state is JobState.QUEUED
+            view.state is JobState.QUEUED
+            and self.configuration.counts_for(queue, view.spec.queue.identity)
             for view in self.replica.jobs.values()
         )
--- a/rattanwing/platform/callers.py
+++ b/rattanwing/platform/callers.py
@@ -176,9 +176,9 @@
         if queue is None:
             return error_response(404, "no-such-queue", request.path)
         rest = request.path[len(queue.path_prefix) :]
-        name = queue.rules.name
+        identity = queue.rules.identity
         if rest == "" and request.method == "GET":
-            return json_response(200, {"pending": self.service.count_queued(name)})
+            return json_response(200, {"pending": self.service.count_queued(identity)})
         if JOB_ID_PATTERN.fullmatch(rest) is None:
             return error_response(404, "no-such-path", request.path)
         wait_s = wait_limit_s(request)
@@ -186,12 +186,13 @@
             case "POST":
                 return await self.submit(request, queue, rest, wait_s)
             case "GET":
-                found = await self.service.find(rest, name)
+                found = await self.service.find(rest, identity)
                 if isinstance(found, Answer):
                     return self.to_response(found)
                 return json_response(200, {"state": STATE_NAMES[found]})
             case "DELETE":
-                return self.to_response(await self.service.cancel(rest, name, wait_s))
+                answer = await self.service.cancel(rest, identity, wait_s)
+                return self.to_response(answer)
         return error_response(405, "method-not-allowed", request.method)
 
     async def submit(
--- a/rattanwing/platform/operator.py
+++ b/rattanwing/platform/operator.py
@@ -142,5 +142,7 @@
         route.max_attempts,
         route.stretch,
         int(route.target_latency_ms),
+        route.host,
+        route.path_prefix,
     )
     return Queue(route.host, route.path_prefix, rules)
--- a/tests/batch/schedules.py
+++ b/tests/batch/schedules.py
@@ -18,7 +18,7 @@
 
 from rattanwing.batch.messages import Answer
 from rattanwing.batch.model import JobState, StepSpec
-from tests.batch.world import job, play
+from tests.batch.world import QUEUE, job, play
 
 FAULT_COUNT = 25
 MEAN_JOB_INTERVAL_S = 0.7
@@ -123,7 +123,7 @@
         entry = self.random.choice(list(self.world.entries.values()))
         self.cancelled.add(job_id)
         with trio.move_on_after(3):
-            await entry.relaying_service.cancel(job_id, "queue-1", 2.0)
+            await entry.relaying_service.cancel(job_id, QUEUE, 2.0)
 
     async def inject_fault(self):
         """Inject one random fault; most end after a random time."""
--- a/tests/batch/test_cancellations.py
+++ b/tests/batch/test_cancellations.py
@@ -7,12 +7,13 @@
 
 from rattanwing.batch import records
 from rattanwing.batch.messages import Answer
-from rattanwing.batch.model import JobState, StepSpec
+from rattanwing.batch.model import JobState, QueueIdentity, StepSpec
 from rattanwing.batch.ports import StoredRecord
 from rattanwing.batch.replica import MAX_EARLY_CANCELS, WorkReplica
 from tests.batch.world import job, play
 
-QUEUE = "queue-1"
+QUEUE = QueueIdentity("queue-1")
+OTHER_QUEUE = QueueIdentity("queue-2")
 LEAVES_AFTER_S = 0.125
 ANSWERED_WITHIN_S = 0.3
 STEP = StepSpec(1, cpu=500, memory_mb=100)
@@ -163,11 +164,11 @@
         async def scenario(world):
             await trio.sleep(2)
             entry, other = self.entries(world)
-            answer = await entry.relaying_service.cancel("job-1", "queue-2", 3.0)
+            answer = await entry.relaying_service.cancel("job-1", OTHER_QUEUE, 3.0)
             self.assertIs(answer, Answer.NO_SUCH_JOB)
             answer = await other.relaying_service.submit(job(steps=(STEP,)), 3.0)
             self.assertIs(answer, Answer.ACCEPTED)
-            answer = await entry.relaying_service.cancel("job-1", "queue-2", 3.0)
+            answer = await entry.relaying_service.cancel("job-1", OTHER_QUEUE, 3.0)
             self.assertIs(answer, Answer.NO_SUCH_JOB)
             self.assertTrue(await world.wait_for_state("job-1", JobState.COMPLETED))
 
@@ -212,7 +213,7 @@
         self.replica.apply(StoredRecord(key, encoded, self.offset))
 
     def cancel(self, job_id, queue=QUEUE):
-        self.apply(f"cancel/{job_id}", records.CancelRequest(0, queue))
+        self.apply(f"cancel/{job_id}", records.CancelRequest(0, queue.name))
 
     def test_records_beyond_the_limit_and_old_ones_expire(self):
         """Callers can cancel any id at will."""
--- a/tests/batch/test_engine.py
+++ b/tests/batch/test_engine.py
@@ -21,7 +21,7 @@
     RESOLVE_PAUSE_S,
 )
 from rattanwing.errors import RejectedError
-from tests.batch.world import job, play
+from tests.batch.world import QUEUE, job, play
 
 TASK = StepSpec(4, cpu=500, memory_mb=100)
 
@@ -77,7 +77,7 @@
             await world.submit(job())
             await trio.sleep(1)
             entry = list(world.entries.values())[-1]
-            answer = await entry.local_service.cancel("job-1", "queue-1", 2.0)
+            answer = await entry.local_service.cancel("job-1", QUEUE, 2.0)
             self.assertIs(answer, Answer.ACCEPTED)
             await trio.sleep(1)
             running = [r for r in world.history if r.ended_at is None]
@@ -610,9 +610,9 @@
                 answer = await world.submit(job(f"job-{number}"), entry)
                 self.assertIs(answer, Answer.ACCEPTED)
                 await trio.sleep(1)
-            state = await entry.relaying_service.find("job-0", "queue-1")
+            state = await entry.relaying_service.find("job-0", QUEUE)
             self.assertIs(state, JobState.COMPLETED)
-            answer = await entry.relaying_service.cancel("job-9", "queue-1", 2.0)
+            answer = await entry.relaying_service.cancel("job-9", QUEUE, 2.0)
             self.assertIs(answer, Answer.NO_SUCH_JOB)
 
         world = play(scenario)
@@ -666,7 +666,7 @@
                 answer = await entry.relaying_service.submit(spec, wait_s)
                 self.assertIn(answer, (Answer.UNKNOWN_OUTCOME, Answer.ACCEPTED))
                 answer = await entry.relaying_service.cancel(
-                    f"job-{number}", "queue-1", 0.0
+                    f"job-{number}", QUEUE, 0.0
                 )
                 self.assertIsInstance(answer, Answer)
 
@@ -1027,8 +1027,8 @@
             await trio.sleep(3)
             owner = world.owner()
             entry = next(e for e in world.entries.values() if e is not owner)
-            await entry.relaying_service.find("none", "queue-1")
-            answer = await entry.relaying_service.cancel("none", "queue-1", 2.7)
+            await entry.relaying_service.find("none", QUEUE)
+            answer = await entry.relaying_service.cancel("none", QUEUE, 2.7)
             self.assertIs(answer, Answer.NO_SUCH_JOB)
             self.assertFalse(entry.store_speed.is_slow(trio.current_time()))
 
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -30,6 +30,7 @@
 )
 
 RULES = QueueRules("queue-1", "service-1", 0, 3, 2.0, 1000)
+QUEUE = RULES.identity
 DOMAINS = ("domain-a", "domain-b", "domain-c")
 
 
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -106,7 +106,9 @@
         self.apply("config", {**CONFIG, "version": 5, "routes": []})
         self.assertEqual(self.configuration.version, 7)
         queue = self.configuration.find_queue("h.example", "/q/abc")
-        self.assertEqual(queue.rules, QueueRules("r-1", "svc", 2, 4, 1.5, 250))
+        self.assertEqual(
+            queue.rules, QueueRules("r-1", "svc", 2, 4, 1.5, 250, "h.example", "/q/")
+        )
         self.assertIsNone(self.configuration.find_queue("h.example", "/other/abc"))
         self.assertEqual(self.changes, 1)
 
