Hold only tasks that have or had a run, and bound the memory of jobs

Three accepted jobs of 100,000 tasks: each entry ends 7 times within a minute for its memory of 300 MB, 0 of 31 small jobs begin.

Cause: the owner makes an object for each task of each step, also of steps that wait; 1,408 bytes and 17.7 us a task, 141 MB and 1.8 s of its loop for one job. Nothing sums up the jobs, and no limit knows the memory of the process.

Ruled out: the size of the requests (700 bytes), the runs (jobs of 36 tasks show nothing).

Change: StepTasks holds the tasks that have or had a run and one bit of those done; the others are created as they are placed. At most 1,024 steps of a job are open; occurrences that are done are closed. StartBudget limits the tasks held (by memory_mb), the starts of a round and the runs of a host. memory.py gives the jobs of all queues a quarter of an entry's memory: beyond it 503 and Retry-After 5 s, alike on all entries, as all hold all jobs. What is being stored counts once for every entry. Finished jobs keep their state only. Jobs that fit no record get 400.

Tests that reach for all tasks of a step use find(); the world keeps the steps of finished jobs itself, which entries drop now.

--- a/rattanwing/batch/cluster.py
+++ b/rattanwing/batch/cluster.py
@@ -70,6 +70,7 @@
         run = Run(task, attempt, host, now)
         host.add(run)
         task.runs.append(run)
+        task.job.hold(task)
         task.job.count_run(1, now, has_run=False)
         return run
 
@@ -108,6 +109,7 @@
         if run not in run.task.runs:
             return
         run.task.runs.remove(run)
+        run.task.job.release(run.task)
         if has_run:
             run.task.saved_percent = run.progress_percent
         run.task.job.count_run(-1, now, has_run)
--- a/rattanwing/batch/entry.py
+++ b/rattanwing/batch/entry.py
@@ -9,6 +9,7 @@
 from rattanwing.batch import records
 from rattanwing.batch.configuration import CurrentConfiguration
 from rattanwing.batch.locality import NearPlaces
+from rattanwing.batch.memory import make_memory_limits
 from rattanwing.batch.owner import OwnerLoop
 from rattanwing.batch.ownership import Candidate
 from rattanwing.batch.ports import AppendStamp
@@ -45,6 +46,7 @@
     :param wall_ms: returns the Unix time in milliseconds.
     :param dial: opens streams to agents and other entries.
     :param incarnation: unique to this start of the process.
+    :param limits: what the memory of the process suffices for.
     :param local_service: serves callers from this entry alone.
     :param relaying_service: serves callers, also through other entries.
     :param owner_loop: ``None`` unless this entry is the owner.
@@ -59,6 +61,7 @@
         "random",
         "dial",
         "configuration",
+        "limits",
         "replica",
         "store_speed",
         "reader",
@@ -89,6 +92,7 @@
         self.random = random
         self.dial = dial
         self.configuration = CurrentConfiguration()
+        self.limits = make_memory_limits(settings.memory_mb)
         self.replica = WorkReplica(clock)
         self.store_speed = StoreSpeed()
         self.reader = TopicReader(
@@ -112,6 +116,8 @@
         self.directory_writer = self.make_writer(records.DIRECTORY_TOPIC)
         self.local_service = JobService(
             self.configuration,
+            self.limits,
+            lambda: len(self.directory.entries),
             self.replica,
             self.reader,
             self.writer,
@@ -214,6 +220,7 @@
             self.settings.retention_s,
             self.candidate.keeps_ownership_until,
             NearPlaces(self.settings.far_factor),
+            self.limits.held_tasks,
         )
         try:
             async with trio.open_nursery() as nursery:
--- a/rattanwing/batch/locality.py
+++ b/rattanwing/batch/locality.py
@@ -335,7 +335,7 @@
         if not could_hold(room.hosts, spec, 1):
             return host
         size = share_of_host(spec, room.hosts[0])
-        tasks = sum(member.is_waiting() for member in step.tasks)
+        tasks = step.count_waiting()
         return self.consider(job, step, task, key, room, size, tasks, now) or host
 
     def choose_for_gang(
@@ -351,40 +351,41 @@
         :returns: the hosts in the order of the tasks; empty if there are not enough.
         """
         spec, service = step.spec, job.spec.queue.service
-        suspect = any(task.is_suspect() for task in step.tasks)
+        members = [step.find(index) for index in range(spec.count)]
+        suspect = any(task.is_suspect() for task in members)
         if suspect or not self.applies_to(spec):
-            return plan_gang(hosts, job, step.tasks, interference, now)
+            return plan_gang(hosts, job, members, interference, now)
         wait = self.decisions.get(step)
         listed = {host.name for host in hosts}
         racks: list[tuple[str, list[Host], int]] = []
-        for rack, members in self.list_racks(service, spec.data_rack, now):
-            if not any(host.name in listed for host in members):
+        for rack, rack_hosts in self.list_racks(service, spec.data_rack, now):
+            if not any(host.name in listed for host in rack_hosts):
                 continue
-            usable = list_usable(members, step.tasks, interference, now)
+            usable = list_usable(rack_hosts, members, interference, now)
             plan = []
             if usable:
-                plan = plan_gang(usable, job, step.tasks, interference, now, True)
-            if len(plan) == len(step.tasks):
+                plan = plan_gang(usable, job, members, interference, now, True)
+            if len(plan) == len(members):
                 self.record_near_start(wait, now)
                 return plan
-            racks.append((rack, members, len(step.tasks) - len(plan)))
+            racks.append((rack, rack_hosts, len(members) - len(plan)))
         if wait is not None and not wait.outcome:
             return wait
-        plan = plan_gang(hosts, job, step.tasks, interference, now)
+        plan = plan_gang(hosts, job, members, interference, now)
         if wait is not None or not plan:
             return plan
         best: tuple[float, str, Room] | None = None
-        for rack, members, missing in racks:
-            if not could_hold(members, spec, spec.count):
+        for rack, rack_hosts, missing in racks:
+            if not could_hold(rack_hosts, spec, spec.count):
                 continue
-            room = self.room((service, rack), now, members)
+            room = self.room((service, rack), now, rack_hosts)
             if best is None or room.rate > best[2].rate:
-                best = (missing * share_of_host(spec, members[0]), rack, room)
+                best = (missing * share_of_host(spec, rack_hosts[0]), rack, room)
         if best is None:
             return plan
         size, rack, room = best
         key = (service, rack)
-        saver = next((t for t in step.tasks if t.checkpoint), step.tasks[0])
+        saver = next((t for t in members if t.checkpoint), members[0])
         begun = self.consider(job, step, saver, key, room, size, 1, now)
         return begun or plan
 
@@ -522,10 +523,9 @@
         """End a wait; the tasks that are left start elsewhere."""
         wait.outcome = outcome
         wait.step.checked_at = float("-inf")
-        task = wait.step.tasks[0].id
         events.write(
             events.NEAR_WAIT_ENDED,
-            job=task.job_id,
+            job=wait.job.spec.job_id,
             step=wait.step.key,
             rack=wait.key[1],
             waited_s=round(now - wait.began_at, 3),
--- a/rattanwing/batch/model.py
+++ b/rattanwing/batch/model.py
@@ -22,8 +22,12 @@
 MAX_TASKS_PER_STEP = 10_000
 
 MAX_TASKS_PER_JOB = 100_000
-"""Most tasks of a job over all its occurrences. All may be due at once, and the owner
-keeps each in memory."""
+"""Most tasks of a job over all its occurrences."""
+
+MAX_OPEN_STEPS = 1_024
+"""Most steps of one job, counted once for each occurrence, that are open at a time.
+Later occurrences begin when earlier ones are done; the owner looks at each open step in
+a round of decisions."""
 
 MAX_NUMBER = 2**53
 """Bound of the numbers in a job; larger ones can't be stored."""
--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -13,7 +13,7 @@
 from rattanwing.batch.placement import Constraints
 from rattanwing.batch.ports import AppendStamp
 from rattanwing.batch.replica import RETRY_PAUSE_S
-from rattanwing.batch.scheduler import Scheduler
+from rattanwing.batch.scheduler import DEFAULT_MAX_HELD_TASKS, Scheduler
 from rattanwing.batch.timing import TASK_LEASE_S
 from rattanwing.batch.unregistering import AddressRemover
 from rattanwing.errors import LogError
@@ -71,6 +71,7 @@
     :param keeps_ownership_until: time until which an owner that reaches any agent does
         not resign because it does not reach most of them.
     :param near_places: decides about waits for near places in this epoch.
+    :param max_held_tasks: number of tasks that the owner may hold.
     :param last_reachable_at: when at least half of the agents were last connected.
     :param resignation_requested: set when this entry should resign temporarily.
     """
@@ -109,6 +110,7 @@
         retention_s: float,
         keeps_ownership_until: float,
         near_places: NearPlaces | None = None,
+        max_held_tasks: int = DEFAULT_MAX_HELD_TASKS,
     ) -> None:
         self.epoch = writer.epoch
         self.writer = writer
@@ -128,7 +130,7 @@
         self.wall_ms = wall_ms
         self.retention_s = retention_s
         self.scheduler = Scheduler(
-            writer.epoch, writer.last_success_sent_at, near_places
+            writer.epoch, writer.last_success_sent_at, near_places, max_held_tasks
         )
         self.connections = AgentConnections(
             node,
--- a/rattanwing/batch/placement.py
+++ b/rattanwing/batch/placement.py
@@ -91,6 +91,11 @@
 of a core. If the host crashes, such runs are suspected as well."""
 
 
+MAX_RUNS_PER_HOST = 2_000
+"""Most runs on one host, for tasks that declare next to nothing. The agent lists all of
+them in each report."""
+
+
 class Constraints:
     """Placement limits set by the current configuration.
 
@@ -132,6 +137,8 @@
 def shortage(host: Host, step: StepSpec) -> str:
     """Return what an open host lacks for one more task of a step; empty if nothing."""
     executor = host.executor
+    if len(host.runs) >= MAX_RUNS_PER_HOST:
+        return "runs"
     if not step.best_effort and host.reserved_cpu + step.cpu > executor.cpu:
         return "cpu"
     if step.label and step.label not in executor.labels:
@@ -374,14 +381,13 @@
     """
     if not must_start_alone(len(task.crashed_on)):
         return False
-    steps = task.job.steps_by_occurrence[task.id.occurrence]
-    return not steps[task.id.step].has_waited_long(now)
+    return not task.job.step_of(task).has_waited_long(now)
 
 
 def count_runs_by_domain(job: OwnedJob, task: Task) -> dict[str, int]:
     """Return the number of runs of a task's step and occurrence by failure domain."""
     counts: dict[str, int] = {}
-    for member in job.steps_by_occurrence[task.id.occurrence][task.id.step].tasks:
+    for member in job.step_of(task).held.values():
         for run in member.runs:
             if run.host.executor is not None:
                 domain = run.host.executor.failure_domain
--- a/rattanwing/batch/records.py
+++ b/rattanwing/batch/records.py
@@ -21,6 +21,9 @@
 from rattanwing.errors import MalformedError, RecordError, RejectedError
 from rattanwing.util.codec import decode as decode_value
 
+Records = list[tuple[str, bytes | None]]
+"""Keys and values of records to append; a record without a value deletes its key."""
+
 WORK_TOPIC = "work"
 """Topic of jobs and their cancellations, which every entry writes, and of progress,
 ownership and interference estimates, which only the owner writes. The owner also
@@ -32,6 +35,7 @@
 
 JOB_PREFIX = "job/"
 PROGRESS_PREFIX = "progress/"
+PART_PREFIX = "part/"
 CANCEL_PREFIX = "cancel/"
 AGENT_PREFIX = "agent/"
 ENTRY_PREFIX = "entry/"
@@ -76,6 +80,8 @@
         by suspected task.
     :param clear_crashes: those of them that followed a start as a suspected task and
         have no other known cause.
+    :param occurrences_done: number of occurrences, from the first on, that are done;
+        ``done`` lists their steps as well unless there are very many.
     """
 
     epoch: Epoch
@@ -87,6 +93,21 @@
     finished_at_ms: Number = 0
     crashes: dict[str, list[str]] = {}
     clear_crashes: dict[str, list[str]] = {}
+    occurrences_done: Number = 0
+
+
+class ProgressPart(msgspec.Struct, array_like=True):
+    """What is known of some tasks that are not done, of a job of many tasks.
+
+    Only the owner writes it. The fields are those of :class:`Progress`.
+    """
+
+    epoch: Epoch
+    failures: dict[str, list[Number]] = {}
+    attempts: dict[str, Number] = {}
+    checkpoints: dict[str, str] = {}
+    crashes: dict[str, list[str]] = {}
+    clear_crashes: dict[str, list[str]] = {}
 
 
 class CancelRequest(msgspec.Struct, array_like=True):
@@ -153,6 +174,7 @@
 _decoders = {
     JOB_PREFIX: msgspec.msgpack.Decoder(JobSpec),
     PROGRESS_PREFIX: msgspec.msgpack.Decoder(Progress),
+    PART_PREFIX: msgspec.msgpack.Decoder(ProgressPart),
     CANCEL_PREFIX: msgspec.msgpack.Decoder(CancelRequest),
     AGENT_PREFIX: msgspec.msgpack.Decoder(AgentAddress),
     ENTRY_PREFIX: msgspec.msgpack.Decoder(EntryAddress),
--- a/rattanwing/batch/relay.py
+++ b/rattanwing/batch/relay.py
@@ -15,7 +15,7 @@
 from rattanwing.batch import messages
 from rattanwing.batch.messages import Answer
 from rattanwing.batch.model import check_job
-from rattanwing.batch.returns import retry_after_s
+from rattanwing.batch.returns import MAX_RETRY_AFTER_S, retry_after_s
 from rattanwing.errors import PeerLostError, ProtocolError, RejectedError
 
 if TYPE_CHECKING:
@@ -244,6 +244,8 @@
 
     def retry_after_s(self) -> int:
         """Return the seconds after which a refused caller should return."""
+        if self.local.is_nearly_full():
+            return MAX_RETRY_AFTER_S
         return retry_after_s(self.local.outage_s(self.clock()), self.random)
 
     def count_queued(self, queue: QueueIdentity) -> int:
--- a/rattanwing/batch/replica.py
+++ b/rattanwing/batch/replica.py
@@ -4,10 +4,12 @@
 
 from typing import TYPE_CHECKING, Any
 
+import msgspec
 import trio
 
 from rattanwing import events
 from rattanwing.batch import records
+from rattanwing.batch.memory import FINISHED_JOB_BYTES, job_bytes
 from rattanwing.batch.model import JobSpec, JobState
 from rattanwing.batch.store_speed import StoreSpeed
 from rattanwing.errors import LogUnavailableError, RecordError, RecordExpiredError
@@ -44,13 +46,20 @@
 
 
 class JobView:
-    """A job's specification, progress and cancellation, as stored in the topic."""
+    """A job's specification, progress and cancellation, as stored in the topic.
 
-    __slots__ = ("spec", "progress", "cancelled")
+    :param parts: the parts of its progress by key, encoded: only the next owner needs
+        them.
+    :param memory_bytes: estimated memory of the job, in bytes.
+    """
+
+    __slots__ = ("spec", "progress", "parts", "cancelled", "memory_bytes")
 
     def __init__(self, spec: JobSpec) -> None:
         self.spec = spec
         self.progress = records.Progress(0)
+        self.parts: dict[str, bytes] = {}
+        self.memory_bytes = job_bytes(spec)
         self.cancelled = False
 
     @property
@@ -64,6 +73,12 @@
             return self.progress.state
         return JobState.CANCELLED if self.cancelled else self.progress.state
 
+    def drop_details(self) -> None:
+        """Drop what is not needed of a finished job, whose state stays readable."""
+        self.spec = msgspec.structs.replace(self.spec, text="", steps=())
+        self.parts = {}
+        self.memory_bytes = FINISHED_JOB_BYTES
+
 
 class EarlyCancel:
     """A cancellation that was stored before its job.
@@ -226,6 +241,7 @@
         oldest first. The job may be on its way to the store.
     :param on_job: called with the id of each job that is new or has changed.
     :param on_owner: called with each owner record that was applied.
+    :param memory_bytes: estimated memory of all jobs, in bytes.
     :param owner_seen_at: when the newest record of the current owner was read.
     :param interference: the newest stored interference estimates.
     """
@@ -235,6 +251,7 @@
         "jobs",
         "unread",
         "early_cancels",
+        "memory_bytes",
         "owner",
         "owner_seen_at",
         "interference",
@@ -247,6 +264,7 @@
         self.jobs: dict[str, JobView] = {}
         self.unread: set[str] = set()
         self.early_cancels: dict[str, EarlyCancel] = {}
+        self.memory_bytes = 0
         self.owner: records.Owner | None = None
         self.owner_seen_at = clock()
         self.interference = records.InterferenceEstimates(0, [])
@@ -272,12 +290,14 @@
         except RecordError as error:
             events.write(events.RECORD_MALFORMED, offset=record.offset, error=error)
             return
-        job_id = record.key.partition("/")[2]
+        job_id = job_id_of(record.key)
         match value:
             case JobSpec():
                 self.apply_job(job_id, value)
             case records.Progress():
                 self.apply_progress(job_id, value)
+            case records.ProgressPart():
+                self.apply_part(record.key, record.value, value.epoch)
             case records.CancelRequest():
                 self.apply_cancel(job_id, value.identity)
             case records.Owner():
@@ -294,7 +314,7 @@
         precede the record, and an owner must know of it before it starts the job.
         """
         if job_id not in self.jobs:
-            self.jobs[job_id] = self.make_view(job_id, spec)
+            self.add_view(job_id, spec)
             self.unread.add(job_id)
 
     def apply_job(self, job_id: str, spec: JobSpec) -> None:
@@ -303,15 +323,15 @@
             return
         self.unread.discard(job_id)
         if job_id not in self.jobs:
-            self.jobs[job_id] = self.make_view(job_id, spec)
+            self.add_view(job_id, spec)
         self.early_cancels.pop(job_id, None)
         self.on_job(job_id)
 
-    def make_view(self, job_id: str, spec: JobSpec) -> JobView:
-        """Return the view of a new job, which may have been cancelled already."""
-        view = JobView(spec)
+    def add_view(self, job_id: str, spec: JobSpec) -> None:
+        """Add a new job, which may have been cancelled already."""
+        view = self.jobs[job_id] = JobView(spec)
         view.cancelled = self.is_cancelled_early(job_id, spec.queue.identity)
-        return view
+        self.memory_bytes += view.memory_bytes
 
     def is_cancelled_early(self, job_id: str, queue: QueueIdentity) -> bool:
         """Return whether a job of a queue that is not known was cancelled."""
@@ -325,8 +345,22 @@
         if view is None or progress.epoch < view.progress.epoch:
             return
         view.progress = progress
+        if progress.state.final:
+            self.memory_bytes -= view.memory_bytes
+            view.drop_details()
+            self.memory_bytes += view.memory_bytes
         self.on_job(job_id)
 
+    def apply_part(self, key: str, value: bytes, epoch: int) -> None:
+        """Replace a part of a job's progress; the store refuses earlier owners' parts.
+
+        :param value: the part, encoded.
+        """
+        self.record_owner_activity(epoch)
+        view = self.jobs.get(job_id_of(key))
+        if view is not None:
+            view.parts[key] = value
+
     def apply_cancel(self, job_id: str, queue: QueueIdentity) -> None:
         """Mark a job as cancelled; if it is not known, as soon as it is read.
 
@@ -384,12 +418,22 @@
         """Remove a job or early cancellation whose record was deleted."""
         prefix, _, job_id = key.partition("/")
         match prefix + "/":
+            case records.PART_PREFIX:
+                view = self.jobs.get(job_id_of(key))
+                if view is not None:
+                    view.parts.pop(key, None)
             case records.JOB_PREFIX:
-                self.jobs.pop(job_id, None)
+                view = self.jobs.pop(job_id, None)
+                self.memory_bytes -= 0 if view is None else view.memory_bytes
             case records.CANCEL_PREFIX:
                 self.early_cancels.pop(job_id, None)
 
 
+def job_id_of(key: str) -> str:
+    """Return the job id in the key of a record."""
+    return key.split("/")[1] if "/" in key else ""
+
+
 def ignore(_value: object) -> None:
     """Do nothing; used as the callback until one is set."""
 
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -26,6 +26,7 @@
     count_rejections,
 )
 from rattanwing.batch.ports import EndedRow, EndReason, RunningRow
+from rattanwing.batch.start_budget import StartBudget
 from rattanwing.batch.suspicion import SURVIVAL_S, has_survived
 from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
 from rattanwing.batch.urgency import sort_by_urgency
@@ -35,6 +36,9 @@
     from rattanwing.batch.jobs import StepTasks
     from rattanwing.batch.replica import JobView
 
+DEFAULT_MAX_HELD_TASKS = 20_000
+"""Number of tasks that the owner holds at most where its memory is not known."""
+
 START_WITHIN_S = 2.0
 """Time in seconds after which a start order is void, so that a delayed order does not
 start a run despite a later evacuation, drain or cancellation."""
@@ -78,6 +82,12 @@
 """Time in seconds after which a stop is ordered again if the run is still reported."""
 
 
+def is_like_others(step: StepTasks) -> bool:
+    """Return whether what one occurrence of a step lacks to start all of them lack."""
+    spec = step.spec
+    return not (spec.spread_limit or spec.data_rack or spec.same_rack)
+
+
 class Scheduler:
     """The scheduling decisions of one epoch of ownership.
 
@@ -92,6 +102,7 @@
         :meth:`check_takeover`.
     :param directory_known: whether every registered agent is in ``cluster``.
     :param near_places: the decisions about waits for near places.
+    :param budget: limits the tasks that are held, and the starts in one round.
     """
 
     __slots__ = (
@@ -111,10 +122,15 @@
         "stalls_checked_at",
         "moves_checked_at",
         "near_places",
+        "budget",
     )
 
     def __init__(
-        self, epoch: int, claimed_at: float, near_places: NearPlaces | None = None
+        self,
+        epoch: int,
+        claimed_at: float,
+        near_places: NearPlaces | None = None,
+        max_held_tasks: int = DEFAULT_MAX_HELD_TASKS,
     ) -> None:
         self.epoch = epoch
         self.claimed_at = claimed_at
@@ -132,6 +148,7 @@
         self.stalls_checked_at = claimed_at
         self.moves_checked_at = claimed_at
         self.near_places = near_places or NearPlaces()
+        self.budget = StartBudget(max_held_tasks, claimed_at)
 
     # Jobs
 
@@ -147,7 +164,7 @@
             if view.progress.state.final:
                 return
             job = OwnedJob(view.spec, now, inherited, self.epoch)
-            job.restore(view.progress, now_ms)
+            job.restore(view.progress, now_ms, view.parts)
             self.jobs[view.spec.job_id] = job
             if job.all_done():
                 self.finish_job(job, JobState.COMPLETED, now, now_ms)
@@ -167,7 +184,7 @@
             state=state.name.lower(),
             epoch=self.epoch,
         )
-        for task in job.tasks():
+        for task in list(job.tasks_held()):
             for run in list(task.runs):
                 self.cluster.stop(run, "job-final", now)
 
@@ -446,10 +463,7 @@
         task = job.task(task_id) if job is not None else None
         if task is None or job.state.final:
             return
-        task.attempt = max(task.attempt, end.attempt)
-        task.ended_attempt = max(task.ended_attempt, end.attempt)
-        task.keep_checkpoint(end.checkpoint, end.attempt)
-        task.refused_on.clear()
+        task.record_end(end.attempt, end.checkpoint)
         self.mark_unstored(job)
         if run is not None:
             failed = end.reason is EndReason.FAILED
@@ -479,10 +493,10 @@
         now_ms: int,
     ) -> None:
         """Record a failed attempt; the job fails after ``max_attempts`` of one task."""
-        task.failed_on.add(host.name)
+        task.failed_on |= {host.name}
         if task.step.long_running:
             return
-        task.failed_attempts.add(attempt)
+        task.failed_attempts |= {attempt}
         if len(task.failed_attempts) >= job.spec.queue.max_attempts:
             self.finish_job(job, JobState.FAILED, now, now_ms)
 
@@ -499,7 +513,7 @@
             return
         self.cluster.mark_lost(run, refused.reason, now, refused=True)
         if refused.reason not in HARMLESS_REFUSALS:
-            run.task.refused_on.add(host.name)
+            run.task.refused_on |= {host.name}
             host.health.record_refusal(now)
 
     # Crashes
@@ -596,6 +610,8 @@
             and now >= job.skipped_until
             and (self.takeover_complete or not job.inherited)
         ]
+        held_tasks = sum(job.held_tasks for job in self.jobs.values())
+        self.budget.begin_round(held_tasks, now)
         open_hosts = OpenHosts(self.cluster.hosts.values(), self.constraints, now)
         self.near_places.begin_round(open_hosts, now, now_ms)
         for job in sort_by_urgency(waiting, now_ms):
@@ -632,7 +648,11 @@
         settled = True
         ready = job.ready_steps()
         job.tests_suspects = job.has_suspects_to_test(ready, now)
+        full: set[int] = set()
         for step in ready:
+            if step.number in full and is_like_others(step) and not job.suspects:
+                settled = False
+                continue
             everywhere = now - step.checked_at >= RECHECK_INTERVAL_S
             hosts = open_hosts.list(job.spec.queue.service, everywhere)
             if not hosts and not everywhere:
@@ -642,6 +662,7 @@
             if place(job, step, hosts, now):
                 continue
             settled = False
+            full.add(step.number)
             if everywhere:
                 step.checked_at = now
         return settled
@@ -651,26 +672,34 @@
     ) -> bool:
         """Place the waiting tasks of a step until one finds no host.
 
-        The others are still tried after a suspected task, which fits fewer hosts.
+        The others are still tried after a suspected task, which fits fewer hosts. Tasks
+        that never had a run are alike: what holds one of them back holds all.
 
         :returns: whether no task of the step is left waiting.
         """
         placed = held_back = False
         unplaced: Task | None = None
-        for task in step.tasks:
-            if not task.is_waiting():
-                continue
+        for task in step.waiting_tasks():
             if not job.may_start(task, now) or not self.crashes.may_test(task, now):
                 held_back = True
-                continue
+                if step.holds(task):
+                    continue
+                break
+            fresh = not step.holds(task)
+            if not self.budget.allows(1, int(fresh)):
+                held_back = True
+                break
             host = self.near_places.choose(
                 hosts, job, step, task, self.interference, now
             )
             if isinstance(host, NearWait):
                 held_back = True
-                continue
+                if step.holds(task):
+                    continue
+                break
             if host is not None:
                 self.start(job, task, task.next_attempt(), host, now)
+                self.budget.spend(1, int(fresh))
                 placed = True
                 continue
             unplaced = unplaced or task
@@ -720,33 +749,37 @@
 
         :returns: whether the gang was placed, or still has runs.
         """
-        runs = [run for task in step.tasks for run in task.runs]
+        runs = [run for task in step.held.values() for run in task.runs]
         if runs:
-            if any(task.is_waiting() for task in step.tasks):
+            if step.count_waiting():
                 for run in runs:
                     if run.last_stop_ordered_at is None:
                         self.cluster.stop(run, "gang-broken", now)
             return True
-        if not any(job.may_start(task, now) for task in step.tasks):
+        members = [step.find(index) for index in range(step.spec.count)]
+        if not any(job.may_start(task, now) for task in members):
             return False
-        if not all(self.crashes.may_test(task, now) for task in step.tasks):
+        if not all(self.crashes.may_test(task, now) for task in members):
             return False
-        attempt = max(task.next_attempt() for task in step.tasks)
-        checkpoint = next(
-            (task.checkpoint for task in step.tasks if task.checkpoint), ""
-        )
+        fresh = step.spec.count - len(step.held)
+        if not self.budget.allows(step.spec.count, fresh):
+            return False
+        attempt = max(task.next_attempt() for task in members)
+        checkpoint = next((task.checkpoint for task in members if task.checkpoint), "")
         placed = self.near_places.choose_for_gang(
             hosts, job, step, self.interference, now
         )
         if isinstance(placed, NearWait):
             return False
         if not placed:
-            self.record_wait(job, step, step.tasks[0], now)
+            self.record_wait(job, step, members[0], now)
             return False
         step.waiting_since = None
-        for task, host in zip(step.tasks, placed, strict=True):
+        for task, host in zip(members, placed, strict=True):
             task.checkpoint = checkpoint
+            job.note_change(task)
             self.start(job, task, attempt, host, now)
+        self.budget.spend(step.spec.count, fresh)
         return True
 
     def start(
--- a/rattanwing/batch/service.py
+++ b/rattanwing/batch/service.py
@@ -8,14 +8,17 @@
 
 from rattanwing import events
 from rattanwing.batch import records
+from rattanwing.batch.memory import has_room, is_nearly_full, job_bytes
 from rattanwing.batch.messages import Answer
 from rattanwing.batch.model import JobState, check_job
+from rattanwing.errors import RejectedError
 from rattanwing.verdict import Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from rattanwing.batch.configuration import CurrentConfiguration
+    from rattanwing.batch.memory import MemoryLimits
     from rattanwing.batch.model import JobSpec, QueueIdentity
     from rattanwing.batch.replica import JobView, TopicReader, WorkReplica
     from rattanwing.batch.store_speed import StoreSpeed
@@ -40,23 +43,31 @@
     """Serves one entry's callers from its replica and the store.
 
     :param store_speed: what the calls of this entry show of the store.
+    :param limits: what the memory of an entry suffices for.
+    :param count_entries: returns the number of entries.
+    :param pending_bytes: by job id, the estimated memory of each pending submission.
     :param pending_submissions: by job id, the append that stores the job; settled ones
         are dropped at the next submission.
     """
 
     __slots__ = (
         "configuration",
+        "limits",
+        "count_entries",
         "replica",
         "reader",
         "writer",
         "store_speed",
         "clock",
         "pending_submissions",
+        "pending_bytes",
     )
 
     def __init__(
         self,
         configuration: CurrentConfiguration,
+        limits: MemoryLimits,
+        count_entries: Callable[[], int],
         replica: WorkReplica,
         reader: TopicReader,
         writer: RecordWriter,
@@ -64,12 +75,15 @@
         clock: Callable[[], float],
     ) -> None:
         self.configuration = configuration
+        self.limits = limits
+        self.count_entries = count_entries
         self.replica = replica
         self.reader = reader
         self.writer = writer
         self.store_speed = store_speed
         self.clock = clock
         self.pending_submissions: dict[str, PendingAppend] = {}
+        self.pending_bytes: dict[str, int] = {}
 
     async def submit(self, spec: JobSpec, wait_s: float) -> Answer:
         """Submit a job; submitting the same id again does not create a second job.
@@ -91,10 +105,17 @@
         if pending is None or pending.verdict is Verdict.NOT_RUN:
             if self.are_appends_failing(now):
                 return self.refuse(job_id, "store-away")
+            size = job_bytes(spec)
+            if not self.has_room(size):
+                return self.refuse(job_id, "memory")
             key = records.JOB_PREFIX + job_id
             value = records.encode(spec)
+            if len(value) > self.writer.max_record_bytes:
+                detail = f"{len(value)} bytes as stored"
+                raise RejectedError("job-too-large", detail)
             pending = self.writer.submit([(key, value)], now + STORE_TIMEOUT_S)
             self.pending_submissions[job_id] = pending
+            self.pending_bytes[job_id] = size
         with trio.move_on_after(wait_s):
             await pending.done.wait()
         if not pending.done.is_set():
@@ -131,6 +152,21 @@
             if pending.verdict is Verdict.MAY_HAVE_RUN:
                 return
             del self.pending_submissions[job_id]
+            del self.pending_bytes[job_id]
+
+    def has_room(self, size: int) -> bool:
+        """Return whether all entries have the memory for one more job.
+
+        :param size: estimated memory of the job, in bytes.
+        """
+        pending_bytes = sum(self.pending_bytes.values())
+        entries = max(1, self.count_entries())
+        held_bytes = self.replica.memory_bytes
+        return has_room(self.limits, held_bytes, pending_bytes, entries, size)
+
+    def is_nearly_full(self) -> bool:
+        """Return whether a refused job should come back late rather than soon."""
+        return is_nearly_full(self.limits, self.replica.memory_bytes)
 
     def refuse(self, job_id: str, reason: str) -> Answer:
         """Log the refusal of a job and return the answer for its caller."""
--- a/rattanwing/batch/writer.py
+++ b/rattanwing/batch/writer.py
@@ -26,8 +26,7 @@
     from random import Random
 
     from rattanwing.batch.ports import KeyedStore
-
-Records = list[tuple[str, bytes | None]]
+    from rattanwing.batch.records import Records
 
 MAX_GROUP_RECORDS = 200
 """Most records in one group, well below the store's limit for a call."""
@@ -91,9 +90,11 @@
         count from it.
     :param on_stored: called with the duration in seconds of each successful append.
     :param speed: told how long successful appends take.
+    :param max_record_bytes: most bytes in one record's value.
     """
 
     __slots__ = (
+        "max_record_bytes",
         "store",
         "topic",
         "producer",
@@ -121,7 +122,9 @@
         clock: Callable[[], float],
         random: Random,
         speed: StoreSpeed | None = None,
+        max_record_bytes: int = MAX_RECORD_BYTES,
     ) -> None:
+        self.max_record_bytes = max_record_bytes
         self.store = store
         self.topic = topic
         self.producer = stamp.producer
@@ -144,10 +147,10 @@
         """Queue records and return their pending append."""
         pending = PendingAppend(records, expires_at)
         largest = max(len(value or b"") for _key, value in records)
-        if largest > MAX_RECORD_BYTES:
+        if largest > self.max_record_bytes:
             events.write(events.RECORD_TOO_LARGE, key=records[0][0], size=largest)
         full = self.fenced or len(self.waiting) >= MAX_PENDING_APPENDS
-        if full or largest > MAX_RECORD_BYTES:
+        if full or largest > self.max_record_bytes:
             pending.finish(Verdict.NOT_RUN)
             return pending
         self.waiting.append(pending)
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -283,6 +283,11 @@
     "The cancellation of a job that is not known was stored; it is cancelled if its"
     " submission is stored later.",
 )
+TASKS_LIMITED = Event(
+    554,
+    logbook.WARNING,
+    "Tasks without a run wait, as the owner holds as many tasks as its memory allows.",
+)
 
 EXECUTOR_ANNOUNCED = Event(
     610,
--- a/tests/batch/test_locality.py
+++ b/tests/batch/test_locality.py
@@ -205,7 +205,7 @@
     def test_near_host_on_which_the_task_failed_is_not_used(self):
         self.racks(r1=1, r2=1)
         owned = self.submit("job-1", msgspec.structs.replace(NEAR, count=1))
-        owned.tasks()[0].failed_on.add("r1-0")
+        owned.tasks()[0].failed_on |= {"r1-0"}
         self.round()
         self.assertEqual(self.placed_racks(owned), ["rack-2"])
 
@@ -213,7 +213,7 @@
         self.racks(r1=1)
         self.host("r2-0", cpu=16_000, **in_rack("rack-2"))
         owned = self.submit("job-1", msgspec.structs.replace(NEAR, count=3))
-        owned.tasks()[0].failed_on.add("r1-0")
+        owned.tasks()[0].failed_on |= {"r1-0"}
         self.round()
         self.assertEqual(self.placed_racks(owned), ["rack-1", "rack-1", "rack-2"])
 
@@ -404,7 +404,7 @@
         step = owned.steps_by_occurrence[0][0]
         places = scheduler.near_places
         for now, idle_s in ((100.0, 0.0), (100.5, 0.5), (107.0, 7.0)):
-            prospect = places.prospect(owned, step, step.tasks[0], now)
+            prospect = places.prospect(owned, step, step.find(0), now)
             with self.subTest(now):
                 self.assertAlmostEqual(prospect.idle_s, idle_s)
                 limit_s = max(0.0, locality.MAX_WAIT_S - idle_s)
@@ -426,7 +426,7 @@
         scheduler.update_job(JobView(spec), 100.0, 100_000)
         owned = scheduler.jobs["job-1"]
         step = owned.steps_by_occurrence[0][0]
-        task = step.tasks[0]
+        task = step.find(0)
         task.checkpoint, task.saved_percent = "saved", 75
         prospect = scheduler.near_places.prospect(owned, step, task, 100.0)
         self.assertAlmostEqual(prospect.run_s, 0.25)
@@ -470,7 +470,7 @@
     def test_gang_leaves_the_host_on_which_a_member_failed(self):
         self.racks(r1=1, r2=1)
         owned = self.submit("job-1", GANG)
-        owned.tasks()[2].failed_on.add("r1-0")
+        owned.tasks()[2].failed_on |= {"r1-0"}
         self.round()
         self.assertEqual(self.placed_racks(owned), ["rack-2"] * 4)
 
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -55,16 +55,22 @@
     :param latency: whether messages, calls and announcements take time, so that they
         cross, and announcements may be lost.
     :param announcements: the announcements that arrive at each agent, by its name.
+    :param specs: jobs that the store has or had, by key of their record.
+    :param memory_mb: memory of an entry, in megabytes; 0 if unknown.
     :param served: cancel scopes of the streams that each process has accepted, by
         name; used with latency.
     """
 
-    def __init__(self, entries=3, hosts=4, seed=1, latency=False, far_factor=1.0):
+    def __init__(
+        self, entries=3, hosts=4, seed=1, latency=False, far_factor=1.0, memory_mb=0
+    ):
         self.random = Random(seed)
         self.latency = latency
         self.far_factor = far_factor
+        self.memory_mb = memory_mb
         self.latency_random = Random(f"latency-{seed}")
         self.served = {}
+        self.specs = {}
         self.announcements = {}
         self.store = StandinStore()
         self.history = []
@@ -108,6 +114,7 @@
             peers_address=name,
             cpu=self.entry_cpu.get(name, 0),
             far_factor=self.far_factor,
+            memory_mb=self.memory_mb,
         )
         entry = BatchEntry(
             settings,
@@ -296,13 +303,18 @@
         return False
 
     def step_of(self, task):
-        """Return the step of a task, ``None`` if no entry knows it."""
+        """Return the step of a task, ``None`` if the store never had its job.
+
+        Entries drop the steps of finished jobs.
+        """
         found = parse_task_id(task)
-        for entry in self.entries.values():
-            view = entry.replica.jobs.get(found.job_id)
-            if view is not None:
-                return view.spec.steps[found.step]
-        return None
+        key = records.JOB_PREFIX + found.job_id
+        if key not in self.specs:
+            for record in self.store.topic(records.WORK_TOPIC).records:
+                if record.key == key and record.value is not None:
+                    self.specs[key] = records.decode(key, record.value)
+        spec = self.specs.get(key)
+        return None if spec is None else spec.steps[found.step]
 
     def cpu_of(self, task):
         """Return the thousandths of a core that a task reserves on its host."""
