Limit the age of what an owner has read when tasks start

The store turns all entries away and serves the operator; a zone is evacuated. 44 tasks start there later than the bound of 5 s, the last one 6.75 s after the acknowledgement.

Cause: the owner places by the closed domains that it read last, and nothing knows their age. Only its lease ends the starts, 7 s after its last append.

Ruled out: late orders (each is void after 2 s), executors that carry orders out late.

What was read is complete up to the sending of the newest successful read; a start by it is in time until then plus evac_ms (closed domains) or cancel_ms (cancellations) less 0.3 s for the call. No order is given beyond that, and each order carries it as the time from which its agent must not start the run. Both bounds come from the settings. Events 555 and 556.

Weighed: agents that read for the owner (may be turned away too, and the lease ends 2 s later); going on while nobody is served (can't be told apart).

--- a/rattanwing/batch/configuration.py
+++ b/rattanwing/batch/configuration.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from rattanwing.batch.model import QueueIdentity, QueueRules  # noqa: TC001
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 
 class Queue(msgspec.Struct, frozen=True):
     """A queue of jobs, and the HTTP host and path at which callers reach it.
@@ -30,6 +35,8 @@
 
     :param queue_names: names of the queues in force.
     :param queue_addresses: HTTP host and path prefix of each of them.
+    :param read_sent_at: returns when the newest successful read of the operators'
+        records was sent; infinite where nothing is read.
     """
 
     __slots__ = (
@@ -38,6 +45,7 @@
         "queue_names",
         "queue_addresses",
         "closed_domains",
+        "read_sent_at",
     )
 
     def __init__(self) -> None:
@@ -46,6 +54,7 @@
         self.queue_names: frozenset[str] = frozenset()
         self.queue_addresses: frozenset[tuple[str, str]] = frozenset()
         self.closed_domains: frozenset[str] = frozenset()
+        self.read_sent_at: Callable[[], float] = lambda: float("inf")
 
     @property
     def version(self) -> int:
--- a/rattanwing/batch/entry.py
+++ b/rattanwing/batch/entry.py
@@ -8,6 +8,7 @@
 
 from rattanwing.batch import records
 from rattanwing.batch.configuration import CurrentConfiguration
+from rattanwing.batch.freshness import StartGate
 from rattanwing.batch.locality import NearPlaces
 from rattanwing.batch.memory import make_memory_limits
 from rattanwing.batch.owner import OwnerLoop
@@ -219,6 +220,12 @@
             self.dial,
             self.settings.retention_s,
             self.candidate.keeps_ownership_until,
+            StartGate(
+                self.settings.domain_bound_s,
+                self.settings.cancel_bound_s,
+                lambda: self.configuration.read_sent_at(),
+                lambda: self.reader.read_sent_at,
+            ),
             NearPlaces(self.settings.far_factor),
             self.limits.held_tasks,
         )
--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -25,6 +25,7 @@
 
     from rattanwing.batch.configuration import CurrentConfiguration
     from rattanwing.batch.connections import Dial
+    from rattanwing.batch.freshness import StartGate
     from rattanwing.batch.hosts import Host
     from rattanwing.batch.locality import NearPlaces
     from rattanwing.batch.replica import Directory, TopicReader, WorkReplica
@@ -70,6 +71,7 @@
     :param store_needed: set when there is progress to store or an end to acknowledge.
     :param keeps_ownership_until: time until which an owner that reaches any agent does
         not resign because it does not reach most of them.
+    :param gate: limits the age of what this owner has read when tasks start.
     :param near_places: decides about waits for near places in this epoch.
     :param max_held_tasks: number of tasks that the owner may hold.
     :param last_reachable_at: when at least half of the agents were last connected.
@@ -91,6 +93,7 @@
         "wakeup",
         "store_needed",
         "keeps_ownership_until",
+        "gate",
         "last_reachable_at",
         "resignation_requested",
     )
@@ -109,6 +112,7 @@
         dial: Dial,
         retention_s: float,
         keeps_ownership_until: float,
+        gate: StartGate,
         near_places: NearPlaces | None = None,
         max_held_tasks: int = DEFAULT_MAX_HELD_TASKS,
     ) -> None:
@@ -146,6 +150,7 @@
         self.wakeup = trio.Event()
         self.store_needed = trio.Event()
         self.keeps_ownership_until = keeps_ownership_until
+        self.gate = gate
         self.last_reachable_at = clock()
         self.resignation_requested = trio.Event()
 
@@ -243,6 +248,7 @@
             return
         scheduler = self.scheduler
         scheduler.constraints = Constraints(self.current.closed_domains)
+        scheduler.starts_end_at = self.gate.check(now)
         for name in scheduler.drop_lapsed_hosts(now):
             self.connections.remove_agent(name)
         scheduler.check_takeover(now)
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -14,6 +14,7 @@
 from rattanwing.batch import messages
 from rattanwing.batch.cluster import ClusterState, task_properties
 from rattanwing.batch.crashes import Crash, CrashTracker
+from rattanwing.batch.freshness import has_time_to_start
 from rattanwing.batch.interference import InterferenceModel
 from rattanwing.batch.jobs import OwnedJob, Task
 from rattanwing.batch.liveness import may_outlive_lease
@@ -101,6 +102,7 @@
     :param takeover_complete: whether tasks of inherited jobs may be started; see
         :meth:`check_takeover`.
     :param directory_known: whether every registered agent is in ``cluster``.
+    :param starts_end_at: time from which no task may start by what has been read.
     :param near_places: the decisions about waits for near places.
     :param budget: limits the tasks that are held, and the starts in one round.
     """
@@ -111,6 +113,7 @@
         "jobs",
         "cluster",
         "constraints",
+        "starts_end_at",
         "unstored",
         "unacked",
         "unacked_crashes",
@@ -137,6 +140,7 @@
         self.jobs: dict[str, OwnedJob] = {}
         self.cluster = ClusterState(claimed_at)
         self.constraints = Constraints()
+        self.starts_end_at = float("inf")
         self.unstored: dict[str, OwnedJob] = {}
         self.unacked: dict[str, tuple[str, int]] = {}
         self.unacked_crashes: dict[str, str] = {}
@@ -610,6 +614,8 @@
             and now >= job.skipped_until
             and (self.takeover_complete or not job.inherited)
         ]
+        if not has_time_to_start(self.starts_end_at, now):
+            return
         held_tasks = sum(job.held_tasks for job in self.jobs.values())
         self.budget.begin_round(held_tasks, now)
         open_hosts = OpenHosts(self.cluster.hosts.values(), self.constraints, now)
@@ -802,7 +808,9 @@
             job.spec.text,
             task.checkpoint,
             task_properties(task.step),
-            host.report_stamp + now - host.last_heard_at + START_WITHIN_S,
+            host.report_stamp
+            - host.last_heard_at
+            + min(now + START_WITHIN_S, self.starts_end_at),
         )
         self.cluster.send(host, order)
         events.write(
--- a/rattanwing/batch/settings.py
+++ b/rattanwing/batch/settings.py
@@ -25,6 +25,9 @@
     :param peers_address: address on which streams from entries are accepted.
     :param far_factor: factor of the run time of tasks away from their data, and of
         gangs that must share a rack and do not; 1.0 if nothing is known of it.
+    :param domain_bound_s: time within which starts in a closed failure domain end, from
+        the confirmation of the closing on.
+    :param cancel_bound_s: time within which starts of a cancelled job end, likewise.
     :param announcements_address: address on which the executor's announcements are
         received; agents only.
     """
@@ -42,3 +45,5 @@
     far_factor: float = 1.0
     memory_mb: float = 0.0
     max_fds: int = 0
+    domain_bound_s: float = 5.0
+    cancel_bound_s: float = 3.0
--- a/rattanwing/events.py
+++ b/rattanwing/events.py
@@ -283,6 +283,13 @@
     "The cancellation of a job that is not known was stored; it is cancelled if its"
     " submission is stored later.",
 )
+STARTS_SUSPENDED = Event(
+    555,
+    logbook.WARNING,
+    "No task starts, as the owner has not read for too long which failure domains are"
+    " closed and which jobs are cancelled.",
+)
+STARTS_RESUMED = Event(556, logbook.NOTICE, "Tasks start again.")
 TASKS_LIMITED = Event(
     554,
     logbook.WARNING,
--- a/rattanwing/platform/main.py
+++ b/rattanwing/platform/main.py
@@ -168,6 +168,7 @@
     operator.on_applied = check_applied
     operator_reader = TopicReader(store, OPERATOR_TOPIC, steady_clock, operator.apply)
     operator_reader.on_loaded = operator.handle_loaded
+    entry.configuration.read_sent_at = lambda: operator_reader.read_sent_at
     callers = CallerRoutes(entry.relaying_service, entry.configuration)
     caller_server = HttpServer()
     caller_server.route(
--- a/rattanwing/platform/settings.py
+++ b/rattanwing/platform/settings.py
@@ -34,16 +34,21 @@
 
 
 class Bounds(msgspec.Struct):
-    """The platform's bounds that a process needs; times are in seconds.
+    """The platform's bounds that a process needs; times are in seconds, or in
+    milliseconds where the name says so.
 
     :param grace_s: time from the request to stop until the process is killed.
     :param status_s: how long the state of a finished job stays readable.
     :param far_factor: factor of the run time of tasks away from their data or group.
+    :param evac_ms: time until no task starts in a closed failure domain.
+    :param cancel_ms: time until no task of a cancelled job starts.
     """
 
     grace_s: NonNegative = 6.0
     status_s: NonNegative = 120.0
     far_factor: NonNegative = 1.0
+    evac_ms: NonNegative = 5_000.0
+    cancel_ms: NonNegative = 3_000.0
 
 
 class Limits(msgspec.Struct):
@@ -126,6 +131,8 @@
         found.bounds.far_factor,
         found.limits.memory_mb,
         int(found.limits.max_fds),
+        found.bounds.evac_ms / 1000,
+        found.bounds.cancel_ms / 1000,
     )
 
 
--- a/tests/batch/world.py
+++ b/tests/batch/world.py
@@ -62,7 +62,14 @@
     """
 
     def __init__(
-        self, entries=3, hosts=4, seed=1, latency=False, far_factor=1.0, memory_mb=0
+        self,
+        entries=3,
+        hosts=4,
+        seed=1,
+        latency=False,
+        far_factor=1.0,
+        memory_mb=0,
+        entry_cpu=None,
     ):
         self.random = Random(seed)
         self.latency = latency
@@ -91,7 +98,7 @@
         self.disconnected = set()
         self.agent_starts = 0
         self.dial_delay_s = 0.01
-        self.entry_cpu = {}
+        self.entry_cpu = entry_cpu or {}
 
     def now(self):
         return trio.current_time()
