Drop jobs whose deletion an entry has not read

Seen by reading, not by a case: an entry that falls behind the retained records loads the newest record of each key. It then drops early cancellations that are gone, but keeps jobs whose deletion was among the records that it missed, for as long as it runs. Since the memory of jobs is bounded, each of them would count against the bound for ever.

Change: a load drops jobs that the topic no longer holds, as it does with cancellations. An attempt that is only known from the report of a crash is held with its task, as before, where every task was held.

Conclusion: what is counted is given back by every way in which a job goes.

--- a/rattanwing/batch/entry.py
+++ b/rattanwing/batch/entry.py
@@ -107,7 +107,7 @@
             load_order=self.replica.load_order,
             speed=self.store_speed,
         )
-        self.reader.on_loaded = self.replica.drop_deleted_cancels
+        self.reader.on_loaded = self.replica.drop_deleted
         self.directory = Directory()
         self.directory_reader = TopicReader(
             store,
--- a/rattanwing/batch/jobs.py
+++ b/rattanwing/batch/jobs.py
@@ -112,6 +112,12 @@
             self.checkpoint_attempt = attempt
             self.job.note_change(self)
 
+    def record_attempt(self, attempt: int) -> None:
+        """Record that an attempt was reported."""
+        self.attempt = max(self.attempt, attempt)
+        if not self.done:
+            self.job.hold(self)
+
     def record_end(self, attempt: int, checkpoint: str) -> None:
         """Record the end of an attempt, and the checkpoint that it left."""
         self.attempt = max(self.attempt, attempt)
--- a/rattanwing/batch/replica.py
+++ b/rattanwing/batch/replica.py
@@ -381,14 +381,19 @@
         view.cancelled = True
         self.on_job(job_id)
 
-    def drop_deleted_cancels(self, keys: set[str]) -> None:
-        """Drop early cancellations whose records are not in the topic any more.
+    def drop_deleted(self, keys: set[str]) -> None:
+        """Drop jobs and early cancellations whose records the topic holds no more.
+
+        Their deletion may have been among the records that this entry has missed.
 
         :param keys: all keys that the topic holds.
         """
         for job_id in list(self.early_cancels):
             if records.CANCEL_PREFIX + job_id not in keys:
                 del self.early_cancels[job_id]
+        for job_id in self.jobs.keys() - self.unread:
+            if records.JOB_PREFIX + job_id not in keys:
+                self.apply_deletion(records.JOB_PREFIX + job_id)
 
     def expired_cancels(self, now: float, kept_s: float) -> list[str]:
         """Return the ids of early cancellations that are not to be kept any longer.
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -540,7 +540,7 @@
                 self.cluster.mark_lost(run, "executor-crashed", now)
             task = self.find_task(row.task)
             if task is not None:
-                task.attempt = max(task.attempt, row.attempt)
+                task.record_attempt(row.attempt)
                 if row.survived_s < SURVIVAL_S:
                     started.append((task, row.begun and row.noticed_s < SURVIVAL_S))
         if crash is not None:
--- a/tests/batch/test_cancellations.py
+++ b/tests/batch/test_cancellations.py
@@ -234,7 +234,7 @@
         self.cancel("job-2")
         self.cancel("job-3")
         self.apply("cancel/job-1", None)
-        self.replica.drop_deleted_cancels({"cancel/job-3"})
+        self.replica.drop_deleted({"cancel/job-3"})
         self.assertEqual(list(self.replica.early_cancels), ["job-3"])
 
     def test_cancellation_of_an_earlier_build_has_no_queue(self):
--- a/tests/batch/test_large_jobs.py
+++ b/tests/batch/test_large_jobs.py
@@ -17,7 +17,9 @@
     StepSpec,
     TaskId,
 )
+from rattanwing.batch.ports import StoredRecord
 from rattanwing.batch.records import Progress
+from rattanwing.batch.replica import WorkReplica
 from tests.batch.world import job, play
 
 MEMORY_BYTES = 300 * 1024 * 1024
@@ -140,6 +142,21 @@
         play(scenario)
 
 
+class MissedDeletionTests(unittest.TestCase):
+    """Guards against jobs that count for ever as their deletion was not read."""
+
+    def test_jobs_that_the_topic_no_longer_holds_are_dropped(self):
+        replica = WorkReplica(lambda: 0.0)
+        for offset, job_id in enumerate(("kept", "deleted")):
+            value = records.encode(job(job_id))
+            replica.apply(StoredRecord(f"job/{job_id}", value, offset))
+        replica.add_stored_job("unread", job("unread"))
+        one = replica.jobs["kept"].memory_bytes
+        replica.drop_deleted({"job/kept"})
+        self.assertEqual(sorted(replica.jobs), ["kept", "unread"])
+        self.assertEqual(replica.memory_bytes, 2 * one)
+
+
 class HeldTaskTests(unittest.TestCase):
     """Guards against starting more tasks than the owner can hold."""
 
