Decide in a module of its own which runs are stopped to run elsewhere

Ruled out: moving the placement of tasks and gangs, which would cut through the rounds.

Change: the search for stalled runs and for runs on a draining executor moves to stopping.py, with its limit; the question whether occurrences of a step lack the same hosts goes to placement.py.

Conclusion: the scheduler carries out what smaller modules decide.

--- a/rattanwing/batch/owner.py
+++ b/rattanwing/batch/owner.py
@@ -14,7 +14,8 @@
 from rattanwing.batch.ports import AppendStamp
 from rattanwing.batch.progress import group_records, progress_records
 from rattanwing.batch.replica import RETRY_PAUSE_S
-from rattanwing.batch.scheduler import DEFAULT_MAX_HELD_TASKS, Scheduler
+from rattanwing.batch.scheduler import Scheduler
+from rattanwing.batch.start_budget import DEFAULT_MAX_HELD_TASKS
 from rattanwing.batch.timing import TASK_LEASE_S
 from rattanwing.batch.unregistering import AddressRemover
 from rattanwing.batch.writer import MAX_GROUP_RECORDS
--- a/rattanwing/batch/placement.py
+++ b/rattanwing/batch/placement.py
@@ -150,6 +150,11 @@
     return ""
 
 
+def lacks_alike(step: StepSpec) -> bool:
+    """Return whether all occurrences of a step lack the same hosts to start."""
+    return not (step.spread_limit or step.data_rack or step.same_rack)
+
+
 class OpenHosts:
     """The hosts that may run more tasks, found once per round and service.
 
--- a/rattanwing/batch/scheduler.py
+++ b/rattanwing/batch/scheduler.py
@@ -25,9 +25,11 @@
     Constraints,
     OpenHosts,
     count_rejections,
+    lacks_alike,
 )
 from rattanwing.batch.ports import EndedRow, EndReason, RunningRow
-from rattanwing.batch.start_budget import StartBudget
+from rattanwing.batch.start_budget import DEFAULT_MAX_HELD_TASKS, StartBudget
+from rattanwing.batch.stopping import find_departing_runs, find_stalled_runs
 from rattanwing.batch.suspicion import SURVIVAL_S, has_survived
 from rattanwing.batch.timing import LEASE_MARGIN_S, TASK_LEASE_S
 from rattanwing.batch.urgency import sort_by_urgency
@@ -37,9 +39,6 @@
     from rattanwing.batch.jobs import StepTasks
     from rattanwing.batch.replica import JobView
 
-DEFAULT_MAX_HELD_TASKS = 20_000
-"""Number of tasks that the owner holds at most where its memory is not known."""
-
 START_WITHIN_S = 2.0
 """Time in seconds after which a start order is void, so that a delayed order does not
 start a run despite a later evacuation, drain or cancellation."""
@@ -48,10 +47,6 @@
 """Time in seconds between two updates of the interference estimates, which are then
 sent to the agents. The model's decay factor applies once per update."""
 
-STALL_LIMIT_S = 2.0
-"""Time in seconds without a change of its progress after which a run counts as
-stalled. Even the longest tasks change it several times a second, also on slow hosts."""
-
 WAIT_LOG_INTERVAL_S = 2.0
 """Time in seconds that a step waits for a host before the wait is logged, and between
 two such log lines. Hosts that are full for half a minute cause about a hundred
@@ -83,12 +78,6 @@
 """Time in seconds after which a stop is ordered again if the run is still reported."""
 
 
-def is_like_others(step: StepTasks) -> bool:
-    """Return whether what one occurrence of a step lacks to start all of them lack."""
-    spec = step.spec
-    return not (spec.spread_limit or spec.data_rack or spec.same_rack)
-
-
 class Scheduler:
     """The scheduling decisions of one epoch of ownership.
 
@@ -320,7 +309,8 @@
         host.freed = host.freed or not was_open or replaced or grown
         self.interference.observe(list(host.runs.values()), now)
         if executor is not None and executor.draining:
-            self.stop_runs_on_draining_host(host, executor.remaining_ms, now)
+            for run in find_departing_runs(host, executor.remaining_ms):
+                self.cluster.stop(run, "draining", now)
 
     def update_run(
         self, run: Run, row: RunningRow, survived_s: float, now: float
@@ -368,45 +358,13 @@
         return run
 
     def stop_stalled_runs(self, now: float) -> None:
-        """Stop stalled runs on responsive hosts, so that their tasks are placed again.
-
-        Long-running tasks are left out; so are best-effort tasks, whose pace may be 0,
-        and tasks of a gang, which may be waiting for a member.
-        """
+        """Stop stalled runs, so that their tasks are placed again."""
         if now - self.stalls_checked_at < STALL_CHECK_INTERVAL_S:
             return
         self.stalls_checked_at = now
-        for host in self.cluster.hosts.values():
-            if host.executor_unreachable or not host.accepts_starts(now):
-                continue
-            for run in list(host.runs.values()):
-                step = run.task.step
-                if step.long_running or step.best_effort or step.gang:
-                    continue
-                if not run.reported or run.last_stop_ordered_at is not None:
-                    continue
-                if now - run.progressed_at > STALL_LIMIT_S:
-                    host.health.record_stall(now)
-                    self.cluster.stop(run, "stalled", now)
-
-    def stop_runs_on_draining_host(
-        self, host: Host, remaining_ms: int, now: float
-    ) -> None:
-        """Stop runs on a draining host that should continue on another host.
-
-        These are the runs of long-running tasks, and the runs of tasks with
-        checkpoints that can't finish before the executor leaves.
-
-        :param remaining_ms: milliseconds until the executor leaves.
-        """
-        for run in list(host.runs.values()):
-            if run.last_stop_ordered_at is not None:
-                continue
-            step = run.task.step
-            needs_ms = step.estimate_ms * (100 - run.progress_percent) // 100
-            resumes_elsewhere = step.saves_checkpoints and needs_ms > remaining_ms
-            if step.long_running or resumes_elsewhere:
-                self.cluster.stop(run, "draining", now)
+        for run in find_stalled_runs(self.cluster.hosts.values(), now):
+            run.host.health.record_stall(now)
+            self.cluster.stop(run, "stalled", now)
 
     def send_interference(self, now: float) -> None:
         """Update the interference estimates and send them to agents once a second."""
@@ -656,7 +614,7 @@
         job.tests_suspects = job.has_suspects_to_test(ready, now)
         full: set[int] = set()
         for step in ready:
-            if step.number in full and is_like_others(step) and not job.suspects:
+            if step.number in full and lacks_alike(step.spec) and not job.suspects:
                 settled = False
                 continue
             everywhere = now - step.checked_at >= RECHECK_INTERVAL_S
--- a/rattanwing/batch/start_budget.py
+++ b/rattanwing/batch/start_budget.py
@@ -8,6 +8,9 @@
 
 from rattanwing import events
 
+DEFAULT_MAX_HELD_TASKS = 20_000
+"""Number of tasks that the owner holds at most where its memory is not known."""
+
 MAX_STARTS_PER_ROUND = 1_000
 """Most tasks that are started in one round of decisions. Their orders hold the text of
 their job, and rounds are at most a quarter of a second apart."""
