--- a/tests/batch/test_large_jobs.py
+++ b/tests/batch/test_large_jobs.py
@@ -55,13 +55,13 @@
         self.check_memory([spec] * 3)
 
 
-class DoorTests(unittest.TestCase):
+class SubmissionTests(unittest.TestCase):
     """Guards against accepted jobs whose sum exceeds the memory of an entry."""
 
     STEPS = (StepSpec(10, cpu=100, memory_mb=10, label="no-host"),) * 64
 
     async def fill(self, world, prefix):
-        """Submit jobs that stay, at all entries in turn, until one is refused."""
+        """Submit jobs without a host at all entries in turn until one is refused."""
         accepted = []
         while len(accepted) < 200:
             number = len(accepted)
